--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# SPDX-License-Identifier: Apache-2.0
+
+# The tools have a module of their own, outside the workspace, so that what they
+# need stays out of the product's go.mod.
+BIN := bin
+GO  := go
+LDFLAGS := -s -w
+
+.PHONY: all build run test race e2e lint bench fuzz tools verify clean
+
+all: build
+
+build:
+	$(GO) build -ldflags '$(LDFLAGS)' -o $(BIN)/ ./cmd/...
+
+# run shows the whole path on one node with stand-ins in one process.
+run: build
+	./$(BIN)/switchbank dev
+
+test:
+	$(GO) test ./...
+
+race:
+	$(GO) test -race ./...
+
+# e2e runs the example as separate processes over TCP, and kills a node in its middle.
+e2e: build
+	SWITCHBANK_BIN=$(CURDIR)/$(BIN) $(GO) test -count=1 -tags e2e ./e2e/...
+
+tools: $(BIN)/golangci-lint
+
+$(BIN)/golangci-lint: tools/go.mod tools/go.sum
+	cd tools && GOWORK=off $(GO) build -o ../$(BIN)/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+lint: tools
+	$(BIN)/golangci-lint run ./...
+	$(BIN)/golangci-lint run --build-tags e2e ./e2e/...
+
+verify:
+	$(GO) mod verify
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/e2e/evidence_test.go
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+
+//go:build e2e
+
+package e2e_test
+
+import (
+	"cmp"
+	"slices"
+	"testing"
+
+	"switchbank.example/switchbank/standin/worker"
+)
+
+// taskName names a task, whatever its attempt.
+type taskName struct {
+	job  string
+	task int
+}
+
+// verdict counts what must never happen, from what the workers saw.
+type verdict struct {
+	twoPlaces   int
+	overloads   int
+	ranTwice    int
+	requestRuns map[string]int
+}
+
+// judge reads the workers' evidence: starts and ends of all workers are on one
+// machine's clock. once names the jobs whose tasks must start at most once.
+func judge(sights []worker.Sight, once ...string) verdict {
+	slices.SortStableFunc(sights, func(a, b worker.Sight) int { return a.At.Compare(b.At) })
+	v := verdict{requestRuns: make(map[string]int)}
+	running := make(map[taskName]int)
+	started := make(map[taskName]int)
+	for _, s := range sights {
+		name := taskName{s.Attempt.Job, s.Attempt.Task}
+		switch s.Saw {
+		case worker.SawStart:
+			running[name]++
+			started[name]++
+			if running[name] > 1 {
+				v.twoPlaces++
+			}
+			if started[name] > 1 && slices.Contains(once, name.job) {
+				v.ranTwice++
+			}
+		case worker.SawDone, worker.SawFailed, worker.SawStopped, worker.SawLapsed:
+			running[name]--
+		case worker.SawOverload:
+			v.overloads++
+		case worker.SawRequest:
+			v.requestRuns[cmp.Or(s.Request, "-")]++
+		case worker.SawCheckpoint:
+		}
+	}
+	return v
+}
+
+// mustBeClean fails the test when the evidence shows a broken promise.
+func (v verdict) mustBeClean(t *testing.T) {
+	t.Helper()
+	if v.twoPlaces > 0 {
+		t.Errorf("%d tasks ran in two places", v.twoPlaces)
+	}
+	if v.overloads > 0 {
+		t.Errorf("%d times a worker or instance was given more than it has", v.overloads)
+	}
+	if v.ranTwice > 0 {
+		t.Errorf("%d tasks that must run at most once started twice", v.ranTwice)
+	}
+	for id, n := range v.requestRuns {
+		if n > 1 {
+			t.Errorf("request %s ran %d times", id, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,269 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package api holds the messages of the callers' interface, version 1, which
+// docs/api.md and docs/openapi.yaml describe.
+//
+// # Usage
+//
+//	w := api.Workload{ID: "reminders-7", Team: "inkasoft", Kind: api.KindBatch, …}
+//	if err := w.Check(); err != nil { … } // names the field that is wrong
+package api
+
+import (
+	"regexp"
+	"time"
+
+	"switchbank.example/switchbank/internal/httpx"
+	"switchbank.example/switchbank/internal/resource"
+)
+
+// Kind is the kind of a workload.
+type Kind string
+
+// The kinds of workload.
+const (
+	// KindService is a set of tasks that run until cancelled and answer requests.
+	KindService Kind = "service"
+	// KindBatch is a set of tasks that end by themselves, each on its own.
+	KindBatch Kind = "batch"
+	// KindAllAtOnce is a set of tasks that run only all together.
+	KindAllAtOnce Kind = "all_at_once"
+)
+
+// Outcome is what became of a request.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	// OutcomeDone is the upstream's whole answer.
+	OutcomeDone Outcome = "done"
+	// OutcomeRefused is a request that was turned away and not run.
+	OutcomeRefused Outcome = "refused"
+	// OutcomeNotRun is a request that was taken and then not run.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeUnknown is a request of which it is not known whether it ran.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// The headers of the callers' interface.
+const (
+	HeaderTeam       = "Switchbank-Team"
+	HeaderTimeout    = "Switchbank-Timeout-Ms"
+	HeaderKey        = "Switchbank-Key"
+	HeaderKeyCreated = "Switchbank-Key-Created"
+	HeaderRepeatable = "Switchbank-Repeatable"
+	HeaderRequestID  = "Switchbank-Request-Id"
+	HeaderOutcome    = "Switchbank-Outcome"
+	HeaderNotRun     = "Switchbank-Not-Run"
+	HeaderLeaving    = "Switchbank-Leaving"
+)
+
+// The bounds of a workload.
+const (
+	MaxTasks    = 20_000
+	MaxCommand  = 64
+	MaxArgument = 4096
+	MaxAttempts = 100
+	MaxSlots    = 1024
+
+	defaultAttempts = 3
+	defaultSlots    = 8
+)
+
+var name = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,126}[a-z0-9])?$`)
+
+// ValidName reports whether s may name a workload, team, class or service.
+func ValidName(s string) bool { return name.MatchString(s) }
+
+// Workload is what a caller declares.
+type Workload struct {
+	// ID names the workload; sending the same workload again changes nothing.
+	ID    string `json:"id"`
+	Team  string `json:"team"`
+	Kind  Kind   `json:"kind"`
+	Class string `json:"class"`
+	// Tasks is how many tasks there are.
+	Tasks int `json:"tasks"`
+	// Size is what each task needs.
+	Size resource.Amount `json:"size"`
+	// RunMS is how long a task is expected to run, in milliseconds; not for services.
+	RunMS int64 `json:"run_ms,omitempty"`
+	// Deadline is when the workload must be finished; not for services.
+	Deadline time.Time `json:"deadline,omitzero"`
+	// Command is what the worker runs.
+	Command []string `json:"command"`
+	// Service is the name under which requests reach the tasks; for services only.
+	Service string `json:"service,omitempty"`
+	// Slots is how many requests each task of a service takes at once.
+	Slots int `json:"slots,omitempty"`
+	// AtMostOnce forbids a second try of a task whose first may have run.
+	AtMostOnce bool `json:"at_most_once,omitempty"`
+	// MaxAttempts is how often a task is tried.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+}
+
+// WithDefaults returns w with the optional fields filled in.
+func (w Workload) WithDefaults() Workload {
+	if w.MaxAttempts == 0 {
+		w.MaxAttempts = defaultAttempts
+	}
+	if w.AtMostOnce {
+		w.MaxAttempts = 1
+	}
+	if w.Kind == KindService && w.Slots == 0 {
+		w.Slots = defaultSlots
+	}
+	return w
+}
+
+// Check returns a problem that names the first field which is wrong.
+func (w Workload) Check() error {
+	switch {
+	case !ValidName(w.ID):
+		return httpx.FieldProblem("id", "want 1 to 128 of a-z, 0-9, '.' and '-', not at the ends")
+	case !ValidName(w.Team):
+		return httpx.FieldProblem("team", "want the name of a team")
+	case !ValidName(w.Class):
+		return httpx.FieldProblem("class", "want the name of a class")
+	case w.Kind != KindService && w.Kind != KindBatch && w.Kind != KindAllAtOnce:
+		return httpx.FieldProblem("kind", "want service, batch or all_at_once")
+	case w.Tasks < 1 || w.Tasks > MaxTasks:
+		return httpx.FieldProblem("tasks", "want 1 to 20000")
+	case w.MaxAttempts < 0 || w.MaxAttempts > MaxAttempts:
+		return httpx.FieldProblem("max_attempts", "want 0 to 100")
+	case w.RunMS < 0:
+		return httpx.FieldProblem("run_ms", "want milliseconds, 0 or more")
+	}
+	if err := w.checkSize(); err != nil {
+		return err
+	}
+	if err := w.checkCommand(); err != nil {
+		return err
+	}
+	return w.checkService()
+}
+
+func (w Workload) checkSize() error {
+	switch {
+	case w.Size.CPUMilli < 1:
+		return httpx.FieldProblem("size.cpu_milli", "want thousandths of a core, 1 or more")
+	case w.Size.MemoryMB < 1:
+		return httpx.FieldProblem("size.memory_mb", "want megabytes, 1 or more")
+	case w.Size.Accelerators < 0:
+		return httpx.FieldProblem("size.accelerators", "want 0 or more")
+	}
+	return nil
+}
+
+func (w Workload) checkCommand() error {
+	if len(w.Command) < 1 || len(w.Command) > MaxCommand {
+		return httpx.FieldProblem("command", "want 1 to 64 arguments")
+	}
+	for _, arg := range w.Command {
+		if len(arg) > MaxArgument {
+			return httpx.FieldProblem("command", "want arguments of at most 4096 bytes")
+		}
+	}
+	return nil
+}
+
+func (w Workload) checkService() error {
+	if w.Kind != KindService {
+		if w.Service != "" {
+			return httpx.FieldProblem("service", "only a workload of kind service has one")
+		}
+		if w.Slots != 0 {
+			return httpx.FieldProblem("slots", "only a workload of kind service has them")
+		}
+		return nil
+	}
+	switch {
+	case !ValidName(w.Service):
+		return httpx.FieldProblem("service", "want the name under which requests reach the service")
+	case w.Slots < 0 || w.Slots > MaxSlots:
+		return httpx.FieldProblem("slots", "want 1 to 1024")
+	case !w.Deadline.IsZero():
+		return httpx.FieldProblem("deadline", "a service has none")
+	case w.RunMS != 0:
+		return httpx.FieldProblem("run_ms", "a service has none")
+	case w.AtMostOnce:
+		return httpx.FieldProblem("at_most_once", "a service is restarted")
+	}
+	return nil
+}
+
+// JobState is the state of a workload.
+type JobState string
+
+// The states of a workload.
+const (
+	JobWaiting   JobState = "waiting"
+	JobRunning   JobState = "running"
+	JobDone      JobState = "done"
+	JobFailed    JobState = "failed"
+	JobUnknown   JobState = "unknown"
+	JobCancelled JobState = "cancelled"
+)
+
+// Final reports whether the state does not change any more.
+func (s JobState) Final() bool {
+	return s == JobDone || s == JobFailed || s == JobUnknown || s == JobCancelled
+}
+
+// TaskState is the state of a task.
+type TaskState string
+
+// The states of a task.
+const (
+	TaskWaiting   TaskState = "waiting"
+	TaskPlaced    TaskState = "placed"
+	TaskRunning   TaskState = "running"
+	TaskDone      TaskState = "done"
+	TaskFailed    TaskState = "failed"
+	TaskUnknown   TaskState = "unknown"
+	TaskCancelled TaskState = "cancelled"
+)
+
+// Active reports whether a worker may be running the task.
+func (s TaskState) Active() bool { return s == TaskPlaced || s == TaskRunning }
+
+// TaskStatus is what is known of a task.
+type TaskStatus struct {
+	Task    int       `json:"task"`
+	State   TaskState `json:"state"`
+	Attempt int       `json:"attempt"`
+	Worker  string    `json:"worker,omitempty"`
+	Address string    `json:"address,omitempty"`
+	Reason  string    `json:"reason,omitempty"`
+}
+
+// TaskCounts counts the tasks of a workload by state.
+type TaskCounts struct {
+	Waiting   int `json:"waiting"`
+	Placed    int `json:"placed"`
+	Running   int `json:"running"`
+	Done      int `json:"done"`
+	Failed    int `json:"failed"`
+	Unknown   int `json:"unknown"`
+	Cancelled int `json:"cancelled"`
+}
+
+// Status is what is known of a workload.
+type Status struct {
+	Workload  Workload   `json:"workload"`
+	State     JobState   `json:"state"`
+	Reason    string     `json:"reason,omitempty"`
+	Submitted time.Time  `json:"submitted"`
+	Revision  int64      `json:"revision"`
+	Counts    TaskCounts `json:"counts"`
+	// Waits says why tasks wait, as the scheduler last saw it.
+	Waits string       `json:"waits,omitempty"`
+	Tasks []TaskStatus `json:"tasks,omitempty"`
+}
+
+// StatusList is the answer to a list of workloads.
+type StatusList struct {
+	Workloads []Status `json:"workloads"`
+	// Partial is set when some owners could not be asked.
+	Partial bool `json:"partial,omitempty"`
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,294 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package config holds a node's settings: one YAML file, strictly checked.
+//
+// # Usage
+//
+//	cfg, err := config.Load("node.yaml") // errors name file, line and key
+package config
+
+import (
+	"cmp"
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+
+	"switchbank.example/switchbank/internal/api"
+	"switchbank.example/switchbank/internal/bundle"
+	"switchbank.example/switchbank/internal/shard"
+	"switchbank.example/switchbank/internal/yamlx"
+)
+
+// Config is a node's settings.
+type Config struct {
+	// Node names the node; no two nodes have the same name.
+	Node       string `yaml:"node"`
+	DataCentre string `yaml:"data_centre"`
+	// DataCentres are all data centres of the cell; every node has the same list.
+	DataCentres []shard.DataCentre `yaml:"data_centres"`
+	// JobShards is the number of job shards of the cell; every node has the same number.
+	JobShards int       `yaml:"job_shards"`
+	Listen    Addresses `yaml:"listen"`
+	// Advertise holds the addresses under which others reach the node, where
+	// they differ from those it listens on.
+	Advertise Addresses `yaml:"advertise"`
+	Platform  Platform  `yaml:"platform"`
+	Lease     Lease     `yaml:"lease"`
+	Tasks     Tasks     `yaml:"tasks"`
+	Requests  Requests  `yaml:"requests"`
+	Journal   Journal   `yaml:"journal"`
+	Limits    Limits    `yaml:"limits"`
+	// Review says who signs off the first bundle.
+	Review bundle.Review `yaml:"review"`
+	Log    Log           `yaml:"log"`
+	Trace  string        `yaml:"trace"`
+}
+
+// Addresses are the three listeners of a node, each IP:port.
+type Addresses struct {
+	Callers   string `yaml:"callers"`
+	Peers     string `yaml:"peers"`
+	Operators string `yaml:"operators"`
+}
+
+// Platform says how the platform is reached.
+type Platform struct {
+	URL     string        `yaml:"url"`
+	Timeout time.Duration `yaml:"timeout"`
+}
+
+// Lease sets the times of the node's lease and of the reading of shards.
+type Lease struct {
+	TTL    time.Duration `yaml:"ttl"`
+	Margin time.Duration `yaml:"margin"`
+	Every  time.Duration `yaml:"every"`
+}
+
+// Tasks sets the times of tasks on workers.
+type Tasks struct {
+	Lease       time.Duration `yaml:"lease"`
+	Margin      time.Duration `yaml:"margin"`
+	Grace       time.Duration `yaml:"grace"`
+	Reservation time.Duration `yaml:"reservation"`
+	Hosts       time.Duration `yaml:"hosts"`
+	SetAside    time.Duration `yaml:"set_aside"`
+	Every       time.Duration `yaml:"every"`
+	Ask         time.Duration `yaml:"ask"`
+	Retention   time.Duration `yaml:"retention"`
+}
+
+// Requests sets the times of requests and their keys.
+type Requests struct {
+	KeyWindow      time.Duration `yaml:"key_window"`
+	KeyMargin      time.Duration `yaml:"key_margin"`
+	KeyAnswerBytes int           `yaml:"key_answer_bytes"`
+	Linger         time.Duration `yaml:"linger"`
+	Load           time.Duration `yaml:"load"`
+	// DrainDelay is how long a stopping node goes on taking requests, for the
+	// balancer to notice.
+	DrainDelay   time.Duration `yaml:"drain_delay"`
+	DrainTimeout time.Duration `yaml:"drain_timeout"`
+}
+
+// Journal sets the group commit.
+type Journal struct {
+	Spacing       time.Duration `yaml:"spacing"`
+	DownAfter     time.Duration `yaml:"down_after"`
+	SnapshotEvery int64         `yaml:"snapshot_every"`
+}
+
+// Limits bound what a stranger can make the node hold.
+type Limits struct {
+	HeaderBytes int `yaml:"header_bytes"`
+	Connections int `yaml:"connections"`
+	// InFlight is how many requests of callers the node works on at once.
+	InFlight int `yaml:"in_flight"`
+	// MemoryMB is the soft limit of the node's memory, in megabytes.
+	MemoryMB int64 `yaml:"memory_mb"`
+}
+
+// Log sets the log.
+type Log struct {
+	Level string `yaml:"level"`
+}
+
+// The values of Trace.
+const (
+	TraceOff    = "off"
+	TraceStderr = "stderr"
+)
+
+// Kind tells apart the errors of this package.
+type Kind string
+
+// KindInvalid is a settings file that can't be read or breaks a rule.
+const KindInvalid Kind = "invalid"
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the cause, which names file, line and key.
+func (e *Error) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Default returns the settings that are used where a file says nothing.
+func Default() Config {
+	return Config{
+		JobShards: 16,
+		Platform:  Platform{Timeout: 2 * time.Second},
+		Lease:     Lease{TTL: 4 * time.Second, Margin: 500 * time.Millisecond, Every: time.Second},
+		Tasks: Tasks{
+			Lease: 15 * time.Second, Margin: time.Second, Grace: 10 * time.Minute, Reservation: 10 * time.Second,
+			Hosts: time.Second, SetAside: 30 * time.Second, Every: 250 * time.Millisecond, Ask: 2 * time.Second,
+			Retention: time.Hour,
+		},
+		Requests: Requests{
+			KeyWindow: 24 * time.Hour, KeyMargin: time.Minute, KeyAnswerBytes: 64 << 10, Linger: 5 * time.Second,
+			Load: 500 * time.Millisecond, DrainDelay: 3 * time.Second, DrainTimeout: 30 * time.Second,
+		},
+		Journal: Journal{Spacing: 25 * time.Millisecond, DownAfter: time.Second, SnapshotEvery: 256},
+		Limits:  Limits{HeaderBytes: 16 << 10, Connections: 4096, InFlight: 4096, MemoryMB: 256},
+		Log:     Log{Level: "info"},
+		Trace:   TraceOff,
+	}
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, &Error{"load", KindInvalid, err}
+	}
+	return Parse(path, data)
+}
+
+// Parse reads and checks settings; file is named in errors.
+func Parse(file string, data []byte) (Config, error) {
+	cfg := Default()
+	if err := yamlx.Decode(file, data, &cfg); err != nil {
+		return cfg, &Error{"parse", KindInvalid, err}
+	}
+	if err := cfg.check(file, data); err != nil {
+		return cfg, &Error{"check", KindInvalid, err}
+	}
+	return cfg, nil
+}
+
+// rule is a value that must hold.
+type rule struct {
+	key    string
+	ok     bool
+	detail string
+}
+
+func (c *Config) check(file string, data []byte) error {
+	for _, r := range c.rules() {
+		if !r.ok {
+			return yamlx.At(file, data, "$."+r.key, r.detail)
+		}
+	}
+	return nil
+}
+
+func (c *Config) rules() []rule {
+	rules := []rule{
+		{"node", api.ValidName(c.Node), "want a name of a-z, 0-9, '.' and '-'"},
+		{"data_centre", c.knowsDataCentre(), "want one of data_centres"},
+		{"data_centres", c.dataCentresOK(), "want names and worker_shards of 1 to 1000"},
+		{"job_shards", c.JobShards >= 1 && c.JobShards <= 1000, "want 1 to 1000"},
+		{"platform.url", validURL(c.Platform.URL), "want http://IP:port"},
+		{"log.level", c.Log.Level == "debug" || c.Log.Level == "info" || c.Log.Level == "warn" || c.Log.Level == "error", "want debug, info, warn or error"},
+		{"trace", c.Trace == TraceOff || c.Trace == TraceStderr, "want off or stderr"},
+		{"limits.header_bytes", c.Limits.HeaderBytes >= 1024, "want 1024 bytes or more"},
+		{"limits.connections", c.Limits.Connections > 0, "want 1 or more"},
+		{"limits.in_flight", c.Limits.InFlight > 0, "want 1 or more"},
+		{"limits.memory_mb", c.Limits.MemoryMB >= 16, "want 16 MB or more"},
+		{"requests.key_answer_bytes", c.Requests.KeyAnswerBytes >= 0, "want 0 or more"},
+		{"journal.snapshot_every", c.Journal.SnapshotEvery > 0, "want 1 or more"},
+		{"lease.ttl", c.Lease.TTL > c.Lease.Margin+2*c.Lease.Every, "want more than margin and two times every"},
+		{"tasks.lease", c.Tasks.Lease > 2*c.Lease.TTL, "want more than two times lease.ttl, so that tasks outlive a takeover"},
+	}
+	rules = append(rules, c.addressRules()...)
+	return append(rules, c.durationRules()...)
+}
+
+func (c *Config) addressRules() []rule {
+	const want = "want IP:port"
+	return []rule{
+		{"listen.callers", validAddress(c.Listen.Callers), want},
+		{"listen.peers", validAddress(c.Listen.Peers), want},
+		{"listen.operators", validAddress(c.Listen.Operators), want},
+		{"advertise.peers", c.Advertise.Peers == "" || validAddress(c.Advertise.Peers), want},
+		{"advertise.operators", c.Advertise.Operators == "" || validAddress(c.Advertise.Operators), want},
+	}
+}
+
+func (c *Config) durationRules() []rule {
+	const want = "want a duration above 0, as 500ms or 3s"
+	var rules []rule
+	for _, d := range []struct {
+		key   string
+		value time.Duration
+	}{
+		{"platform.timeout", c.Platform.Timeout},
+		{"lease.ttl", c.Lease.TTL}, {"lease.margin", c.Lease.Margin}, {"lease.every", c.Lease.Every},
+		{"tasks.lease", c.Tasks.Lease}, {"tasks.margin", c.Tasks.Margin}, {"tasks.grace", c.Tasks.Grace},
+		{"tasks.reservation", c.Tasks.Reservation}, {"tasks.hosts", c.Tasks.Hosts}, {"tasks.set_aside", c.Tasks.SetAside},
+		{"tasks.every", c.Tasks.Every}, {"tasks.ask", c.Tasks.Ask}, {"tasks.retention", c.Tasks.Retention},
+		{"requests.key_window", c.Requests.KeyWindow}, {"requests.key_margin", c.Requests.KeyMargin},
+		{"requests.linger", c.Requests.Linger}, {"requests.load", c.Requests.Load},
+		{"requests.drain_delay", c.Requests.DrainDelay}, {"requests.drain_timeout", c.Requests.DrainTimeout},
+		{"journal.spacing", c.Journal.Spacing}, {"journal.down_after", c.Journal.DownAfter},
+	} {
+		rules = append(rules, rule{d.key, d.value > 0, want})
+	}
+	return rules
+}
+
+func (c *Config) knowsDataCentre() bool {
+	for _, dc := range c.DataCentres {
+		if dc.Name == c.DataCentre {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Config) dataCentresOK() bool {
+	for _, dc := range c.DataCentres {
+		if !api.ValidName(dc.Name) || dc.WorkerShards < 1 || dc.WorkerShards > 1000 {
+			return false
+		}
+	}
+	return len(c.DataCentres) > 0
+}
+
+func validAddress(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
+
+func validURL(s string) bool {
+	u, err := url.Parse(s)
+	if err != nil || u.Scheme != "http" || u.Path != "" {
+		return false
+	}
+	return validAddress(u.Host)
+}
+
+// PeerAddress returns where peers reach the node, given where it listens.
+func (c *Config) PeerAddress(listening string) string {
+	return cmp.Or(c.Advertise.Peers, listening)
+}
+
+// OperatorAddress returns where operators reach the node, given where it listens.
+func (c *Config) OperatorAddress(listening string) string {
+	return cmp.Or(c.Advertise.Operators, listening)
+}
--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package events numbers the log events, so that an operator can look each one
+// up in docs/events.md.
+//
+// # Usage
+//
+//	log.Warn("lease lapsed", events.LeaseLapsed, zap.Int64("generation", n))
+package events
+
+import "go.uber.org/zap"
+
+// Field is the name of the log field that carries the number.
+const Field = "event"
+
+// The events of the node's own life.
+var (
+	NodeStarted  = zap.String(Field, "SB1001")
+	NodeDraining = zap.String(Field, "SB1002")
+	NodeStopped  = zap.String(Field, "SB1003")
+	NodeFailed   = zap.String(Field, "SB1004")
+)
+
+// The events of leases and shards.
+var (
+	LeaseNotRenewed  = zap.String(Field, "SB1101")
+	LeaseLapsed      = zap.String(Field, "SB1102")
+	NodesNotRead     = zap.String(Field, "SB1103")
+	ShardTaken       = zap.String(Field, "SB1111")
+	ShardReleased    = zap.String(Field, "SB1112")
+	ShardLost        = zap.String(Field, "SB1113")
+	ShardNotLoaded   = zap.String(Field, "SB1114")
+	ShardsNotRead    = zap.String(Field, "SB1115")
+	ShardNotReleased = zap.String(Field, "SB1116")
+)
+
+// The events of the journal.
+var (
+	JournalWaits      = zap.String(Field, "SB1201")
+	JournalFenced     = zap.String(Field, "SB1202")
+	SnapshotNotStored = zap.String(Field, "SB1203")
+)
+
+// The events of workers and tasks.
+var (
+	WorkerSilent     = zap.String(Field, "SB1301")
+	WorkerBack       = zap.String(Field, "SB1302")
+	WorkerSetAside   = zap.String(Field, "SB1303")
+	WorkerStaleEpoch = zap.String(Field, "SB1304")
+	HostsNotRead     = zap.String(Field, "SB1305")
+	TaskUnknown      = zap.String(Field, "SB1311")
+	TaskLost         = zap.String(Field, "SB1312")
+	JobFailed        = zap.String(Field, "SB1313")
+	TaskNotPlaced    = zap.String(Field, "SB1314")
+	ReportNotTaken   = zap.String(Field, "SB1315")
+)
+
+// The events of requests.
+var (
+	RequestUnknown = zap.String(Field, "SB1401")
+	KeyUnknown     = zap.String(Field, "SB1402")
+)
+
+// The events of configuration.
+var (
+	BundleStaged    = zap.String(Field, "SB1501")
+	BundleInForce   = zap.String(Field, "SB1502")
+	BundleRefused   = zap.String(Field, "SB1503")
+	BundleNotRead   = zap.String(Field, "SB1504")
+	BundleConflict  = zap.String(Field, "SB1505")
+	BundleProposed  = zap.String(Field, "SB1506")
+	BundleRolledOut = zap.String(Field, "SB1507")
+)
--- /dev/null
+++ b/internal/jobs/set.go
@@ -0,0 +1,246 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package jobs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/api"
+	"switchbank.example/switchbank/internal/bundle"
+	"switchbank.example/switchbank/internal/journal"
+	"switchbank.example/switchbank/internal/peer"
+	"switchbank.example/switchbank/internal/shard"
+)
+
+// Options are the settings of a Set.
+type Options struct {
+	// Every is the longest time between two rounds of scheduling.
+	Every time.Duration
+	// AskEvery is how often the owner of a worker shard is asked again about a
+	// task that it has not told of.
+	AskEvery time.Duration
+	// Retention is how long a workload is kept after its end.
+	Retention time.Duration
+	// KeyWindow is how long a key of a request is kept.
+	KeyWindow time.Duration
+	// KeyMargin is added wherever the clocks of two processes are held against each other.
+	KeyMargin time.Duration
+	// KeyAnswerBytes is the largest answer that is kept with a key.
+	KeyAnswerBytes int
+	// SnapshotEvery is how many batches a journal holds before a snapshot is taken.
+	SnapshotEvery int64
+	// StartUnkept starts tasks before their place is kept, to show that tests see it.
+	StartUnkept bool
+}
+
+// Pools reaches the owners of worker shards.
+type Pools interface {
+	Reserve(ctx context.Context, req peer.ReserveRequest) (peer.ReserveReply, error)
+	Confirm(ctx context.Context, req peer.ConfirmRequest) (peer.ConfirmReply, error)
+	Stop(ctx context.Context, req peer.StopRequest) (peer.ConfirmReply, error)
+	LetGo(ctx context.Context, req peer.StopRequest) (peer.ConfirmReply, error)
+}
+
+// Room knows how much room the worker shards of the cell have.
+type Room interface {
+	Pools() []peer.PoolSummary
+	Teams() []peer.TeamUsage
+}
+
+// Deps are the dependencies of a Set.
+type Deps struct {
+	Journal *journal.Committer
+	Pools   Pools
+	Room    Room
+	Bundle  func() *bundle.Bundle
+}
+
+// Set holds the job shards that a node owns.
+type Set struct {
+	deps Deps
+	opts Options
+	log  *zap.Logger
+	wake chan struct{}
+
+	mu     sync.Mutex
+	shards map[shard.Key]*Shard
+	// verify holds the worker shards whose owner has changed: the tasks there are asked about.
+	verify map[string]bool
+}
+
+// NewSet returns a Set that holds no shard.
+func NewSet(deps Deps, opts Options, log *zap.Logger) *Set {
+	return &Set{
+		deps: deps, opts: opts, log: log,
+		wake:   make(chan struct{}, 1),
+		shards: make(map[shard.Key]*Shard),
+		verify: make(map[string]bool),
+	}
+}
+
+// Acquire takes up a job shard by reading its journal.
+func (s *Set) Acquire(ctx context.Context, g shard.Grant) error {
+	sh, err := openShard(ctx, g, s.deps.Journal, s.opts, s.log)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.shards[g.Key] = sh
+	s.mu.Unlock()
+	s.Wake()
+	return nil
+}
+
+// Release ends the work on a shard once what was appended is kept.
+func (s *Set) Release(ctx context.Context, key shard.Key) {
+	sh, ok := s.get(string(key))
+	if !ok {
+		return
+	}
+	s.Drop(key)
+	sh.mu.Lock()
+	last := sh.last
+	sh.mu.Unlock()
+	_ = waitFor(ctx, last)
+}
+
+// Drop forgets a shard.
+func (s *Set) Drop(key shard.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.shards, key)
+}
+
+func (s *Set) get(key string) (*Shard, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sh, ok := s.shards[shard.Key(key)]
+	return sh, ok
+}
+
+// owned returns a shard that this node certainly owns.
+func (s *Set) owned(op, key string) (*Shard, error) {
+	sh, ok := s.get(key)
+	if !ok || !sh.grant.Held() {
+		return nil, &Error{op, KindNotOwner, errors.New(key)}
+	}
+	return sh, nil
+}
+
+// all returns the shards that this node certainly owns.
+func (s *Set) all() []*Shard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []*Shard
+	for _, sh := range s.shards {
+		if sh.grant.Held() {
+			all = append(all, sh)
+		}
+	}
+	return all
+}
+
+// Wake starts a round of scheduling soon.
+func (s *Set) Wake() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// PoolMoved notes that a worker shard has a new owner, which must be asked
+// about the tasks there.
+func (s *Set) PoolMoved(key shard.Key) {
+	s.mu.Lock()
+	s.verify[string(key)] = true
+	s.mu.Unlock()
+	s.Wake()
+}
+
+// Create takes a workload in.
+func (s *Set) Create(ctx context.Context, key string, w api.Workload) (api.Status, error) {
+	sh, err := s.owned("create", key)
+	if err != nil {
+		return api.Status{}, err
+	}
+	st, err := sh.create(ctx, w)
+	s.Wake()
+	return st, err
+}
+
+// Get returns a workload once its revision is above since, or ctx ends.
+func (s *Set) Get(ctx context.Context, key, id string, since int64, tasks bool) (api.Status, error) {
+	sh, err := s.owned("get", key)
+	if err != nil {
+		return api.Status{}, err
+	}
+	return sh.get(ctx, id, since, tasks)
+}
+
+// List returns the workloads of a team, or all, that this node holds.
+func (s *Set) List(team string) []api.Status {
+	var list []api.Status
+	for _, sh := range s.all() {
+		list = append(list, sh.list(team)...)
+	}
+	return list
+}
+
+// Cancel ends a workload: what waits is cancelled, and what runs is told to stop.
+func (s *Set) Cancel(ctx context.Context, key, id string) (api.Status, error) {
+	sh, err := s.owned("cancel", key)
+	if err != nil {
+		return api.Status{}, err
+	}
+	st, err := sh.cancel(ctx, id)
+	if err == nil {
+		// The answer goes out behind the stops, so that nothing starts after it.
+		s.halt(ctx, sh, sh.active(id))
+	}
+	s.Wake()
+	return st, err
+}
+
+// Events journals what happened to tasks; nil means that all of it is kept.
+func (s *Set) Events(ctx context.Context, req peer.EventsRequest) error {
+	sh, err := s.owned("events", req.Shard)
+	if err != nil {
+		return err
+	}
+	if err := sh.takeEvents(ctx, req.Events); err != nil {
+		return err
+	}
+	s.Wake()
+	return nil
+}
+
+// Run schedules until ctx ends.
+func (s *Set) Run(ctx context.Context) error {
+	t := time.NewTicker(s.opts.Every)
+	defer t.Stop()
+	var forgot time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.wake:
+		case <-t.C:
+		}
+		s.schedule(ctx)
+		s.reconcile(ctx)
+		for _, sh := range s.all() {
+			sh.maybeSnapshot(ctx)
+		}
+		if now := time.Now(); now.Sub(forgot) > s.opts.Retention/16 {
+			forgot = now
+			for _, sh := range s.all() {
+				sh.forgetOld(now)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/shard.go
@@ -0,0 +1,335 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/api"
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/journal"
+	"switchbank.example/switchbank/internal/peer"
+	"switchbank.example/switchbank/internal/shard"
+)
+
+// Kind tells apart the errors of this package.
+type Kind string
+
+// The kinds of error.
+const (
+	// KindNotOwner is a call for a shard that this node does not own now.
+	KindNotOwner Kind = "not_owner"
+	// KindUnavailable is a call that needs the store, which takes no writes now.
+	KindUnavailable Kind = "store_unavailable"
+	// KindNotFound is a workload that is not there.
+	KindNotFound Kind = "not_found"
+	// KindConflict is a workload whose id is taken by another.
+	KindConflict Kind = "conflict"
+	// KindCorrupt is a journal or snapshot that can't be read.
+	KindCorrupt Kind = "corrupt"
+	// KindUncertain is a change that may or may not have been kept.
+	KindUncertain Kind = "uncertain"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, kind and cause.
+func (e *Error) Error() string { return fmt.Sprintf("jobs: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// KindOf returns the kind of an error of this package, or "".
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
+// Shard is one job shard under one epoch.
+type Shard struct {
+	grant   shard.Grant
+	journal *journal.Committer
+	stream  *journal.Stream
+	opts    Options
+	log     *zap.Logger
+
+	mu    sync.Mutex
+	state *State
+	// last is the newest append; what was read under the lock is kept once it is.
+	last *journal.Pending
+	// changed is closed and replaced at each change of the state.
+	changed chan struct{}
+	// waits holds, by job, why its tasks wait as the scheduler last saw it.
+	waits map[string]string
+	// snapping is set while a snapshot is being stored.
+	snapping bool
+}
+
+func openShard(ctx context.Context, g shard.Grant, c *journal.Committer, opts Options, log *zap.Logger) (*Shard, error) {
+	stream, rec, err := c.Open(ctx, string(g.Key), g.Epoch, g.Version)
+	if err != nil {
+		return nil, err
+	}
+	st, err := LoadState(rec.Snapshot, rec.Records)
+	if err != nil {
+		return nil, err
+	}
+	return &Shard{
+		grant: g, journal: c, stream: stream, opts: opts, state: st,
+		log:     log.With(zap.String("shard", string(g.Key)), zap.Int64("epoch", g.Epoch)),
+		changed: make(chan struct{}),
+		waits:   make(map[string]string),
+	}, nil
+}
+
+// writeLocked journals records and applies them; waitFor(sh.last) tells when they are kept.
+func (sh *Shard) writeLocked(recs ...Record) error {
+	if len(recs) == 0 {
+		return nil
+	}
+	if !sh.grant.Held() {
+		return &Error{"write", KindNotOwner, errors.New(string(sh.grant.Key))}
+	}
+	raws := make([]json.RawMessage, len(recs))
+	for i, r := range recs {
+		raw, err := json.Marshal(r)
+		if err != nil {
+			return &Error{"write", KindCorrupt, err}
+		}
+		raws[i] = raw
+	}
+	p, err := sh.journal.Append(sh.stream, raws...)
+	if journal.IsKind(err, journal.KindUnavailable) {
+		return &Error{"write", KindUnavailable, err}
+	}
+	if err != nil {
+		return &Error{"write", KindNotOwner, err}
+	}
+	sh.last = p
+	for _, r := range recs {
+		sh.state.Apply(r)
+	}
+	close(sh.changed)
+	sh.changed = make(chan struct{})
+	return nil
+}
+
+// waitFor waits until an append is kept.
+func waitFor(ctx context.Context, p *journal.Pending) error {
+	if p == nil {
+		return nil
+	}
+	if err := p.Wait(ctx); err != nil {
+		return &Error{"write", KindUncertain, err}
+	}
+	return nil
+}
+
+// append journals records and applies them, without waiting.
+func (sh *Shard) append(recs ...Record) (*journal.Pending, error) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	err := sh.writeLocked(recs...)
+	return sh.last, err
+}
+
+// create takes a workload in; the same workload again changes nothing.
+func (sh *Shard) create(ctx context.Context, w api.Workload) (api.Status, error) {
+	sh.mu.Lock()
+	if j, ok := sh.state.Jobs[w.ID]; ok {
+		same := reflect.DeepEqual(canonical(j.Spec), canonical(w))
+		st, last := j.Status(false), sh.last
+		sh.mu.Unlock()
+		if !same {
+			return api.Status{}, &Error{"create", KindConflict, errors.Errorf("another workload is named %s", w.ID)}
+		}
+		return st, waitFor(ctx, last)
+	}
+	err := sh.writeLocked(Record{Admit: &Admit{Workload: w, At: time.Now().UTC()}})
+	var st api.Status
+	if err == nil {
+		st = sh.state.Jobs[w.ID].Status(false)
+	}
+	last := sh.last
+	sh.mu.Unlock()
+	if err != nil {
+		return api.Status{}, err
+	}
+	return st, waitFor(ctx, last)
+}
+
+// canonical returns w in the form in which two spellings of it compare equal.
+func canonical(w api.Workload) api.Workload {
+	w.Deadline = w.Deadline.UTC().Round(0)
+	return w
+}
+
+// get returns a workload once its revision is above since, or ctx ends.
+func (sh *Shard) get(ctx context.Context, id string, since int64, tasks bool) (api.Status, error) {
+	for {
+		sh.mu.Lock()
+		j, ok := sh.state.Jobs[id]
+		changed, last := sh.changed, sh.last
+		if !ok {
+			sh.mu.Unlock()
+			return api.Status{}, &Error{"get", KindNotFound, errors.New(id)}
+		}
+		st := j.Status(tasks)
+		st.Waits = sh.waits[id]
+		sh.mu.Unlock()
+		if st.Revision > since || ctx.Err() != nil {
+			return st, waitBriefly(ctx, last)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return st, nil
+		}
+	}
+}
+
+// waitBriefly keeps a read from showing what is not kept yet, except in a store outage.
+func waitBriefly(ctx context.Context, p *journal.Pending) error {
+	const briefly = 500 * time.Millisecond
+	if p == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, briefly)
+	defer cancel()
+	_ = p.Wait(ctx)
+	return nil
+}
+
+func (sh *Shard) list(team string) []api.Status {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	var list []api.Status
+	for id, j := range sh.state.Jobs {
+		if team == "" || j.Spec.Team == team {
+			st := j.Status(false)
+			st.Waits = sh.waits[id]
+			list = append(list, st)
+		}
+	}
+	return list
+}
+
+// cancel ends a workload; its tasks are stopped once that is kept.
+func (sh *Shard) cancel(ctx context.Context, id string) (api.Status, error) {
+	sh.mu.Lock()
+	j, ok := sh.state.Jobs[id]
+	if !ok {
+		sh.mu.Unlock()
+		return api.Status{}, &Error{"cancel", KindNotFound, errors.New(id)}
+	}
+	var err error
+	if !j.Cancelled && !j.State.Final() {
+		err = sh.writeLocked(Record{Cancel: &Cancel{Job: id, At: time.Now().UTC()}})
+	}
+	st, last := j.Status(false), sh.last
+	sh.mu.Unlock()
+	if err != nil {
+		return api.Status{}, err
+	}
+	return st, waitFor(ctx, last)
+}
+
+// takeEvents journals what happened to tasks; nil means that all of it is kept.
+func (sh *Shard) takeEvents(ctx context.Context, evs []peer.Event) error {
+	now := time.Now().UTC()
+	sh.mu.Lock()
+	var err error
+	for _, ev := range evs {
+		if !sh.state.Concerns(ev) {
+			continue
+		}
+		if err = sh.writeLocked(Record{Event: &Event{Event: ev, At: now}}); err != nil {
+			break
+		}
+		sh.note(ev)
+	}
+	last := sh.last
+	sh.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return waitFor(ctx, last)
+}
+
+// note logs what an operator should know of an event.
+func (sh *Shard) note(ev peer.Event) {
+	j, t := sh.state.task(ev.Attempt)
+	if t == nil {
+		return
+	}
+	if t.State == api.TaskUnknown {
+		sh.log.Warn("task unknown", events.TaskUnknown, zap.Stringer("attempt", ev.Attempt), zap.String("reason", t.Reason))
+	}
+	if j.State == api.JobFailed {
+		sh.log.Warn("job failed", events.JobFailed, zap.String("job", j.Spec.ID), zap.String("reason", j.Reason))
+	}
+}
+
+// maybeSnapshot stores the state when the journal has grown long.
+func (sh *Shard) maybeSnapshot(ctx context.Context) {
+	if sh.stream.Length() < sh.opts.SnapshotEvery {
+		return
+	}
+	sh.mu.Lock()
+	if sh.snapping || sh.last == nil || sh.journal.Down() {
+		sh.mu.Unlock()
+		return
+	}
+	sh.snapping = true
+	data, err := json.Marshal(sh.state)
+	last := sh.last
+	sh.mu.Unlock()
+	if err == nil {
+		err = sh.journal.Snapshot(ctx, sh.stream, data, last)
+	}
+	if err != nil {
+		sh.log.Warn("snapshot not stored", events.SnapshotNotStored, zap.Error(err))
+	}
+	sh.mu.Lock()
+	sh.snapping = false
+	sh.mu.Unlock()
+}
+
+// forgetOld drops workloads that ended long ago and keys whose window is over.
+func (sh *Shard) forgetOld(now time.Time) {
+	const most = 500
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	var f Forget
+	for id, j := range sh.state.Jobs {
+		if j.State.Final() && now.Sub(j.Ended) > sh.opts.Retention && len(f.Jobs) < most {
+			f.Jobs = append(f.Jobs, id)
+		}
+	}
+	for id, k := range sh.state.Keys {
+		if now.After(k.Keep) && now.After(k.Until) && len(f.Keys) < most {
+			f.Keys = append(f.Keys, id)
+		}
+	}
+	if len(f.Jobs)+len(f.Keys) == 0 {
+		return
+	}
+	// A failed write is tried again at the next round.
+	_ = sh.writeLocked(Record{Forget: &f})
+}
--- /dev/null
+++ b/internal/jobs/state.go
@@ -0,0 +1,446 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package jobs owns job shards: the durable state of workloads and of request
+// keys, and the scheduling of tasks.
+//
+// A shard's state changes only by records, which are journalled in the order in
+// which they are applied. What a record allows (a start, an answer) is done
+// only once the record is kept safe.
+//
+// # Usage
+//
+//	s := jobs.NewSet(deps, opts, log)          // a shard.Handler
+//	status, err := s.Create(ctx, key, workload)
+//	err = s.Events(ctx, peer.EventsRequest{…}) // nil: journalled
+package jobs
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"switchbank.example/switchbank/internal/api"
+	"switchbank.example/switchbank/internal/peer"
+	"switchbank.example/switchbank/internal/worker"
+)
+
+const (
+	backoffFirst = 200 * time.Millisecond
+	backoffMost  = time.Minute
+	voidWait     = 50 * time.Millisecond
+)
+
+// Record is one change of a shard's state; exactly one member is set.
+type Record struct {
+	Admit  *Admit     `json:"admit,omitempty"`
+	Place  *Place     `json:"place,omitempty"`
+	Event  *Event     `json:"event,omitempty"`
+	Cancel *Cancel    `json:"cancel,omitempty"`
+	Forget *Forget    `json:"forget,omitempty"`
+	Intent *Intent    `json:"intent,omitempty"`
+	Finish *KeyResult `json:"finish,omitempty"`
+}
+
+// Admit takes a workload in.
+type Admit struct {
+	Workload api.Workload `json:"workload"`
+	At       time.Time    `json:"at"`
+}
+
+// Place gives tasks their places; starts follow only behind it.
+type Place struct {
+	Placements []peer.Placement `json:"placements"`
+}
+
+// Event is what happened to a task.
+type Event struct {
+	Event peer.Event `json:"event"`
+	At    time.Time  `json:"at"`
+}
+
+// Cancel ends a workload.
+type Cancel struct {
+	Job string    `json:"job"`
+	At  time.Time `json:"at"`
+}
+
+// Forget drops workloads that ended and keys whose window is over.
+type Forget struct {
+	Jobs []string `json:"jobs,omitempty"`
+	Keys []string `json:"keys,omitempty"`
+}
+
+// Job is a workload and its tasks.
+type Job struct {
+	Spec      api.Workload `json:"spec"`
+	State     api.JobState `json:"state"`
+	Reason    string       `json:"reason,omitempty"`
+	Submitted time.Time    `json:"submitted"`
+	Ended     time.Time    `json:"ended,omitzero"`
+	Cancelled bool         `json:"cancelled,omitempty"`
+	// Regroup is set while an all-at-once job stops its tasks to start again whole.
+	Regroup  bool   `json:"regroup,omitempty"`
+	Revision int64  `json:"revision"`
+	Tasks    []Task `json:"tasks"`
+	// counts follows the states of the tasks.
+	counts api.TaskCounts
+}
+
+// Task is one task of a job.
+type Task struct {
+	State     api.TaskState  `json:"state"`
+	Attempt   int            `json:"attempt"`
+	Failures  int            `json:"failures,omitempty"`
+	Place     peer.Placement `json:"place,omitzero"`
+	Address   string         `json:"address,omitempty"`
+	Reason    string         `json:"reason,omitempty"`
+	NotBefore time.Time      `json:"not_before,omitzero"`
+	// FailedOn are the workers on which the task failed.
+	FailedOn []string `json:"failed_on,omitempty"`
+	// asked is when the owner of its worker shard was last asked about it.
+	asked time.Time
+	// halted is set once the task was told to stop.
+	halted bool
+	// doubt is set while the owner of the task's worker shard has not said that it knows it.
+	doubt bool
+}
+
+// State is the state of one shard.
+type State struct {
+	Jobs map[string]*Job `json:"jobs"`
+	Keys map[string]*Key `json:"keys"`
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{Jobs: make(map[string]*Job), Keys: make(map[string]*Key)}
+}
+
+// LoadState returns the state of a snapshot and the records behind it.
+func LoadState(snapshot []byte, records []json.RawMessage) (*State, error) {
+	st := NewState()
+	if snapshot != nil {
+		if err := json.Unmarshal(snapshot, st); err != nil {
+			return nil, &Error{"load", KindCorrupt, err}
+		}
+		for _, j := range st.Jobs {
+			j.recount()
+		}
+	}
+	for _, raw := range records {
+		var r Record
+		if err := json.Unmarshal(raw, &r); err != nil {
+			return nil, &Error{"load", KindCorrupt, err}
+		}
+		st.Apply(r)
+	}
+	return st, nil
+}
+
+// Apply changes the state by one record; a record that does not fit changes nothing.
+func (s *State) Apply(r Record) {
+	switch {
+	case r.Admit != nil:
+		s.admit(r.Admit)
+	case r.Place != nil:
+		s.place(r.Place)
+	case r.Event != nil:
+		s.event(r.Event)
+	case r.Cancel != nil:
+		s.cancel(r.Cancel)
+	case r.Forget != nil:
+		s.forget(r.Forget)
+	case r.Intent != nil:
+		s.intent(r.Intent)
+	case r.Finish != nil:
+		s.finish(r.Finish)
+	}
+}
+
+func (s *State) admit(r *Admit) {
+	j := &Job{Spec: r.Workload, State: api.JobWaiting, Submitted: r.At, Tasks: make([]Task, r.Workload.Tasks)}
+	for i := range j.Tasks {
+		j.Tasks[i].State = api.TaskWaiting
+	}
+	j.counts.Waiting = len(j.Tasks)
+	j.Revision = 1
+	s.Jobs[j.Spec.ID] = j
+}
+
+func (s *State) place(r *Place) {
+	for _, pl := range r.Placements {
+		j, t := s.task(pl.Attempt)
+		if t == nil || t.State != api.TaskWaiting {
+			continue
+		}
+		t.Attempt, t.Place, t.Address, t.halted = pl.Attempt.N, pl, "", false
+		j.set(t, api.TaskPlaced, "")
+	}
+}
+
+// task returns the task of an attempt, or nil.
+func (s *State) task(a worker.Attempt) (*Job, *Task) {
+	j, ok := s.Jobs[a.Job]
+	if !ok || a.Task < 0 || a.Task >= len(j.Tasks) {
+		return nil, nil
+	}
+	return j, &j.Tasks[a.Task]
+}
+
+// Concerns reports whether an event would change the state.
+func (s *State) Concerns(ev peer.Event) bool {
+	_, t := s.task(ev.Attempt)
+	if t == nil || t.Attempt != ev.Attempt.N {
+		return false
+	}
+	switch t.State {
+	case api.TaskPlaced:
+		return true
+	case api.TaskRunning:
+		return ev.Kind != peer.EventStarted || ev.Address != t.Address
+	case api.TaskUnknown:
+		return ev.Kind == peer.EventEnded && ev.Result == worker.ResultDone
+	default:
+		return false
+	}
+}
+
+func (s *State) event(r *Event) {
+	ev := r.Event
+	if !s.Concerns(ev) {
+		return
+	}
+	j, t := s.task(ev.Attempt)
+	switch ev.Kind {
+	case peer.EventStarted:
+		t.Address = ev.Address
+		j.set(t, api.TaskRunning, "")
+	case peer.EventVoid:
+		j.again(t, ev.Attempt, r.At.Add(voidWait), ev.Reason)
+	case peer.EventLost:
+		j.lost(t, ev, r.At)
+	case peer.EventEnded:
+		j.ended(t, ev, r.At)
+	}
+	j.settle(r.At)
+}
+
+func (j *Job) ended(t *Task, ev peer.Event, at time.Time) {
+	switch {
+	case ev.Result == worker.ResultLapsed:
+		j.lost(t, ev, at)
+	case ev.Result == worker.ResultStopped:
+		j.stopped(t, ev, at)
+	case ev.Result == worker.ResultDone && j.Spec.Kind != api.KindService:
+		j.set(t, api.TaskDone, "")
+	default:
+		j.failed(t, ev, at)
+	}
+}
+
+// stopped handles a task that its worker stopped: by a cancel, or to be run again.
+func (j *Job) stopped(t *Task, ev peer.Event, at time.Time) {
+	if j.Spec.AtMostOnce && !j.Cancelled {
+		j.set(t, api.TaskUnknown, reason("stopped", ev))
+		return
+	}
+	j.again(t, ev.Attempt, at, ev.Reason)
+}
+
+// lost handles a task that ended without its end being known.
+func (j *Job) lost(t *Task, ev peer.Event, at time.Time) {
+	if j.Spec.AtMostOnce {
+		j.set(t, api.TaskUnknown, reason("lost", ev))
+		return
+	}
+	j.restart(t, ev, at)
+}
+
+func (j *Job) failed(t *Task, ev peer.Event, at time.Time) {
+	t.Failures++
+	t.FailedOn = appendNew(t.FailedOn, ev.Worker)
+	if t.Failures >= j.Spec.MaxAttempts && j.Spec.Kind != api.KindService {
+		j.set(t, api.TaskFailed, fmt.Sprintf("failed %d times, on %v: %s", t.Failures, t.FailedOn, ev.Reason))
+		return
+	}
+	j.restart(t, ev, at)
+}
+
+// restart sends a task, or the whole of an all-at-once job, back to wait.
+func (j *Job) restart(t *Task, ev peer.Event, at time.Time) {
+	if j.Spec.Kind == api.KindAllAtOnce {
+		j.Regroup = true
+	}
+	j.again(t, ev.Attempt, at.Add(Backoff(ev.Attempt, t.Failures)), ev.Reason)
+}
+
+// again lets a task wait for its next attempt.
+func (j *Job) again(t *Task, a worker.Attempt, notBefore time.Time, why string) {
+	if j.Cancelled {
+		j.set(t, api.TaskCancelled, "cancelled")
+		return
+	}
+	t.Attempt, t.NotBefore, t.Place, t.Address = a.N, notBefore, peer.Placement{}, ""
+	j.set(t, api.TaskWaiting, why)
+}
+
+// settle draws the job's state from its tasks.
+func (j *Job) settle(at time.Time) {
+	c := &j.counts
+	active := c.Placed + c.Running
+	if j.Spec.Kind == api.KindAllAtOnce && (c.Failed > 0 || c.Unknown > 0) {
+		j.abandon()
+	}
+	if j.Regroup && active == 0 && c.Failed+c.Unknown == 0 {
+		j.regroup()
+	}
+	var state api.JobState
+	why := j.Reason
+	switch {
+	case c.Waiting+c.Placed+c.Running > 0:
+		state = api.JobWaiting
+		if c.Running > 0 {
+			state = api.JobRunning
+		}
+	case c.Failed > 0:
+		state, why = api.JobFailed, j.firstReason(api.TaskFailed)
+	case c.Unknown > 0:
+		state, why = api.JobUnknown, j.firstReason(api.TaskUnknown)
+	case c.Cancelled > 0:
+		state = api.JobCancelled
+	default:
+		state = api.JobDone
+	}
+	if state.Final() && !j.State.Final() {
+		j.Ended = at
+	}
+	j.State, j.Reason = state, why
+	j.Revision++
+}
+
+// abandon lets the waiting tasks of an all-at-once job go that can't be whole any more.
+func (j *Job) abandon() {
+	for i := range j.Tasks {
+		if j.Tasks[i].State == api.TaskWaiting {
+			j.set(&j.Tasks[i], api.TaskCancelled, "another task of the job has failed")
+		}
+	}
+}
+
+// regroup sends every task of an all-at-once job back to wait, since all have ended.
+func (j *Job) regroup() {
+	j.Regroup = false
+	for i := range j.Tasks {
+		if t := &j.Tasks[i]; t.State == api.TaskDone {
+			j.again(t, worker.Attempt{N: t.Attempt}, time.Time{}, "the job starts again whole")
+		}
+	}
+}
+
+func (j *Job) firstReason(state api.TaskState) string {
+	for i := range j.Tasks {
+		if j.Tasks[i].State == state {
+			return fmt.Sprintf("task %d: %s", i, j.Tasks[i].Reason)
+		}
+	}
+	return ""
+}
+
+func (s *State) cancel(r *Cancel) {
+	j, ok := s.Jobs[r.Job]
+	if !ok || j.Cancelled || j.State.Final() {
+		return
+	}
+	j.Cancelled = true
+	for i := range j.Tasks {
+		if j.Tasks[i].State == api.TaskWaiting {
+			j.set(&j.Tasks[i], api.TaskCancelled, "cancelled")
+		}
+	}
+	j.settle(r.At)
+}
+
+func (s *State) forget(r *Forget) {
+	for _, id := range r.Jobs {
+		delete(s.Jobs, id)
+	}
+	for _, key := range r.Keys {
+		delete(s.Keys, key)
+	}
+}
+
+// set changes a task's state and keeps the counts.
+func (j *Job) set(t *Task, state api.TaskState, why string) {
+	*j.count(t.State)--
+	t.State, t.Reason = state, why
+	*j.count(state)++
+}
+
+func (j *Job) count(s api.TaskState) *int {
+	switch s {
+	case api.TaskPlaced:
+		return &j.counts.Placed
+	case api.TaskRunning:
+		return &j.counts.Running
+	case api.TaskDone:
+		return &j.counts.Done
+	case api.TaskFailed:
+		return &j.counts.Failed
+	case api.TaskUnknown:
+		return &j.counts.Unknown
+	case api.TaskCancelled:
+		return &j.counts.Cancelled
+	default:
+		return &j.counts.Waiting
+	}
+}
+
+func (j *Job) recount() {
+	j.counts = api.TaskCounts{}
+	for i := range j.Tasks {
+		*j.count(j.Tasks[i].State)++
+	}
+}
+
+// Status returns what is known of the job, with its tasks when asked for.
+func (j *Job) Status(tasks bool) api.Status {
+	st := api.Status{
+		Workload: j.Spec, State: j.State, Reason: j.Reason, Submitted: j.Submitted, Revision: j.Revision, Counts: j.counts,
+	}
+	if !tasks {
+		return st
+	}
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		st.Tasks = append(st.Tasks, api.TaskStatus{
+			Task: i, State: t.State, Attempt: t.Attempt, Worker: t.Place.Worker, Address: t.Address, Reason: t.Reason,
+		})
+	}
+	return st
+}
+
+// Backoff returns how long a task waits after its n-th failure; it doubles from
+// one failure to the next, with a jitter drawn from the attempt's name.
+func Backoff(a worker.Attempt, n int) time.Duration {
+	d := backoffMost
+	if n < 10 {
+		d = min(backoffFirst<<max(0, n), backoffMost)
+	}
+	jitter := xxhash.Sum64String(a.String()) % uint64(d/2)
+	return d/2 + time.Duration(jitter)
+}
+
+func reason(what string, ev peer.Event) string {
+	return fmt.Sprintf("%s on worker %s: %s", what, ev.Worker, ev.Reason)
+}
+
+func appendNew(list []string, s string) []string {
+	for _, have := range list {
+		if have == s {
+			return list
+		}
+	}
+	return append(list, s)
+}
--- /dev/null
+++ b/internal/node/callers.go
@@ -0,0 +1,394 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"golang.org/x/sync/errgroup"
+
+	"switchbank.example/switchbank/internal/api"
+	"switchbank.example/switchbank/internal/bundle"
+	"switchbank.example/switchbank/internal/httpx"
+	"switchbank.example/switchbank/internal/peer"
+	"switchbank.example/switchbank/internal/requests"
+)
+
+const (
+	maxWorkloadBytes = 256 << 10
+	maxKeyLength     = 128
+	maxWatch         = 30 * time.Second
+	listTimeout      = 5 * time.Second
+)
+
+func (n *Node) callerRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/services/{service}/requests", n.serveRequest)
+	mux.HandleFunc("POST /v1/workloads", n.serveCreate)
+	mux.HandleFunc("GET /v1/workloads", n.serveList)
+	mux.HandleFunc("GET /v1/workloads/{id}", n.serveGet)
+	mux.HandleFunc("DELETE /v1/workloads/{id}", n.serveCancel)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		httpx.WriteError(w, httpx.NewProblem(http.StatusNotFound, "no_route", r.Method+" "+r.URL.Path))
+	})
+	return n.admit(mux)
+}
+
+// admit bounds the work of callers and turns them away while the node can't serve.
+func (n *Node) admit(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case n.inFlight <- struct{}{}:
+			defer func() { <-n.inFlight }()
+		default:
+			n.turnAway(w, "node_busy", "the node works on as many requests as it may")
+			return
+		}
+		if !n.follower.isFresh() {
+			n.turnAway(w, "bundle_stale", "the node must read the bundle in force first")
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) turnAway(w http.ResponseWriter, reason, detail string) {
+	n.counters.refused(reason)
+	httpx.WriteError(w, httpx.NewProblem(http.StatusServiceUnavailable, reason, detail).
+		RetryAfter(retryIn).WithOutcome(string(api.OutcomeRefused)))
+}
+
+// team returns the team that a request comes from, checked by its token.
+func (n *Node) team(r *http.Request) (bundle.Team, error) {
+	name := r.Header.Get(api.HeaderTeam)
+	t, ok := n.bundle().Team(name)
+	if !ok {
+		p := httpx.NewProblem(http.StatusForbidden, "team_not_known", "the bundle in force has no such team")
+		p.Problem.Field = api.HeaderTeam
+		return t, p.WithOutcome(string(api.OutcomeRefused))
+	}
+	if !tokenOK(t, r) {
+		p := httpx.NewProblem(http.StatusUnauthorized, "token_not_valid", "the bearer token is not one of the team's")
+		return t, p.WithOutcome(string(api.OutcomeRefused))
+	}
+	return t, nil
+}
+
+// tokenOK compares in constant time, and all digests, so that time tells nothing.
+func tokenOK(t bundle.Team, r *http.Request) bool {
+	if len(t.TokenSHA256) == 0 {
+		return true
+	}
+	sum := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
+	have := []byte(hex.EncodeToString(sum[:]))
+	ok := 0
+	for _, want := range t.TokenSHA256 {
+		ok |= subtle.ConstantTimeCompare(have, []byte(strings.ToLower(want)))
+	}
+	return ok == 1
+}
+
+func (n *Node) serveRequest(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	req, err := n.readRequest(w, r)
+	if err != nil {
+		n.counters.refused(httpx.Reason(err))
+		httpx.WriteError(w, err)
+		return
+	}
+	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMS)*time.Millisecond)
+	defer cancel()
+	res := n.entry.Do(ctx, req)
+	n.counters.request(res, time.Since(began))
+	w.Header().Set(api.HeaderRequestID, req.ID)
+	w.Header().Set(api.HeaderOutcome, string(res.Outcome))
+	if res.Outcome != api.OutcomeDone {
+		httpx.WriteError(w, resultProblem(res))
+		return
+	}
+	if res.Answer.ContentType != "" {
+		w.Header().Set("Content-Type", res.Answer.ContentType)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(res.Answer.Body)))
+	w.WriteHeader(res.Answer.Status)
+	_, _ = w.Write(res.Answer.Body)
+}
+
+// resultProblem tells a caller of a request that was not done.
+func resultProblem(res requests.Result) error {
+	status := http.StatusServiceUnavailable
+	switch {
+	case res.Reason == requests.KindTeamFull || res.Reason == requests.KindQueueFull:
+		status = http.StatusTooManyRequests
+	case res.Reason == requests.KindKeyClash || res.Reason == requests.KindKeyUnknown || res.Reason == requests.KindKeyOld:
+		status = http.StatusConflict
+	case res.Reason == requests.KindDeadline:
+		status = http.StatusGatewayTimeout
+	case res.Outcome == api.OutcomeUnknown:
+		status = http.StatusBadGateway
+	}
+	p := httpx.NewProblem(status, string(res.Reason), res.Detail).WithOutcome(string(res.Outcome))
+	p.Problem.RetryAfterMS = res.RetryAfterMS
+	return p
+}
+
+// readRequest reads and checks a caller's request.
+func (n *Node) readRequest(w http.ResponseWriter, r *http.Request) (requests.Request, error) {
+	t, err := n.team(r)
+	if err != nil {
+		return requests.Request{}, err
+	}
+	limits := n.bundle().Limits
+	req := requests.Request{
+		ID: rand.Text(), Service: r.PathValue("service"), Team: t.Name,
+		ContentType: cmp.Or(r.Header.Get("Content-Type"), "application/octet-stream"),
+	}
+	if !api.ValidName(req.Service) {
+		return req, headerProblem("service", "want the name of a service")
+	}
+	if req.TimeoutMS, err = timeoutOf(r, limits.TimeoutMS); err != nil {
+		return req, err
+	}
+	if err := readKey(r, &req, n.cfg.Requests.KeyMargin); err != nil {
+		return req, err
+	}
+	req.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limits.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return req, httpx.NewProblem(http.StatusRequestEntityTooLarge, "body_too_large",
+			"the body is larger than "+strconv.FormatInt(limits.BodyBytes, 10)+" bytes").WithOutcome(string(api.OutcomeRefused))
+	}
+	if err != nil {
+		return req, httpx.NewProblem(http.StatusBadRequest, "body_unreadable", err.Error()).WithOutcome(string(api.OutcomeRefused))
+	}
+	return req, nil
+}
+
+func headerProblem(field, detail string) error {
+	return httpx.FieldProblem(field, detail).WithOutcome(string(api.OutcomeRefused))
+}
+
+func timeoutOf(r *http.Request, most int64) (int64, error) {
+	s := r.Header.Get(api.HeaderTimeout)
+	if s == "" {
+		return most, nil
+	}
+	ms, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || ms < 1 || ms > most {
+		return 0, headerProblem(api.HeaderTimeout, "want milliseconds, 1 to "+strconv.FormatInt(most, 10))
+	}
+	return ms, nil
+}
+
+// readKey reads the headers that say whether a request may be repeated.
+func readKey(r *http.Request, req *requests.Request, ahead time.Duration) error {
+	switch v := r.Header.Get(api.HeaderRepeatable); v {
+	case "", "false":
+	case "true":
+		req.Repeatable = true
+	default:
+		return headerProblem(api.HeaderRepeatable, "want true or false")
+	}
+	req.Key = r.Header.Get(api.HeaderKey)
+	if req.Key == "" {
+		return nil
+	}
+	if req.Repeatable {
+		return headerProblem(api.HeaderRepeatable, "a request with a key must not be repeated")
+	}
+	if len(req.Key) > maxKeyLength || strings.ContainsFunc(req.Key, func(c rune) bool { return c < '!' || c > '~' }) {
+		return headerProblem(api.HeaderKey, "want 1 to 128 printable ASCII characters")
+	}
+	created, err := time.Parse(time.RFC3339, r.Header.Get(api.HeaderKeyCreated))
+	if err != nil || time.Until(created) > ahead {
+		return headerProblem(api.HeaderKeyCreated, "want when the key was made, as 2006-01-02T15:04:05Z, not in the future")
+	}
+	req.KeyCreated = created
+	return nil
+}
+
+func (n *Node) serveCreate(w http.ResponseWriter, r *http.Request) {
+	t, err := n.team(r)
+	var wl api.Workload
+	if err == nil {
+		err = httpx.Decode(w, r, maxWorkloadBytes, &wl)
+	}
+	if err == nil {
+		err = n.checkWorkload(t, wl)
+	}
+	var st api.Status
+	if err == nil {
+		key := n.jobKey(wl.ID)
+		req := JobCreate{Shard: string(key), Workload: wl.WithDefaults()}
+		st, err = onOwnerSoon(r.Context(), n, key, peer.PathJobCreate, req, n.createHere)
+	}
+	n.reply(w, http.StatusCreated, st, err)
+}
+
+func (n *Node) reply(w http.ResponseWriter, status int, v any, err error) {
+	if err != nil {
+		err = problem(err)
+		n.counters.refused(httpx.Reason(err))
+		httpx.WriteError(w, err)
+		return
+	}
+	httpx.WriteJSON(w, status, v)
+}
+
+// checkWorkload refuses what can never run, before anything of it is kept.
+func (n *Node) checkWorkload(t bundle.Team, wl api.Workload) error {
+	if err := wl.Check(); err != nil {
+		return err
+	}
+	if wl.Team != t.Name {
+		return httpx.FieldProblem("team", "is not the team that sends the workload")
+	}
+	if _, ok := n.bundle().Class(wl.Class); !ok {
+		return httpx.FieldProblem("class", "the bundle in force has no such class")
+	}
+	if !wl.Deadline.IsZero() && time.Now().After(wl.Deadline) {
+		return httpx.FieldProblem("deadline", "is over")
+	}
+	if over(wl, t) {
+		return httpx.FieldProblem("size", "is above the limit of team "+t.Name)
+	}
+	return n.checkFits(wl)
+}
+
+// over reports whether a workload asks for more at once than its team may ever have.
+func over(wl api.Workload, t bundle.Team) bool {
+	need := wl.Size
+	if wl.Kind == api.KindAllAtOnce {
+		need = wl.Size.Times(int64(wl.Tasks))
+	}
+	l := t.Limit
+	return l.CPUMilli > 0 && need.CPUMilli > l.CPUMilli || l.MemoryMB > 0 && need.MemoryMB > l.MemoryMB ||
+		l.Accelerators > 0 && need.Accelerators > l.Accelerators
+}
+
+// checkFits refuses a size that no worker of the cell has.
+func (n *Node) checkFits(wl api.Workload) error {
+	known := false
+	room := int64(0)
+	for _, p := range n.load.Pools() {
+		for _, shape := range p.Shapes {
+			known = true
+			if shape.Fits(wl.Size) {
+				room++
+			}
+		}
+	}
+	if known && room == 0 {
+		return httpx.FieldProblem("size", "no worker of the cell has as much")
+	}
+	return nil
+}
+
+func (n *Node) serveGet(w http.ResponseWriter, r *http.Request) {
+	t, err := n.team(r)
+	ref := JobRef{ID: r.PathValue("id"), Tasks: r.FormValue("tasks") == "true"}
+	if err == nil {
+		err = readWatch(r, &ref)
+	}
+	var st api.Status
+	if err == nil {
+		st, err = n.getOf(r.Context(), t, ref)
+	}
+	n.reply(w, http.StatusOK, st, err)
+}
+
+// readWatch reads since and wait_ms, by which a caller waits for a change.
+func readWatch(r *http.Request, ref *JobRef) error {
+	if s := r.FormValue("since"); s != "" {
+		since, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || since < 0 {
+			return httpx.FieldProblem("since", "want a revision, 0 or more")
+		}
+		ref.Since, ref.WaitMS = since, maxWatch.Milliseconds()
+	}
+	if s := r.FormValue("wait_ms"); s != "" {
+		ms, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || ms < 1 || ms > maxWatch.Milliseconds() {
+			return httpx.FieldProblem("wait_ms", "want 1 to 30000 milliseconds")
+		}
+		ref.WaitMS = ms
+	}
+	return nil
+}
+
+// getOf returns a workload of a team; another team's is as if it were not there.
+func (n *Node) getOf(ctx context.Context, t bundle.Team, ref JobRef) (api.Status, error) {
+	key := n.jobKey(ref.ID)
+	ref.Shard = string(key)
+	st, err := onOwnerSoon(ctx, n, key, peer.PathJobGet, ref, n.getHere)
+	if err == nil && st.Workload.Team != t.Name {
+		return api.Status{}, httpx.NewProblem(http.StatusNotFound, "not_found", "there is no such workload")
+	}
+	return st, err
+}
+
+func (n *Node) serveCancel(w http.ResponseWriter, r *http.Request) {
+	t, err := n.team(r)
+	ref := JobRef{ID: r.PathValue("id")}
+	var st api.Status
+	if err == nil {
+		st, err = n.getOf(r.Context(), t, ref)
+	}
+	if err == nil {
+		key := n.jobKey(ref.ID)
+		ref.Shard = string(key)
+		st, err = onOwnerSoon(r.Context(), n, key, peer.PathJobCancel, ref, n.cancelHere)
+	}
+	n.reply(w, http.StatusOK, st, err)
+}
+
+func (n *Node) serveList(w http.ResponseWriter, r *http.Request) {
+	t, err := n.team(r)
+	if err != nil {
+		n.reply(w, http.StatusOK, nil, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), listTimeout)
+	defer cancel()
+	n.reply(w, http.StatusOK, n.listAll(ctx, t.Name), nil)
+}
+
+// listAll asks every node for the workloads of a team.
+func (n *Node) listAll(ctx context.Context, team string) api.StatusList {
+	nodes := n.lease.Known()
+	parts := make([]api.StatusList, len(nodes)+1)
+	parts[len(nodes)].Workloads = n.jobs.List(team)
+	var g errgroup.Group
+	g.SetLimit(exchangesAtOnce)
+	for i, node := range nodes {
+		g.Go(func() error {
+			list, err := httpx.Call[JobList, api.StatusList](ctx, n.peerHTTP, "http://"+node.PeerAddress+peer.PathJobList, JobList{Team: team})
+			parts[i] = list
+			parts[i].Partial = err != nil
+			return nil
+		})
+	}
+	_ = g.Wait()
+	all := api.StatusList{Workloads: []api.Status{}}
+	for _, p := range parts {
+		all.Workloads = append(all.Workloads, p.Workloads...)
+		all.Partial = all.Partial || p.Partial
+	}
+	slices.SortFunc(all.Workloads, func(a, b api.Status) int { return strings.Compare(a.Workload.ID, b.Workload.ID) })
+	return all
+}
--- /dev/null
+++ b/internal/node/follower.go
@@ -0,0 +1,185 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/bundle"
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/httpx"
+	"switchbank.example/switchbank/internal/peer"
+)
+
+const (
+	followEvery = time.Second
+	// staleAfter is how long a node serves without having heard of the bundle in
+	// force, from the store or from a peer.
+	staleAfter = 5 * time.Second
+)
+
+// follower keeps the node on the bundle that is in force: the highest version
+// that the store or a peer tells of.
+type follower struct {
+	n *Node
+
+	mu     sync.Mutex
+	head   bundle.Head
+	bundle *bundle.Bundle
+	ready  bool
+	// fresh is when the store or a peer last told of a version not above ours.
+	fresh      time.Time
+	staged     string
+	stagedHave *bundle.Bundle
+}
+
+func newFollower(n *Node) *follower { return &follower{n: n, bundle: bundle.Default()} }
+
+func (f *follower) run(ctx context.Context) error {
+	t := time.NewTicker(followEvery)
+	defer t.Stop()
+	for {
+		f.poll(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// poll reads the head and the proposal once.
+func (f *follower) poll(ctx context.Context) {
+	asked := time.Now()
+	head, err := f.n.bundles.Head(ctx)
+	if err != nil {
+		f.n.log.Warn("bundle not read", events.BundleNotRead, zap.Error(err))
+		return
+	}
+	if err := f.follow(ctx, head); err != nil {
+		f.n.log.Warn("bundle not read", events.BundleNotRead, zap.Error(err))
+		return
+	}
+	f.mu.Lock()
+	f.ready, f.fresh = true, asked
+	f.mu.Unlock()
+	f.stage(ctx)
+	f.mu.Lock()
+	staged, version := f.staged, f.head.Version
+	f.mu.Unlock()
+	f.n.lease.SetBundles(staged, version)
+}
+
+// follow applies a head that is higher than the present one.
+func (f *follower) follow(ctx context.Context, head bundle.Head) error {
+	f.mu.Lock()
+	present := f.head
+	staged, have := f.staged, f.stagedHave
+	f.mu.Unlock()
+	if head.Version <= present.Version && !f.n.deps.Guards.AnyVersion {
+		return nil
+	}
+	if head.Digest == "" || head.Digest == present.Digest && head.Version == present.Version {
+		return nil
+	}
+	b := have
+	if staged != head.Digest || have == nil {
+		var err error
+		if b, err = f.n.bundles.Fetch(ctx, head.Digest); err != nil {
+			return err
+		}
+	}
+	f.apply(head, b)
+	return nil
+}
+
+// apply puts a bundle in force unless a higher one is.
+func (f *follower) apply(head bundle.Head, b *bundle.Bundle) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if head.Version <= f.head.Version && !f.n.deps.Guards.AnyVersion {
+		return
+	}
+	f.head, f.bundle = head, b
+	f.n.log.Info("bundle in force", events.BundleInForce, zap.Int64("version", head.Version), zap.String("digest", head.Digest))
+}
+
+// stage holds the proposed bundle ready.
+func (f *follower) stage(ctx context.Context) {
+	p, ok, err := f.n.bundles.Proposed(ctx)
+	if err != nil || !ok {
+		return
+	}
+	f.mu.Lock()
+	done := f.staged == p.Digest
+	f.mu.Unlock()
+	if done {
+		return
+	}
+	b, err := f.n.bundles.Fetch(ctx, p.Digest)
+	if err != nil {
+		f.n.log.Warn("bundle not staged", events.BundleNotRead, zap.String("change", p.Change), zap.Error(err))
+		return
+	}
+	f.mu.Lock()
+	f.staged, f.stagedHave = p.Digest, b
+	f.mu.Unlock()
+	f.n.log.Info("bundle staged", events.BundleStaged, zap.String("change", p.Change), zap.Int64("version", p.Version()))
+}
+
+// heard takes the bundle of a peer that is ahead, so that a node without sight
+// of the store follows too.
+func (f *follower) heard(address string, version int64, asked time.Time) {
+	f.mu.Lock()
+	behind := version > f.head.Version
+	if !behind && f.ready {
+		f.fresh = asked
+	}
+	f.mu.Unlock()
+	if !behind {
+		return
+	}
+	ctx, cancel := context.WithTimeout(f.n.runCtx, callTimeout)
+	defer cancel()
+	reply, err := httpx.Call[httpx.None, HeadReply](ctx, f.n.peerHTTP, "http://"+address+peer.PathHead, httpx.None{})
+	if err != nil || reply.Bundle == nil || reply.Bundle.Digest() != reply.Head.Digest {
+		return
+	}
+	f.apply(reply.Head, reply.Bundle)
+	f.mu.Lock()
+	f.ready, f.fresh = true, asked
+	f.mu.Unlock()
+}
+
+// current returns the bundle in force.
+func (f *follower) current() *bundle.Bundle {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bundle
+}
+
+// state returns the bundle in force and its head.
+func (f *follower) state() (bundle.Head, *bundle.Bundle) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.head, f.bundle
+}
+
+// read reports whether the head has been read from the store or a peer.
+func (f *follower) read() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ready
+}
+
+// isFresh reports whether the bundle in force was confirmed a short time ago;
+// a node that was paused or cut off is not fresh until it has asked again.
+func (f *follower) isFresh() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ready && time.Since(f.fresh) < staleAfter
+}
--- /dev/null
+++ b/internal/node/load.go
@@ -0,0 +1,177 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"switchbank.example/switchbank/internal/httpx"
+	"switchbank.example/switchbank/internal/lease"
+	"switchbank.example/switchbank/internal/peer"
+	"switchbank.example/switchbank/internal/requests"
+)
+
+const (
+	// summaryKept is how many exchanges a peer's summary is used without a newer one.
+	summaryKept = 4
+	// exchangesAtOnce bounds the peers that are asked together.
+	exchangesAtOnce = 16
+)
+
+// load is what the node knows of the load of all nodes; each asks the others
+// for their summary every short while.
+type load struct {
+	n *Node
+
+	mu    sync.Mutex
+	peers map[string]*peerState
+	asked bool
+}
+
+type peerState struct {
+	node    lease.Node
+	summary peer.Summary
+	at      time.Time
+}
+
+func newLoad(n *Node) *load { return &load{n: n, peers: make(map[string]*peerState)} }
+
+func (l *load) run(ctx context.Context) error {
+	t := time.NewTicker(l.n.cfg.Requests.Load)
+	defer t.Stop()
+	for {
+		l.exchange(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// exchange asks every known peer for its summary.
+func (l *load) exchange(ctx context.Context) {
+	var g errgroup.Group
+	g.SetLimit(exchangesAtOnce)
+	for _, node := range l.n.lease.Known() {
+		g.Go(func() error {
+			l.ask(ctx, node)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked = l.asked || l.n.lease.Held()
+	for id, p := range l.peers {
+		if time.Since(p.at) > l.kept() {
+			delete(l.peers, id)
+		}
+	}
+}
+
+func (l *load) kept() time.Duration { return summaryKept * l.n.cfg.Requests.Load }
+
+func (l *load) ask(ctx context.Context, node lease.Node) {
+	ctx, cancel := context.WithTimeout(ctx, l.n.cfg.Requests.Load)
+	defer cancel()
+	asked := time.Now()
+	sum, err := httpx.Call[httpx.None, peer.Summary](ctx, l.n.peerHTTP, "http://"+node.PeerAddress+peer.PathSummary, httpx.None{})
+	if err != nil || sum.Node != node.ID {
+		return
+	}
+	l.mu.Lock()
+	l.peers[node.ID] = &peerState{node, sum, time.Now()}
+	l.mu.Unlock()
+	l.n.follower.heard(node.PeerAddress, sum.Head, asked)
+}
+
+// exchanged reports whether the node has held its lease and asked its peers once.
+func (l *load) exchanged() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.asked
+}
+
+// own returns this node's summary.
+func (l *load) own() peer.Summary {
+	pools, teams := l.n.pools.Summaries()
+	head, _ := l.n.follower.state()
+	return peer.Summary{
+		Node: l.n.cfg.Node, Head: head.Version, Pools: pools, Teams: teams, Services: l.n.balancer.Summaries(),
+	}
+}
+
+// each calls fn for the summary of every node, this one's first.
+func (l *load) each(fn func(peer.Summary)) {
+	fn(l.own())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.peers {
+		fn(p.summary)
+	}
+}
+
+// Pools returns how much room the worker shards of the cell have.
+func (l *load) Pools() []peer.PoolSummary {
+	var pools []peer.PoolSummary
+	l.each(func(s peer.Summary) { pools = append(pools, s.Pools...) })
+	return pools
+}
+
+// Teams returns what the teams use, node by node.
+func (l *load) Teams() []peer.TeamUsage {
+	var teams []peer.TeamUsage
+	l.each(func(s peer.Summary) { teams = append(teams, s.Teams...) })
+	return teams
+}
+
+// Services returns the load of a service on each peer that owns instances of it.
+func (l *load) Services(name string) []requests.PeerLoad {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var loads []requests.PeerLoad
+	for id, p := range l.peers {
+		for _, s := range p.summary.Services {
+			if s.Service == name {
+				loads = append(loads, requests.PeerLoad{Node: id, Free: s.Free, Queued: s.Queued, Instances: s.Instances})
+			}
+		}
+	}
+	return loads
+}
+
+// Forward hands a request to a peer, and counts the slot that it will take
+// until the peer's next summary.
+func (l *load) Forward(ctx context.Context, node string, r requests.Request) (requests.Result, error) {
+	l.mu.Lock()
+	p, ok := l.peers[node]
+	if !ok {
+		l.mu.Unlock()
+		return requests.Result{}, requests.NotSent(errors.Errorf("node %s is gone", node))
+	}
+	for i := range p.summary.Services {
+		if s := &p.summary.Services[i]; s.Service == r.Service {
+			s.Free = max(0, s.Free-1)
+		}
+	}
+	address := p.node.PeerAddress
+	l.mu.Unlock()
+	res, err := l.n.forward(ctx, address, r)
+	if requests.IsNotSent(err) {
+		l.forget(node)
+	}
+	return res, err
+}
+
+// forget drops a peer that was not reached, until it answers again.
+func (l *load) forget(node string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.peers, node)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,305 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package node puts the parts of a switchbank node together: its three
+// listeners, its lease, its shards, the journal, the pools and the requests.
+//
+// # Usage
+//
+//	n, err := node.New(cfg, node.Deps{Platform: client, Callers: l1, Peers: l2, Operators: l3, Log: log})
+//	err = n.Run(ctx) // a planned stop begins when ctx ends
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"switchbank.example/switchbank/internal/bundle"
+	"switchbank.example/switchbank/internal/config"
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/jobs"
+	"switchbank.example/switchbank/internal/journal"
+	"switchbank.example/switchbank/internal/lease"
+	"switchbank.example/switchbank/internal/platform"
+	"switchbank.example/switchbank/internal/policy"
+	"switchbank.example/switchbank/internal/pool"
+	"switchbank.example/switchbank/internal/requests"
+	"switchbank.example/switchbank/internal/shard"
+	"switchbank.example/switchbank/internal/worker"
+)
+
+// Platform is what a node uses of the platform.
+type Platform interface {
+	Commit(ctx context.Context, t platform.Txn) (platform.TxnResult, error)
+	Get(ctx context.Context, table, key string) (platform.Row, error)
+	List(ctx context.Context, table, prefix string) ([]platform.Row, error)
+	PutObject(ctx context.Context, key string, data []byte) error
+	GetObject(ctx context.Context, key string) ([]byte, error)
+	DeleteObject(ctx context.Context, key string) error
+	Hosts(ctx context.Context, dataCentre string) ([]platform.Host, error)
+}
+
+// Guards are safeguards that a test can switch off, to show that it would see
+// their absence. All are on in a node that serves.
+type Guards struct {
+	// NoEpochs lets a shard's new owner keep the old epoch.
+	NoEpochs bool
+	// Unconditional writes the journal without its conditions.
+	Unconditional bool
+	// StartUnkept starts tasks before their place is journalled.
+	StartUnkept bool
+	// NoIntent runs keyed requests without journalling them.
+	NoIntent bool
+	// Overcommit leaves the slots of instances uncounted.
+	Overcommit bool
+	// AnyVersion applies whatever bundle version was read last.
+	AnyVersion bool
+	// NoDrain drops what is in flight at a planned stop.
+	NoDrain bool
+}
+
+// Deps are the dependencies of a Node.
+type Deps struct {
+	Platform  Platform
+	Callers   net.Listener
+	Peers     net.Listener
+	Operators net.Listener
+	// Dial opens connections to peers, workers and instances; nil means TCP.
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Log    *zap.Logger
+	Guards Guards
+}
+
+// Kind tells apart the errors of this package.
+type Kind string
+
+// The kinds of error.
+const (
+	// KindListen is a listener that ended by itself.
+	KindListen Kind = "listen"
+	// KindLease is a lease that another process has taken.
+	KindLease Kind = "lease"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, kind and cause.
+func (e *Error) Error() string { return fmt.Sprintf("node: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Node is a switchbank node.
+type Node struct {
+	cfg     config.Config
+	deps    Deps
+	log     *zap.Logger
+	metrics *metrics.Set
+
+	lease     *lease.Lease
+	shards    *shard.Manager
+	journal   *journal.Committer
+	pools     *pool.Set
+	jobs      *jobs.Set
+	balancer  *requests.Balancer
+	entry     *requests.Entry
+	bundles   *bundle.Store
+	follower  *follower
+	load      *load
+	peerHTTP  *http.Client
+	shardKeys []shard.Key
+
+	draining atomic.Bool
+	drain    chan struct{}
+	inFlight chan struct{}
+	counters counters
+	runCtx   context.Context
+	stopRun  context.CancelFunc
+}
+
+// New returns a node that does not run yet.
+func New(cfg config.Config, deps Deps) *Node {
+	n := &Node{
+		cfg: cfg, deps: deps, metrics: metrics.NewSet(),
+		log:      deps.Log.With(zap.String("node", cfg.Node)),
+		drain:    make(chan struct{}, 1),
+		inFlight: make(chan struct{}, cfg.Limits.InFlight),
+	}
+	n.runCtx, n.stopRun = context.WithCancel(context.Background())
+	n.peerHTTP = n.newClient(peerConns)
+	n.follower = newFollower(n)
+	n.load = newLoad(n)
+	n.newStores()
+	n.newShards()
+	n.newRequests()
+	n.counters = newCounters(n)
+	return n
+}
+
+func (n *Node) newStores() {
+	cfg, p := n.cfg, n.deps.Platform
+	n.lease = lease.New(p, lease.Node{
+		ID: cfg.Node, DataCentre: cfg.DataCentre,
+		PeerAddress:     cfg.PeerAddress(n.deps.Peers.Addr().String()),
+		OperatorAddress: cfg.OperatorAddress(n.deps.Operators.Addr().String()),
+	}, lease.Options{TTL: cfg.Lease.TTL, Margin: cfg.Lease.Margin, Every: cfg.Lease.Every}, n.log)
+	n.journal = journal.New(p, p, journal.Options{
+		Spacing: cfg.Journal.Spacing, DownAfter: cfg.Journal.DownAfter, Unconditional: n.deps.Guards.Unconditional,
+	}, n.log)
+	n.bundles = bundle.NewStore(p, p, cfg.Review)
+}
+
+func (n *Node) newShards() {
+	cfg := n.cfg
+	n.balancer = requests.NewBalancer(n.bundle)
+	if n.deps.Guards.Overcommit {
+		n.balancer.Overcommit()
+	}
+	n.pools = pool.NewSet(n.runCtx, cfg.DataCentres, pool.Deps{
+		Hosts:     n.deps.Platform,
+		Workers:   worker.NewClient(n.newClient(workerConns), cfg.Tasks.Lease/3),
+		Events:    eventSink{n},
+		Instances: n.balancer,
+		Weights:   func() policy.Weights { return n.bundle().Weights() },
+	}, pool.Options{
+		Lease: cfg.Tasks.Lease, Margin: cfg.Tasks.Margin, Grace: cfg.Tasks.Grace,
+		Reservation: cfg.Tasks.Reservation, Every: cfg.Tasks.Hosts, SetAside: cfg.Tasks.SetAside,
+	}, n.log)
+	n.jobs = jobs.NewSet(jobs.Deps{Journal: n.journal, Pools: poolRouter{n}, Room: n.load, Bundle: n.bundle}, jobs.Options{
+		Every: cfg.Tasks.Every, AskEvery: cfg.Tasks.Ask, Retention: cfg.Tasks.Retention,
+		KeyWindow: cfg.Requests.KeyWindow, KeyMargin: cfg.Requests.KeyMargin, KeyAnswerBytes: cfg.Requests.KeyAnswerBytes,
+		SnapshotEvery: cfg.Journal.SnapshotEvery, StartUnkept: n.deps.Guards.StartUnkept,
+	}, n.log)
+	n.shardKeys = shard.Layout(cfg.JobShards, cfg.DataCentres)
+	handlers := map[shard.Kind]shard.Handler{shard.KindJob: n.jobs, shard.KindWorker: n.pools}
+	n.shards = shard.New(n.deps.Platform, n.lease, n.shardKeys, handlers, shard.Options{
+		Every: cfg.Lease.Every / 2, ReleaseTimeout: cfg.Requests.DrainTimeout, NoEpochs: n.deps.Guards.NoEpochs,
+	}, n.log)
+	n.shards.OnChange(n.shardChanged)
+}
+
+func (n *Node) newRequests() {
+	cfg := n.cfg.Requests
+	n.entry = requests.NewEntry(requests.Deps{
+		Balancer: n.balancer,
+		Upstream: requests.NewUpstream(n.newClient(upstreamConns), cfg.Linger),
+		Peers:    n.load,
+		Keys:     keyRouter{n},
+		Bundle:   n.bundle,
+	}, requests.Options{KeyWindow: cfg.KeyWindow, KeyMargin: cfg.KeyMargin, NoIntent: n.deps.Guards.NoIntent}, n.log)
+}
+
+// shardChanged passes on that a shard has a new owner.
+func (n *Node) shardChanged(key shard.Key) {
+	if key.Kind() == shard.KindWorker {
+		n.jobs.PoolMoved(key)
+	}
+}
+
+// bundle returns the bundle in force.
+func (n *Node) bundle() *bundle.Bundle { return n.follower.current() }
+
+// Run serves until ctx ends or Drain is called; then it stops as planned: it
+// hands its shards over and finishes what is in flight.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Info("node started", events.NodeStarted, zap.String("callers", n.deps.Callers.Addr().String()),
+		zap.String("peers", n.deps.Peers.Addr().String()), zap.String("operators", n.deps.Operators.Addr().String()))
+	defer n.stopRun()
+	servers := n.newServers()
+	g, run := errgroup.WithContext(n.runCtx)
+	for _, loop := range []func(context.Context) error{
+		n.lease.Run, n.shards.Run, n.journal.Run, n.pools.Run, n.jobs.Run, n.follower.run, n.load.run,
+	} {
+		g.Go(func() error { return loop(run) })
+	}
+	for _, s := range servers {
+		g.Go(s.serve)
+	}
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-n.drain:
+		case <-run.Done():
+		}
+		n.stop(run, servers)
+		return nil
+	})
+	err := g.Wait()
+	if err != nil {
+		n.log.Error("node failed", events.NodeFailed, zap.Error(err))
+		return err
+	}
+	n.log.Info("node stopped", events.NodeStopped)
+	return nil
+}
+
+// Drain begins a planned stop.
+func (n *Node) Drain() {
+	select {
+	case n.drain <- struct{}{}:
+	default:
+	}
+}
+
+// stop is a planned stop, unless run has ended by a failure.
+func (n *Node) stop(run context.Context, servers []*server) {
+	if run.Err() == nil && !n.deps.Guards.NoDrain {
+		n.draining.Store(true)
+		n.log.Info("node draining", events.NodeDraining)
+		n.lease.SetDraining()
+		pause(run, n.cfg.Requests.DrainDelay)
+		n.shards.ReleaseAll(run)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Requests.DrainTimeout)
+	defer cancel()
+	if run.Err() != nil || n.deps.Guards.NoDrain {
+		cancel()
+	}
+	for _, s := range servers {
+		s.stop(ctx)
+	}
+	if run.Err() == nil {
+		resign, cancel := context.WithTimeout(context.Background(), n.cfg.Platform.Timeout)
+		defer cancel()
+		if err := n.lease.Resign(resign); err != nil {
+			n.log.Warn("lease not resigned", events.LeaseNotRenewed, zap.Error(err))
+		}
+	}
+	n.stopRun()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// Ready reports whether the node serves callers: it has read the bundle in
+// force, holds or has held its lease, and does not drain.
+func (n *Node) Ready() error {
+	switch {
+	case n.draining.Load():
+		return errors.New("draining")
+	case !n.follower.read():
+		return errors.New("the bundle in force has not been read yet")
+	case !n.load.exchanged():
+		return errors.New("the shards have not been read yet")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/operators.go
@@ -0,0 +1,224 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/bundle"
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/httpx"
+	"switchbank.example/switchbank/internal/shard"
+)
+
+// The paths of the operators' listener.
+const (
+	PathStatus        = "/operator/v1/status"
+	PathDrain         = "/operator/v1/drain"
+	PathBundle        = "/operator/v1/bundle"
+	PathBundlePropose = "/operator/v1/bundle/propose"
+	PathBundleAccept  = "/operator/v1/bundle/accept"
+	PathBundleHistory = "/operator/v1/bundle/history"
+
+	maxBundleBytes = 4 << 20
+)
+
+// Status is what a node tells an operator of itself and of the cell.
+type Status struct {
+	Node       string `json:"node"`
+	DataCentre string `json:"data_centre"`
+	Ready      bool   `json:"ready"`
+	// NotReady says why the node does not serve.
+	NotReady     string      `json:"not_ready,omitempty"`
+	LeaseHeld    bool        `json:"lease_held"`
+	StoreDown    bool        `json:"store_down"`
+	JobShards    int         `json:"job_shards"`
+	WorkerShards int         `json:"worker_shards"`
+	Unowned      int         `json:"unowned_shards"`
+	Bundle       bundle.Head `json:"bundle"`
+	Nodes        []Applied   `json:"nodes"`
+}
+
+// Applied tells which bundle a live node applies and has staged.
+type Applied struct {
+	Node     string `json:"node"`
+	InForce  int64  `json:"in_force"`
+	Staged   string `json:"staged,omitempty"`
+	Draining bool   `json:"draining,omitempty"`
+}
+
+// BundleStatus tells what is in force, what waits, and who holds it back.
+type BundleStatus struct {
+	Head     bundle.Head      `json:"head"`
+	Bundle   *bundle.Bundle   `json:"bundle,omitempty"`
+	Proposal *bundle.Proposal `json:"proposal,omitempty"`
+	// Waiting are the live nodes that have not staged the proposal yet.
+	Waiting []string  `json:"waiting,omitempty"`
+	Nodes   []Applied `json:"nodes"`
+}
+
+// ProposeRequest carries a signed bundle.
+type ProposeRequest struct {
+	Bundle   *bundle.Bundle  `json:"bundle"`
+	Proposal bundle.Proposal `json:"proposal"`
+}
+
+// AcceptRequest names the change to be accepted.
+type AcceptRequest struct {
+	Change string `json:"change"`
+}
+
+// HistoryReply holds the accepted bundles, oldest first.
+type HistoryReply struct {
+	Heads []bundle.Head `json:"heads"`
+}
+
+// DrainReply tells that a planned stop has begun.
+type DrainReply struct {
+	Node     string `json:"node"`
+	Draining bool   `json:"draining"`
+}
+
+func (n *Node) operatorRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", n.serveReady)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	mux.Handle("GET "+PathStatus, operate(n.status))
+	mux.Handle("POST "+PathDrain, operate(n.serveDrain))
+	mux.Handle("GET "+PathBundle, operate(n.bundleStatus))
+	mux.Handle("POST "+PathBundlePropose, operate(n.propose))
+	mux.Handle("POST "+PathBundleAccept, operate(n.accept))
+	mux.Handle("GET "+PathBundleHistory, operate(n.history))
+	return mux
+}
+
+// operate serves a call of an operator.
+func operate[Req, Resp any](fn func(context.Context, Req) (Resp, error)) http.Handler {
+	return httpx.Handle(maxBundleBytes, func(ctx context.Context, req Req) (Resp, error) {
+		resp, err := fn(ctx, req)
+		return resp, bundleProblem(err)
+	})
+}
+
+func bundleProblem(err error) error {
+	var be *bundle.Error
+	if !errors.As(err, &be) {
+		return problem(err)
+	}
+	status := http.StatusUnprocessableEntity
+	switch be.Kind {
+	case bundle.KindConflict, bundle.KindNotStaged:
+		status = http.StatusConflict
+	case bundle.KindNotFound:
+		status = http.StatusNotFound
+	case bundle.KindSignature:
+		status = http.StatusForbidden
+	case bundle.KindStore:
+		status = http.StatusServiceUnavailable
+	case bundle.KindInvalid:
+	}
+	return httpx.NewProblem(status, "bundle_"+string(be.Kind), be.Err.Error())
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := n.Ready(); err != nil {
+		httpx.WriteError(w, httpx.NewProblem(http.StatusServiceUnavailable, "not_ready", err.Error()))
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *Node) status(context.Context, httpx.None) (Status, error) {
+	head, _ := n.follower.state()
+	st := Status{
+		Node: n.cfg.Node, DataCentre: n.cfg.DataCentre, Ready: true, LeaseHeld: n.lease.Held(), StoreDown: n.journal.Down(),
+		JobShards: n.shards.Owned(shard.KindJob), WorkerShards: n.shards.Owned(shard.KindWorker), Unowned: n.shards.Unowned(),
+		Bundle: head, Nodes: n.nodeBundles(),
+	}
+	if err := n.Ready(); err != nil {
+		st.Ready, st.NotReady = false, err.Error()
+	}
+	return st, nil
+}
+
+func (n *Node) nodeBundles() []Applied {
+	var list []Applied
+	for _, node := range n.lease.Live() {
+		list = append(list, Applied{Node: node.ID, InForce: node.InForce, Staged: node.Staged, Draining: node.Draining})
+	}
+	return list
+}
+
+func (n *Node) serveDrain(context.Context, httpx.None) (DrainReply, error) {
+	n.Drain()
+	return DrainReply{Node: n.cfg.Node, Draining: true}, nil
+}
+
+func (n *Node) bundleStatus(ctx context.Context, _ httpx.None) (BundleStatus, error) {
+	head, b := n.follower.state()
+	st := BundleStatus{Head: head, Bundle: b, Nodes: n.nodeBundles()}
+	p, ok, err := n.bundles.Proposed(ctx)
+	if err != nil || !ok {
+		return st, err
+	}
+	st.Proposal = &p
+	st.Waiting = n.notStaged(p.Digest)
+	return st, nil
+}
+
+// notStaged returns the live nodes that do not hold a bundle ready.
+func (n *Node) notStaged(digest string) []string {
+	var waiting []string
+	for _, node := range n.lease.Live() {
+		if node.Staged != digest && !node.Draining {
+			waiting = append(waiting, node.ID)
+		}
+	}
+	return waiting
+}
+
+func (n *Node) propose(ctx context.Context, req ProposeRequest) (bundle.Proposal, error) {
+	if req.Bundle == nil || req.Proposal.Change == "" || req.Proposal.Operator == "" {
+		return bundle.Proposal{}, httpx.FieldProblem("bundle, proposal.change, proposal.operator", "must be given")
+	}
+	p, err := n.bundles.Propose(ctx, req.Bundle, req.Proposal)
+	if err == nil {
+		n.log.Info("bundle proposed", events.BundleProposed, zap.String("change", p.Change), zap.String("operator", p.Operator))
+	}
+	return p, err
+}
+
+// accept moves the head once every live node holds the bundle ready.
+func (n *Node) accept(ctx context.Context, req AcceptRequest) (bundle.Head, error) {
+	p, ok, err := n.bundles.Proposed(ctx)
+	if err != nil {
+		return bundle.Head{}, err
+	}
+	if ok && p.Change == req.Change {
+		if err := n.lease.Refresh(ctx); err != nil {
+			return bundle.Head{}, &bundle.Error{Op: "accept", Kind: bundle.KindStore, Err: err}
+		}
+		if waiting := n.notStaged(p.Digest); len(waiting) > 0 {
+			return bundle.Head{}, &bundle.Error{Op: "accept", Kind: bundle.KindNotStaged, Err: errors.Errorf("not staged yet on %v", waiting)}
+		}
+	}
+	head, err := n.bundles.Accept(ctx, req.Change)
+	if err == nil {
+		n.log.Info("bundle accepted", events.BundleRolledOut, zap.Int64("version", head.Version), zap.String("change", head.Change))
+	}
+	return head, err
+}
+
+func (n *Node) history(ctx context.Context, _ httpx.None) (HistoryReply, error) {
+	heads, err := n.bundles.History(ctx)
+	return HistoryReply{Heads: heads}, err
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"switchbank.example/switchbank/internal/api"
+	"switchbank.example/switchbank/internal/bundle"
+	"switchbank.example/switchbank/internal/httpx"
+	"switchbank.example/switchbank/internal/jobs"
+	"switchbank.example/switchbank/internal/peer"
+	"switchbank.example/switchbank/internal/requests"
+)
+
+// maxPeerBody bounds a message between nodes: a body in base64 and some more.
+const maxPeerBody = 32 << 20
+
+// JobRef names a workload to its shard's owner.
+type JobRef struct {
+	Shard string `json:"shard"`
+	ID    string `json:"id"`
+	// Since waits for a revision above it, at most WaitMS milliseconds.
+	Since  int64 `json:"since,omitempty"`
+	WaitMS int64 `json:"wait_ms,omitempty"`
+	Tasks  bool  `json:"tasks,omitempty"`
+}
+
+// JobCreate carries a workload to its shard's owner.
+type JobCreate struct {
+	Shard    string       `json:"shard"`
+	Workload api.Workload `json:"workload"`
+}
+
+// JobList asks for the workloads of a team; an empty team means all.
+type JobList struct {
+	Team string `json:"team,omitempty"`
+}
+
+// HeadReply is the bundle in force on a node.
+type HeadReply struct {
+	Head   bundle.Head    `json:"head"`
+	Bundle *bundle.Bundle `json:"bundle"`
+}
+
+func (n *Node) peerRoutes() http.Handler {
+	mux := http.NewServeMux()
+	route(mux, peer.PathReserve, n.pools.Reserve)
+	route(mux, peer.PathConfirm, n.pools.Confirm)
+	route(mux, peer.PathStop, n.pools.Stop)
+	route(mux, peer.PathLetGo, n.pools.LetGo)
+	route(mux, peer.PathEvents, n.takeEvents)
+	route(mux, peer.PathKeyBegin, n.jobs.KeyBegin)
+	route(mux, peer.PathKeyFinish, n.jobs.KeyFinish)
+	route(mux, peer.PathJobCreate, n.createHere)
+	route(mux, peer.PathJobGet, n.getHere)
+	route(mux, peer.PathJobCancel, n.cancelHere)
+	route(mux, peer.PathJobList, n.listHere)
+	route(mux, peer.PathRequest, n.requestHere)
+	mux.Handle("GET "+peer.PathSummary, httpx.Handle(0, n.serveSummary))
+	mux.Handle("GET "+peer.PathHead, httpx.Handle(0, n.serveHead))
+	return mux
+}
+
+// route serves a message between nodes.
+func route[Req, Resp any](mux *http.ServeMux, path string, fn func(context.Context, Req) (Resp, error)) {
+	mux.Handle("POST "+path, httpx.Handle(maxPeerBody, func(ctx context.Context, req Req) (Resp, error) {
+		resp, err := fn(ctx, req)
+		return resp, problem(err)
+	}))
+}
+
+func (n *Node) createHere(ctx context.Context, req JobCreate) (api.Status, error) {
+	return n.jobs.Create(ctx, req.Shard, req.Workload)
+}
+
+func (n *Node) getHere(ctx context.Context, req JobRef) (api.Status, error) {
+	if req.WaitMS > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(req.WaitMS)*time.Millisecond)
+		defer cancel()
+	}
+	return n.jobs.Get(ctx, req.Shard, req.ID, req.Since, req.Tasks)
+}
+
+func (n *Node) cancelHere(ctx context.Context, req JobRef) (api.Status, error) {
+	return n.jobs.Cancel(ctx, req.Shard, req.ID)
+}
+
+func (n *Node) listHere(_ context.Context, req JobList) (api.StatusList, error) {
+	return api.StatusList{Workloads: n.jobs.List(req.Team)}, nil
+}
+
+// requestHere ends a request that a peer handed over; it is not handed on.
+func (n *Node) requestHere(ctx context.Context, r requests.Request) (requests.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.TimeoutMS)*time.Millisecond)
+	defer cancel()
+	return n.entry.Here(ctx, r), nil
+}
+
+func (n *Node) serveSummary(context.Context, httpx.None) (peer.Summary, error) {
+	return n.load.own(), nil
+}
+
+func (n *Node) serveHead(context.Context, httpx.None) (HeadReply, error) {
+	head, b := n.follower.state()
+	return HeadReply{Head: head, Bundle: b}, nil
+}
+
+// forward hands a request to a peer.
+func (n *Node) forward(ctx context.Context, address string, r requests.Request) (requests.Result, error) {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
+	res, err := httpx.Call[requests.Request, requests.Result](ctx, n.peerHTTP, "http://"+address+peer.PathRequest, r)
+	if err != nil && !sent.Load() {
+		return res, requests.NotSent(err)
+	}
+	return res, err
+}
+
+var _ jobs.Pools = poolRouter{}
--- /dev/null
+++ b/internal/node/router.go
@@ -0,0 +1,178 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"switchbank.example/switchbank/internal/api"
+	"switchbank.example/switchbank/internal/httpx"
+	"switchbank.example/switchbank/internal/jobs"
+	"switchbank.example/switchbank/internal/peer"
+	"switchbank.example/switchbank/internal/pool"
+	"switchbank.example/switchbank/internal/shard"
+)
+
+const (
+	// ownerWait is how long a call waits for a shard that is between two owners.
+	ownerWait  = 3 * time.Second
+	ownerRetry = 50 * time.Millisecond
+	// callTimeout bounds the calls that a node makes on its own account.
+	callTimeout = 5 * time.Second
+	retryIn     = time.Second
+)
+
+// onOwner calls the owner of a shard: this node's own function, or a peer.
+func onOwner[Req, Resp any](
+	ctx context.Context, n *Node, key shard.Key, path string, req Req, local func(context.Context, Req) (Resp, error),
+) (Resp, error) {
+	var zero Resp
+	if n.shards.Owns(key) {
+		return local(ctx, req)
+	}
+	owner, ok := n.shards.Owner(key)
+	if !ok || owner.Owner == n.cfg.Node {
+		return zero, notOwner(key)
+	}
+	return httpx.Call[Req, Resp](ctx, n.peerHTTP, "http://"+owner.PeerAddress+path, req)
+}
+
+// onOwnerSoon is onOwner, but waits a short time for a shard that is between
+// two owners. Only calls that may be repeated use it.
+func onOwnerSoon[Req, Resp any](
+	ctx context.Context, n *Node, key shard.Key, path string, req Req, local func(context.Context, Req) (Resp, error),
+) (Resp, error) {
+	until := time.Now().Add(ownerWait)
+	for {
+		resp, err := onOwner(ctx, n, key, path, req, local)
+		if err == nil || !mayMove(err) || ctx.Err() != nil || time.Now().After(until) {
+			return resp, err
+		}
+		n.shards.Wake()
+		pause(ctx, ownerRetry)
+	}
+}
+
+// mayMove reports whether an error may come from a shard that changes owners.
+func mayMove(err error) bool {
+	var he *httpx.Error
+	if errors.As(err, &he) {
+		return he.Kind == httpx.KindTransport || he.Problem.Reason == peer.ReasonNotOwner
+	}
+	return jobs.KindOf(err) == jobs.KindNotOwner
+}
+
+func notOwner(key shard.Key) error {
+	return httpx.NewProblem(http.StatusServiceUnavailable, peer.ReasonNotOwner, "shard "+string(key)+" has no owner now").
+		RetryAfter(retryIn).WithOutcome(string(api.OutcomeNotRun))
+}
+
+// problem turns an error of the node's parts into a problem document.
+func problem(err error) error {
+	if err == nil {
+		return nil
+	}
+	var he *httpx.Error
+	if errors.As(err, &he) {
+		if he.Kind == httpx.KindProblem {
+			return he
+		}
+		return httpx.NewProblem(http.StatusServiceUnavailable, "owner_unreachable", err.Error()).
+			RetryAfter(retryIn).WithOutcome(string(api.OutcomeUnknown))
+	}
+	var pe *pool.Error
+	if errors.As(err, &pe) {
+		return httpx.NewProblem(http.StatusServiceUnavailable, string(pe.Kind), err.Error()).RetryAfter(retryIn)
+	}
+	return jobProblem(err)
+}
+
+func jobProblem(err error) error {
+	switch jobs.KindOf(err) {
+	case jobs.KindNotFound:
+		return httpx.NewProblem(http.StatusNotFound, "not_found", "there is no such workload")
+	case jobs.KindConflict:
+		p := httpx.NewProblem(http.StatusConflict, "id_taken", err.Error())
+		p.Problem.Field = "id"
+		return p.WithOutcome(string(api.OutcomeRefused))
+	case jobs.KindNotOwner:
+		return httpx.NewProblem(http.StatusServiceUnavailable, peer.ReasonNotOwner, err.Error()).
+			RetryAfter(retryIn).WithOutcome(string(api.OutcomeNotRun))
+	case jobs.KindUnavailable:
+		return httpx.NewProblem(http.StatusServiceUnavailable, "store_unavailable", "the store takes no writes now; nothing was kept").
+			RetryAfter(2 * retryIn).WithOutcome(string(api.OutcomeRefused))
+	case jobs.KindUncertain:
+		return httpx.NewProblem(http.StatusGatewayTimeout, "not_known_whether_kept", "the store did not answer in time; sending the same again is safe").
+			RetryAfter(2 * retryIn).WithOutcome(string(api.OutcomeUnknown))
+	}
+	return err
+}
+
+// poolRouter reaches the owners of worker shards.
+type poolRouter struct{ n *Node }
+
+func (r poolRouter) Reserve(ctx context.Context, req peer.ReserveRequest) (peer.ReserveReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return onOwner(ctx, r.n, shard.Key(req.Shard), peer.PathReserve, req, r.n.pools.Reserve)
+}
+
+func (r poolRouter) Confirm(ctx context.Context, req peer.ConfirmRequest) (peer.ConfirmReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return onOwner(ctx, r.n, shard.Key(req.Shard), peer.PathConfirm, req, r.n.pools.Confirm)
+}
+
+func (r poolRouter) Stop(ctx context.Context, req peer.StopRequest) (peer.ConfirmReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return onOwner(ctx, r.n, shard.Key(req.Shard), peer.PathStop, req, r.n.pools.Stop)
+}
+
+func (r poolRouter) LetGo(ctx context.Context, req peer.StopRequest) (peer.ConfirmReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return onOwner(ctx, r.n, shard.Key(req.Shard), peer.PathLetGo, req, r.n.pools.LetGo)
+}
+
+// eventSink takes events to the owners of job shards.
+type eventSink struct{ n *Node }
+
+// Shard names the job shard of a job.
+func (s eventSink) Shard(job string) string { return string(s.n.jobKey(job)) }
+
+// Deliver returns nil once the events are journalled.
+func (s eventSink) Deliver(ctx context.Context, job string, evs []peer.Event) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := s.n.jobKey(job)
+	_, err := onOwner(ctx, s.n, key, peer.PathEvents, peer.EventsRequest{Shard: string(key), Events: evs}, s.n.takeEvents)
+	return err
+}
+
+func (n *Node) takeEvents(ctx context.Context, req peer.EventsRequest) (httpx.None, error) {
+	return httpx.None{}, n.jobs.Events(ctx, req)
+}
+
+func (n *Node) jobKey(id string) shard.Key { return shard.JobKey(id, n.cfg.JobShards) }
+
+// keyRouter reaches the homes of request keys.
+type keyRouter struct{ n *Node }
+
+// Begin asks for the leave to run a request.
+func (r keyRouter) Begin(ctx context.Context, req peer.KeyBegin) (peer.KeyReply, error) {
+	key := r.n.jobKey(jobs.KeyName(req.Team, req.Key))
+	req.Shard = string(key)
+	return onOwnerSoon(ctx, r.n, key, peer.PathKeyBegin, req, r.n.jobs.KeyBegin)
+}
+
+// Finish journals how a request ended.
+func (r keyRouter) Finish(ctx context.Context, req peer.KeyFinish) (peer.KeyReply, error) {
+	key := r.n.jobKey(jobs.KeyName(req.Team, req.Key))
+	req.Shard = string(key)
+	return onOwnerSoon(ctx, r.n, key, peer.PathKeyFinish, req, r.n.jobs.KeyFinish)
+}
--- /dev/null
+++ b/internal/policy/order.go
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package policy
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"switchbank.example/switchbank/internal/resource"
+)
+
+// Team is a team's claim on the cell and what it uses.
+type Team struct {
+	Name   string
+	Weight float64
+	Used   resource.Amount
+	// Quota is what the team may always use; it may borrow idle room beyond it.
+	Quota resource.Amount
+}
+
+// Item is a job that waits.
+type Item struct {
+	// Team is an index into the teams.
+	Team     int
+	Priority int
+	// Deadline is zero when there is none.
+	Deadline time.Time
+	// Run is the declared or learned run time.
+	Run       time.Duration
+	Submitted time.Time
+	// Need is what the waiting tasks ask for together.
+	Need resource.Amount
+}
+
+// slack is how long the item may still wait and meet its deadline.
+func (i *Item) slack(now time.Time) time.Duration {
+	if i.Deadline.IsZero() {
+		return 1<<63 - 1
+	}
+	return i.Deadline.Sub(now) - i.Run
+}
+
+// Order returns the indices of the items in the order in which to place them:
+// by priority; within a priority the team with the least weighted dominant
+// share goes first, those within their quota before those that borrow; within
+// a team the least slack goes first, then the oldest.
+func Order(now time.Time, items []Item, teams []Team, total resource.Amount) []int {
+	byTeam := sortedByTeam(now, items, len(teams))
+	used := make([]resource.Amount, len(teams))
+	for i := range teams {
+		used[i] = teams[i].Used
+	}
+	order := make([]int, 0, len(items))
+	for len(order) < len(items) {
+		best := -1
+		for t := range teams {
+			if len(byTeam[t]) > 0 && (best < 0 || before(items, byTeam, teams, used, total, t, best)) {
+				best = t
+			}
+		}
+		next := byTeam[best][0]
+		byTeam[best] = byTeam[best][1:]
+		used[best] = used[best].Add(items[next].Need)
+		order = append(order, next)
+	}
+	return order
+}
+
+func sortedByTeam(now time.Time, items []Item, teams int) [][]int {
+	byTeam := make([][]int, teams)
+	for i := range items {
+		byTeam[items[i].Team] = append(byTeam[items[i].Team], i)
+	}
+	for _, list := range byTeam {
+		slices.SortStableFunc(list, func(a, b int) int {
+			x, y := &items[a], &items[b]
+			return cmp.Or(
+				cmp.Compare(y.Priority, x.Priority),
+				cmp.Compare(x.slack(now), y.slack(now)),
+				x.Submitted.Compare(y.Submitted),
+			)
+		})
+	}
+	return byTeam
+}
+
+// before reports whether team a's first item goes before team b's.
+func before(items []Item, byTeam [][]int, teams []Team, used []resource.Amount, total resource.Amount, a, b int) bool {
+	x, y := &items[byTeam[a][0]], &items[byTeam[b][0]]
+	if x.Priority != y.Priority {
+		return x.Priority > y.Priority
+	}
+	if within(teams[a], used[a], x) != within(teams[b], used[b], y) {
+		return within(teams[a], used[a], x)
+	}
+	return weighted(teams[a], used[a], total) < weighted(teams[b], used[b], total)
+}
+
+func within(t Team, used resource.Amount, i *Item) bool {
+	return t.Quota.Fits(used.Add(i.Need))
+}
+
+func weighted(t Team, used, total resource.Amount) float64 {
+	return used.DominantShare(total) / max(t.Weight, 1e-9)
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,479 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package pool owns worker shards: it reserves room on workers, starts and
+// stops tasks, renews their leases and tells job shards what became of them.
+//
+// A worker shard keeps no journal. Its truth is the workers: a new owner asks
+// each worker what it runs, under the new epoch, and uses a worker for new work
+// only once it has answered. One goroutine a worker sends one message an
+// interval, which carries everything there is to say.
+//
+// # Usage
+//
+//	s := pool.NewSet(deps, opts, log)      // a shard.Handler
+//	placements, err := s.Reserve(ctx, req) // room, held for a short time
+//	reply, err := s.Confirm(ctx, confirm)  // starts; may be repeated
+package pool
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/peer"
+	"switchbank.example/switchbank/internal/platform"
+	"switchbank.example/switchbank/internal/policy"
+	"switchbank.example/switchbank/internal/resource"
+	"switchbank.example/switchbank/internal/shard"
+	"switchbank.example/switchbank/internal/worker"
+)
+
+// Kind tells apart the errors of this package.
+type Kind string
+
+// The kinds of error.
+const (
+	// KindNotOwner is a call for a shard that this node does not own now.
+	KindNotOwner Kind = "not_owner"
+	// KindHosts is a host list that could not be read.
+	KindHosts Kind = "hosts"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, kind and cause.
+func (e *Error) Error() string { return fmt.Sprintf("pool: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// HostList is what the package uses of the platform's host list.
+type HostList interface {
+	Hosts(ctx context.Context, dataCentre string) ([]platform.Host, error)
+}
+
+// Workers contacts workers.
+type Workers interface {
+	Contact(ctx context.Context, address string, c worker.Contact) (worker.Report, error)
+}
+
+// EventSink takes events to the owners of the jobs they concern; it returns
+// nil once the events are journalled.
+type EventSink interface {
+	Deliver(ctx context.Context, job string, events []peer.Event) error
+	// Shard names the job shard of a job, by which events are grouped.
+	Shard(job string) string
+}
+
+// Instances is told of the service instances that this node owns.
+type Instances interface {
+	Add(i Instance)
+	// SetOpen says whether an instance takes new requests.
+	SetOpen(a worker.Attempt, open bool)
+	Remove(a worker.Attempt)
+	// Drain closes instances and waits until none of their requests is in flight.
+	Drain(ctx context.Context, as []worker.Attempt)
+}
+
+// Instance is a running task of a service.
+type Instance struct {
+	Attempt worker.Attempt
+	Service string
+	Address string
+	Slots   int
+	// Held reports whether this node certainly owns the instance now.
+	Held func() bool
+}
+
+// Deps are the dependencies of a Set.
+type Deps struct {
+	Hosts     HostList
+	Workers   Workers
+	Events    EventSink
+	Instances Instances
+	Weights   func() policy.Weights
+}
+
+// Options are the times of a pool.
+type Options struct {
+	// Lease is how long a task runs without a renewal.
+	Lease time.Duration
+	// Margin is added wherever the clocks of two processes are held against each other.
+	Margin time.Duration
+	// Grace is the longest time for which an owner without its lease renews.
+	Grace time.Duration
+	// Reservation is how long room is kept for a task that is not confirmed.
+	Reservation time.Duration
+	// Every is the time between reads of the host list.
+	Every time.Duration
+	// SetAside is how long a worker is set aside that fails unlike jobs, at first.
+	SetAside time.Duration
+}
+
+// renewEvery returns the time between two renewals.
+func (o Options) renewEvery() time.Duration { return o.Lease / 3 }
+
+type taskState int
+
+const (
+	reserved taskState = iota
+	starting
+	running
+	over
+)
+
+type task struct {
+	spec        worker.Spec
+	worker      string
+	reservation string
+	state       taskState
+	stopping    bool
+	address     string
+	expires     time.Time
+	// event is what the job's owner is to be told.
+	event peer.Event
+}
+
+// usesRoom reports whether the task takes room on its worker.
+func (t *task) usesRoom() bool { return t.state != over }
+
+// Pool is one worker shard under one epoch.
+type Pool struct {
+	grant shard.Grant
+	deps  Deps
+	opts  Options
+	log   *zap.Logger
+	taken time.Time
+	ctx   context.Context
+	stop  context.CancelFunc
+	tell  chan struct{}
+	done  sync.WaitGroup
+
+	mu      sync.Mutex
+	closed  bool
+	dropped bool
+	workers map[string]*workerState
+	order   []*workerState
+	tasks   map[worker.Attempt]*task
+	// held are the tasks that are only reserved, and untold those whose event
+	// has not been taken yet.
+	held   map[worker.Attempt]*task
+	untold map[worker.Attempt]*task
+}
+
+func newPool(ctx context.Context, g shard.Grant, deps Deps, opts Options, log *zap.Logger) *Pool {
+	ctx, stop := context.WithCancel(ctx)
+	p := &Pool{
+		grant: g, deps: deps, opts: opts, taken: time.Now(), ctx: ctx, stop: stop,
+		log:     log.With(zap.String("shard", string(g.Key)), zap.Int64("epoch", g.Epoch)),
+		tell:    make(chan struct{}, 1),
+		workers: make(map[string]*workerState),
+		tasks:   make(map[worker.Attempt]*task),
+		held:    make(map[worker.Attempt]*task),
+		untold:  make(map[worker.Attempt]*task),
+	}
+	p.done.Go(p.deliverLoop)
+	return p
+}
+
+// drop ends the pool's goroutines and forgets its instances.
+func (p *Pool) drop() {
+	p.mu.Lock()
+	p.dropped = true
+	p.mu.Unlock()
+	p.stop()
+	p.done.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, t := range p.tasks {
+		if t.address != "" {
+			p.deps.Instances.Remove(a)
+		}
+	}
+}
+
+// release takes nothing new and waits for what is in flight.
+func (p *Pool) release(ctx context.Context) {
+	p.mu.Lock()
+	p.closed = true
+	var instances []worker.Attempt
+	for a, t := range p.tasks {
+		if t.address != "" {
+			instances = append(instances, a)
+		}
+	}
+	p.mu.Unlock()
+	p.deps.Instances.Drain(ctx, instances)
+}
+
+// reserve gives places to as many of the specs as there is room for.
+func (p *Pool) reserve(req peer.ReserveRequest) []peer.Placement {
+	weights := p.deps.Weights()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(req.Specs) == 0 {
+		return nil
+	}
+	now := time.Now()
+	candidates := p.candidatesLocked(now, req.Specs[0].Attempt.Job)
+	var places []peer.Placement
+	for _, spec := range req.Specs {
+		if t, ok := p.tasks[spec.Attempt]; ok {
+			if t.state == reserved {
+				places = append(places, p.placementLocked(t))
+			}
+			continue
+		}
+		i, ok := policy.Place(spec.Size, candidates, policy.Shape{Spread: req.Spread}, weights)
+		if !ok {
+			continue
+		}
+		w := p.order[i]
+		t := &task{spec: spec, worker: w.host.ID, reservation: rand.Text(), expires: now.Add(p.opts.Reservation)}
+		p.tasks[spec.Attempt], p.held[spec.Attempt] = t, t
+		w.addLocked(t)
+		p.noteLocked(candidates, i, spec.Size)
+		places = append(places, p.placementLocked(t))
+	}
+	return places
+}
+
+// noteLocked brings the candidates up to date after size went to the i-th.
+func (p *Pool) noteLocked(candidates []policy.Candidate, i int, size resource.Amount) {
+	candidates[i].Free = candidates[i].Free.Sub(size)
+	candidates[i].JobTasks++
+	candidates[i].Closed = p.order[i].probing
+	for j := range candidates {
+		if p.order[j].host.Rack == p.order[i].host.Rack {
+			candidates[j].RackTasks++
+		}
+	}
+}
+
+func (p *Pool) placementLocked(t *task) peer.Placement {
+	incarnation := ""
+	if w, ok := p.workers[t.worker]; ok {
+		incarnation = w.incarnation
+	}
+	return peer.Placement{
+		Attempt: t.spec.Attempt, Shard: string(p.grant.Key), Worker: t.worker,
+		Incarnation: incarnation, Reservation: t.reservation,
+	}
+}
+
+// candidatesLocked describes the workers to the policy, in the order of p.order.
+func (p *Pool) candidatesLocked(now time.Time, job string) []policy.Candidate {
+	cs := make([]policy.Candidate, len(p.order))
+	for i, w := range p.order {
+		cs[i] = policy.Candidate{Free: w.host.Capacity.Sub(w.used), Capacity: w.host.Capacity, Closed: !w.openLocked(now)}
+	}
+	p.countJobLocked(cs, job)
+	return cs
+}
+
+// countJobLocked counts a job's tasks by worker and by rack.
+func (p *Pool) countJobLocked(cs []policy.Candidate, job string) {
+	for i, w := range p.order {
+		n := w.jobs[job]
+		if n == 0 {
+			continue
+		}
+		cs[i].JobTasks = n
+		for j, other := range p.order {
+			if other.host.Rack == w.host.Rack {
+				cs[j].RackTasks += n
+			}
+		}
+	}
+}
+
+// confirm starts a reserved task, or tells what is known of it.
+func (p *Pool) confirm(pl peer.Placement) peer.ConfirmState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.tasks[pl.Attempt]
+	if !ok {
+		return p.unknownLocked(pl)
+	}
+	if t.state == reserved {
+		if t.reservation != pl.Reservation {
+			return peer.ConfirmVoid
+		}
+		t.state = starting
+		delete(p.held, pl.Attempt)
+		if w, ok := p.workers[t.worker]; ok {
+			w.signal()
+		}
+		return peer.ConfirmAccepted
+	}
+	if t.state != starting {
+		p.tellLocked(t)
+	}
+	return peer.ConfirmAccepted
+}
+
+// unknownLocked tells what follows from a task being unknown here.
+func (p *Pool) unknownLocked(pl peer.Placement) peer.ConfirmState {
+	w, ok := p.workers[pl.Worker]
+	if ok && w.fenced {
+		if w.incarnation == pl.Incarnation {
+			return peer.ConfirmVoid
+		}
+		return peer.ConfirmLost
+	}
+	gone := !ok || w.gone
+	if gone && time.Since(p.taken) > p.opts.Grace+p.opts.Lease+p.opts.Margin && p.grant.Held() {
+		return peer.ConfirmLost
+	}
+	return peer.ConfirmLater
+}
+
+// stopTask ends a task; a reservation ends at once, a started task by its
+// worker. It returns what is known of a task that is not here.
+func (p *Pool) stopTask(pl peer.Placement) peer.ConfirmState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.tasks[pl.Attempt]
+	switch {
+	case ok && t.state == reserved:
+		p.overLocked(t, peer.Event{Kind: peer.EventVoid, Reason: "stopped before it was started"})
+		return peer.ConfirmAccepted
+	case ok && t.state == over:
+		p.tellLocked(t)
+		return peer.ConfirmAccepted
+	}
+	if w, known := p.workers[pl.Worker]; known {
+		w.stops = append(w.stops, pl.Attempt)
+		w.signal()
+	}
+	if !ok {
+		return p.unknownLocked(pl)
+	}
+	t.stopping = true
+	return peer.ConfirmAccepted
+}
+
+// overLocked ends a task here and queues the event that tells so.
+func (p *Pool) overLocked(t *task, ev peer.Event) {
+	if t.state == over {
+		return
+	}
+	if w, ok := p.workers[t.worker]; ok {
+		w.removeLocked(t)
+	}
+	if t.address != "" {
+		p.deps.Instances.Remove(t.spec.Attempt)
+		t.address = ""
+	}
+	ev.Attempt, ev.Worker = t.spec.Attempt, t.worker
+	t.state, t.event = over, ev
+	delete(p.held, t.spec.Attempt)
+	p.tellLocked(t)
+}
+
+// startedLocked records that a task runs.
+func (p *Pool) startedLocked(t *task, address string) {
+	if t.state == running || t.state == over {
+		return
+	}
+	t.state, t.address = running, address
+	t.event = peer.Event{Kind: peer.EventStarted, Attempt: t.spec.Attempt, Worker: t.worker, Address: address}
+	if t.spec.Service != "" && address != "" {
+		p.deps.Instances.Add(Instance{
+			Attempt: t.spec.Attempt, Service: t.spec.Service, Address: address, Slots: t.spec.Slots, Held: p.usable,
+		})
+		if w, ok := p.workers[t.worker]; ok {
+			p.deps.Instances.SetOpen(t.spec.Attempt, w.takesRequests())
+		}
+	}
+	p.tellLocked(t)
+}
+
+// usable reports whether requests may go to the shard's instances: while the
+// node owns them, and for the grace when it has lost sight of the store.
+func (p *Pool) usable() bool {
+	return p.grant.Held() || p.grant.LapsedFor() < p.opts.Grace
+}
+
+// tellLocked queues a task's event.
+func (p *Pool) tellLocked(t *task) {
+	p.untold[t.spec.Attempt] = t
+	p.signal()
+}
+
+func (p *Pool) signal() {
+	select {
+	case p.tell <- struct{}{}:
+	default:
+	}
+}
+
+// expireLocked lets go of room that was reserved and not confirmed in time.
+func (p *Pool) expireLocked(now time.Time) {
+	for _, t := range p.held {
+		if now.After(t.expires) {
+			p.letGoLocked(t)
+		}
+	}
+}
+
+// letGoLocked forgets a task that is only reserved.
+func (p *Pool) letGoLocked(t *task) {
+	if w, ok := p.workers[t.worker]; ok {
+		w.removeLocked(t)
+	}
+	delete(p.held, t.spec.Attempt)
+	delete(p.tasks, t.spec.Attempt)
+}
+
+// letGo forgets a reservation that its job will not confirm.
+func (p *Pool) letGo(pl peer.Placement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t, ok := p.held[pl.Attempt]; ok && t.reservation == pl.Reservation {
+		p.letGoLocked(t)
+	}
+}
+
+// summary tells how much room the shard has.
+func (p *Pool) summary(usage *usageByTeam) peer.PoolSummary {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := peer.PoolSummary{Shard: string(p.grant.Key)}
+	now := time.Now()
+	shapes := make(map[resource.Amount]bool)
+	for _, w := range p.order {
+		if !w.leaving && !w.gone && !shapes[w.host.Capacity] {
+			shapes[w.host.Capacity] = true
+			s.Shapes = append(s.Shapes, w.host.Capacity)
+		}
+		if !w.openLocked(now) {
+			continue
+		}
+		free := w.host.Capacity.Sub(w.used)
+		s.Workers++
+		s.Free = s.Free.Add(free)
+		s.Capacity = s.Capacity.Add(w.host.Capacity)
+		if free.DominantShare(s.Capacity) > s.Largest.DominantShare(s.Capacity) {
+			s.Largest = free
+		}
+	}
+	if p.closed {
+		s.Workers, s.Free, s.Largest = 0, resource.Amount{}, resource.Amount{}
+	}
+	for _, t := range p.tasks {
+		if t.usesRoom() {
+			usage.add(t.spec.Team, t.spec.Size)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/pool/set.go
@@ -0,0 +1,364 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package pool
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/peer"
+	"switchbank.example/switchbank/internal/platform"
+	"switchbank.example/switchbank/internal/resource"
+	"switchbank.example/switchbank/internal/shard"
+	"switchbank.example/switchbank/internal/worker"
+)
+
+const (
+	deliverAtOnce = 8
+	deliverRetry  = 200 * time.Millisecond
+	maxEvents     = 500
+)
+
+// Set holds the worker shards that a node owns.
+type Set struct {
+	ctx  context.Context
+	dcs  []shard.DataCentre
+	deps Deps
+	opts Options
+	log  *zap.Logger
+
+	mu    sync.Mutex
+	pools map[shard.Key]*Pool
+}
+
+// NewSet returns a Set that holds no shard; its pools run until ctx ends.
+func NewSet(ctx context.Context, dcs []shard.DataCentre, deps Deps, opts Options, log *zap.Logger) *Set {
+	return &Set{ctx: ctx, dcs: dcs, deps: deps, opts: opts, log: log, pools: make(map[shard.Key]*Pool)}
+}
+
+// Run reads the host list until ctx ends.
+func (s *Set) Run(ctx context.Context) error {
+	t := time.NewTicker(s.opts.Every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		for _, dc := range s.dcs {
+			if err := s.readHosts(ctx, dc); err != nil {
+				s.log.Warn("hosts not read", events.HostsNotRead, zap.String("data_centre", dc.Name), zap.Error(err))
+			}
+		}
+	}
+}
+
+// readHosts brings the pools of a data centre up to date with the host list.
+func (s *Set) readHosts(ctx context.Context, dc shard.DataCentre) error {
+	pools := s.in(dc.Name)
+	if len(pools) == 0 {
+		return nil
+	}
+	hosts, err := s.deps.Hosts.Hosts(ctx, dc.Name)
+	if err != nil {
+		return &Error{"read hosts", KindHosts, err}
+	}
+	byShard := make(map[shard.Key][]platform.Host)
+	for _, h := range hosts {
+		key := shard.WorkerKey(dc, h.Rack)
+		byShard[key] = append(byShard[key], h)
+	}
+	for _, p := range pools {
+		p.setHosts(byShard[p.grant.Key])
+	}
+	return nil
+}
+
+func (s *Set) in(dc string) []*Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var pools []*Pool
+	for key, p := range s.pools {
+		if key.DataCentre() == dc {
+			pools = append(pools, p)
+		}
+	}
+	return pools
+}
+
+// Acquire takes up a worker shard: it reads the host list and starts to ask the workers.
+func (s *Set) Acquire(ctx context.Context, g shard.Grant) error {
+	p := newPool(s.ctx, g, s.deps, s.opts, s.log)
+	s.mu.Lock()
+	s.pools[g.Key] = p
+	s.mu.Unlock()
+	for _, dc := range s.dcs {
+		if dc.Name != g.Key.DataCentre() {
+			continue
+		}
+		if err := s.readHosts(ctx, dc); err != nil {
+			s.Drop(g.Key)
+			return err
+		}
+	}
+	return nil
+}
+
+// Release ends the use of a shard's workers, waiting for the requests in flight.
+func (s *Set) Release(ctx context.Context, key shard.Key) {
+	if p, ok := s.get(string(key)); ok {
+		p.release(ctx)
+	}
+}
+
+// Drop forgets a shard.
+func (s *Set) Drop(key shard.Key) {
+	s.mu.Lock()
+	p, ok := s.pools[key]
+	delete(s.pools, key)
+	s.mu.Unlock()
+	if ok {
+		p.drop()
+	}
+}
+
+func (s *Set) get(key string) (*Pool, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.pools[shard.Key(key)]
+	return p, ok
+}
+
+// owned returns the pool of a shard that this node certainly owns.
+func (s *Set) owned(op, key string) (*Pool, error) {
+	p, ok := s.get(key)
+	if !ok || !p.grant.Held() {
+		return nil, &Error{op, KindNotOwner, errors.New(key)}
+	}
+	return p, nil
+}
+
+// Reserve gives places to as many tasks as the shard has room for.
+func (s *Set) Reserve(_ context.Context, req peer.ReserveRequest) (peer.ReserveReply, error) {
+	p, err := s.owned("reserve", req.Shard)
+	if err != nil {
+		return peer.ReserveReply{}, err
+	}
+	return peer.ReserveReply{Placements: p.reserve(req)}, nil
+}
+
+// Confirm starts reserved tasks, or tells what is known of them.
+func (s *Set) Confirm(_ context.Context, req peer.ConfirmRequest) (peer.ConfirmReply, error) {
+	p, err := s.owned("confirm", req.Shard)
+	if err != nil {
+		return peer.ConfirmReply{}, err
+	}
+	var reply peer.ConfirmReply
+	for _, pl := range req.Placements {
+		reply.Items = append(reply.Items, peer.Confirmed{Attempt: pl.Attempt, State: p.confirm(pl)})
+	}
+	return reply, nil
+}
+
+// Stop ends tasks; events tell when they have ended.
+func (s *Set) Stop(_ context.Context, req peer.StopRequest) (peer.ConfirmReply, error) {
+	p, err := s.owned("stop", req.Shard)
+	if err != nil {
+		return peer.ConfirmReply{}, err
+	}
+	var reply peer.ConfirmReply
+	for _, pl := range req.Placements {
+		reply.Items = append(reply.Items, peer.Confirmed{Attempt: pl.Attempt, State: p.stopTask(pl)})
+	}
+	return reply, nil
+}
+
+// LetGo gives up reservations that will not be confirmed.
+func (s *Set) LetGo(_ context.Context, req peer.StopRequest) (peer.ConfirmReply, error) {
+	p, err := s.owned("let go", req.Shard)
+	if err != nil {
+		return peer.ConfirmReply{}, err
+	}
+	for _, pl := range req.Placements {
+		p.letGo(pl)
+	}
+	return peer.ConfirmReply{}, nil
+}
+
+// Summaries tells how much room the node's shards have and what the teams use there.
+func (s *Set) Summaries() ([]peer.PoolSummary, []peer.TeamUsage) {
+	s.mu.Lock()
+	pools := make([]*Pool, 0, len(s.pools))
+	for _, p := range s.pools {
+		pools = append(pools, p)
+	}
+	s.mu.Unlock()
+	usage := usageByTeam{used: make(map[string]resource.Amount)}
+	var sums []peer.PoolSummary
+	for _, p := range pools {
+		if p.grant.Held() {
+			sums = append(sums, p.summary(&usage))
+		}
+	}
+	return sums, usage.list()
+}
+
+// usageByTeam adds up what teams use.
+type usageByTeam struct{ used map[string]resource.Amount }
+
+func (u *usageByTeam) add(team string, size resource.Amount) {
+	u.used[team] = u.used[team].Add(size)
+}
+
+func (u *usageByTeam) list() []peer.TeamUsage {
+	var list []peer.TeamUsage
+	for team, used := range u.used {
+		list = append(list, peer.TeamUsage{Team: team, Used: used})
+	}
+	slices.SortFunc(list, func(a, b peer.TeamUsage) int { return strings.Compare(a.Team, b.Team) })
+	return list
+}
+
+// setHosts brings the pool up to date with the host list.
+func (p *Pool) setHosts(hosts []platform.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.dropped {
+		return
+	}
+	listed := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		listed[h.ID] = h.State != platform.HostGone
+		w, ok := p.workers[h.ID]
+		if !ok {
+			if h.State == platform.HostGone {
+				continue
+			}
+			w = newWorkerState(h)
+			p.workers[h.ID] = w
+			p.order = append(p.order, w)
+			p.done.Go(func() { p.contactLoop(w) })
+		}
+		p.hostChangedLocked(w, h)
+	}
+	for id, w := range p.workers {
+		if !listed[id] && !w.gone {
+			w.gone = true
+			p.setOpenLocked(w)
+		}
+	}
+}
+
+func (p *Pool) hostChangedLocked(w *workerState, h platform.Host) {
+	changed := w.host != h || w.gone
+	w.host, w.gone = h, h.State == platform.HostGone
+	if h.State == platform.HostLeaving {
+		w.leaving = true
+	}
+	if changed {
+		p.setOpenLocked(w)
+	}
+}
+
+// deliverLoop tells the owners of jobs what became of their tasks.
+func (p *Pool) deliverLoop() {
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-p.tell:
+		}
+		if p.deliver() {
+			continue
+		}
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-time.After(deliverRetry):
+			p.signal()
+		}
+	}
+}
+
+// deliver sends every event that was not told yet; it reports whether all were taken.
+func (p *Pool) deliver() bool {
+	groups := p.untoldEvents()
+	var g errgroup.Group
+	g.SetLimit(deliverAtOnce)
+	for _, evs := range groups {
+		g.Go(func() error {
+			err := p.deps.Events.Deliver(p.ctx, evs[0].Attempt.Job, evs)
+			if err != nil {
+				p.log.Warn("events not taken", events.ReportNotTaken, zap.String("job", evs[0].Attempt.Job), zap.Error(err))
+				return err
+			}
+			p.told(evs)
+			return nil
+		})
+	}
+	return g.Wait() == nil
+}
+
+// untoldEvents returns the events to be told, by job shard.
+func (p *Pool) untoldEvents() map[string][]peer.Event {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	groups := make(map[string][]peer.Event)
+	for a, t := range p.untold {
+		s := p.deps.Events.Shard(a.Job)
+		if len(groups[s]) == maxEvents {
+			p.signal()
+			continue
+		}
+		groups[s] = append(groups[s], t.event)
+	}
+	return groups
+}
+
+// told notes that events are journalled; a task that is over is then forgotten.
+func (p *Pool) told(evs []peer.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, ev := range evs {
+		t, ok := p.tasks[ev.Attempt]
+		if !ok || t.event != ev {
+			continue
+		}
+		delete(p.untold, ev.Attempt)
+		if t.state != over {
+			continue
+		}
+		delete(p.tasks, ev.Attempt)
+		if w, ok := p.workers[t.worker]; ok && ev.Kind == peer.EventEnded {
+			w.acks = append(w.acks, ev.Attempt)
+		}
+	}
+}
+
+var _ shard.Handler = (*Set)(nil)
+
+// Attempts returns the attempts that take room on the node's shards, for tests and explanations.
+func (s *Set) Attempts() []worker.Attempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var as []worker.Attempt
+	for _, p := range s.pools {
+		p.mu.Lock()
+		for a, t := range p.tasks {
+			if t.usesRoom() {
+				as = append(as, a)
+			}
+		}
+		p.mu.Unlock()
+	}
+	return as
+}
--- /dev/null
+++ b/internal/pool/worker.go
@@ -0,0 +1,371 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package pool
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/peer"
+	"switchbank.example/switchbank/internal/platform"
+	"switchbank.example/switchbank/internal/resource"
+	"switchbank.example/switchbank/internal/worker"
+)
+
+const (
+	// setAsideAfter is how many unlike jobs must fail in a row on a worker before it is set aside.
+	setAsideAfter = 3
+	maxSetAside   = 10 * time.Minute
+)
+
+// workerState is what the pool knows of one worker; it is guarded by the pool's lock.
+type workerState struct {
+	host        platform.Host
+	incarnation string
+	ticket      int64
+	// fenced is set once the worker has answered under the pool's epoch.
+	fenced bool
+	// leaving workers take nothing new; gone ones are no longer in the host list.
+	leaving bool
+	gone    bool
+	// silent workers have not answered for a lease; they get no renewal.
+	silent bool
+	// refused is set when the worker has seen a higher epoch than the pool's.
+	refused bool
+	// inventory asks for every task at the next contact.
+	inventory bool
+	// answered is when the worker last answered, and renewed when it was last
+	// sent something that may extend a lease.
+	answered time.Time
+	renewed  time.Time
+
+	used  resource.Amount
+	jobs  map[string]int
+	tasks map[worker.Attempt]*task
+	stops []worker.Attempt
+	acks  []worker.Attempt
+	wake  chan struct{}
+
+	// failed holds the jobs that failed here since the last success.
+	failed     []string
+	asideUntil time.Time
+	asideFor   time.Duration
+	probing    bool
+}
+
+func newWorkerState(h platform.Host) *workerState {
+	return &workerState{
+		host: h, inventory: true, answered: time.Now(),
+		jobs:  make(map[string]int),
+		tasks: make(map[worker.Attempt]*task),
+		wake:  make(chan struct{}, 1),
+	}
+}
+
+func (w *workerState) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// addLocked takes the room of t.
+func (w *workerState) addLocked(t *task) {
+	if _, ok := w.tasks[t.spec.Attempt]; ok {
+		return
+	}
+	w.tasks[t.spec.Attempt] = t
+	w.used = w.used.Add(t.spec.Size)
+	w.jobs[t.spec.Attempt.Job]++
+}
+
+// removeLocked gives the room of t back.
+func (w *workerState) removeLocked(t *task) {
+	if _, ok := w.tasks[t.spec.Attempt]; !ok {
+		return
+	}
+	delete(w.tasks, t.spec.Attempt)
+	w.used = w.used.Sub(t.spec.Size)
+	if w.jobs[t.spec.Attempt.Job]--; w.jobs[t.spec.Attempt.Job] <= 0 {
+		delete(w.jobs, t.spec.Attempt.Job)
+	}
+}
+
+// openLocked reports whether the worker may be given new tasks.
+func (w *workerState) openLocked(now time.Time) bool {
+	if !w.fenced || !w.takesRequests() {
+		return false
+	}
+	if w.asideUntil.IsZero() {
+		return true
+	}
+	// A worker that was set aside comes back with one task as a probe.
+	return now.After(w.asideUntil) && (!w.probing || len(w.tasks) == 0)
+}
+
+// takesRequests reports whether the worker's instances may be given requests.
+func (w *workerState) takesRequests() bool {
+	return !w.leaving && !w.gone && !w.silent && !w.refused
+}
+
+// noteResultLocked learns from a task's end whether the worker fails everything.
+func (w *workerState) noteResultLocked(job string, ok bool, opts Options) (setAside bool) {
+	if ok {
+		w.failed, w.asideUntil, w.asideFor, w.probing = nil, time.Time{}, 0, false
+		return false
+	}
+	if !slices.Contains(w.failed, job) {
+		w.failed = append(w.failed, job)
+	}
+	if len(w.failed) < setAsideAfter && !w.probing {
+		return false
+	}
+	w.asideFor = min(max(opts.SetAside, 2*w.asideFor), maxSetAside)
+	w.asideUntil = time.Now().Add(w.asideFor)
+	w.failed, w.probing = nil, true
+	return true
+}
+
+// contactLoop keeps in contact with one worker until the pool is dropped.
+func (p *Pool) contactLoop(w *workerState) {
+	for {
+		p.contact(p.ctx, w)
+		t := time.NewTimer(p.opts.renewEvery())
+		select {
+		case <-p.ctx.Done():
+			t.Stop()
+			return
+		case <-w.wake:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// contact sends the worker what is due, once.
+func (p *Pool) contact(ctx context.Context, w *workerState) {
+	c, address, ok := p.prepare(w)
+	if !ok {
+		return
+	}
+	rep, err := p.deps.Workers.Contact(ctx, address, c)
+	if ctx.Err() != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.unansweredLocked(w, c, err)
+		return
+	}
+	p.answeredLocked(w, c, rep)
+}
+
+// prepare builds the next message for a worker; without the node's lease it
+// renews only what the grace of its class allows.
+func (p *Pool) prepare(w *workerState) (worker.Contact, string, bool) {
+	held := p.grant.Held()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.expireLocked(now)
+	c := worker.Contact{
+		Shard: string(p.grant.Key), Owner: p.grant.Owner, Epoch: p.grant.Epoch,
+		Ticket: w.ticket, LeaseMS: p.opts.Lease.Milliseconds(), Inventory: w.inventory || w.silent,
+	}
+	if w.refused {
+		return c, "", false
+	}
+	if !held {
+		if !p.graceLocked(w, &c) {
+			return c, "", false
+		}
+		w.renewed = now
+		return c, w.host.Address, true
+	}
+	c.Stop, c.Ack = w.stops, w.acks
+	w.stops, w.acks = nil, nil
+	if w.silent {
+		return c, w.host.Address, true
+	}
+	c.Renew = true
+	if w.fenced && w.ticket != 0 {
+		for _, t := range w.tasks {
+			if t.state == starting && !t.stopping {
+				c.Start = append(c.Start, t.spec)
+			}
+		}
+	}
+	w.renewed = now
+	return c, w.host.Address, true
+}
+
+// graceLocked fills c with the renewals that are allowed without the node's lease.
+func (p *Pool) graceLocked(w *workerState, c *worker.Contact) bool {
+	if !w.fenced || w.silent {
+		return false
+	}
+	lapsed := p.grant.LapsedFor()
+	for a, t := range w.tasks {
+		grace := min(p.opts.Grace, time.Duration(t.spec.GraceMS)*time.Millisecond)
+		if lapsed > grace {
+			c.Except = append(c.Except, a)
+		}
+	}
+	c.Renew, c.Inventory = true, false
+	return len(c.Except) < len(w.tasks)
+}
+
+// unansweredLocked handles a contact without a reply.
+func (p *Pool) unansweredLocked(w *workerState, c worker.Contact, err error) {
+	w.stops = append(c.Stop, w.stops...)
+	w.acks = append(c.Ack, w.acks...)
+	now := time.Now()
+	if !w.silent && now.Sub(w.answered) > p.opts.Lease {
+		w.silent = true
+		p.setOpenLocked(w)
+		p.log.Warn("worker silent", events.WorkerSilent, zap.String("worker", w.host.ID), zap.Error(err))
+	}
+	if !w.silent || !w.fenced || now.Sub(w.renewed) <= p.opts.Lease+p.opts.Margin || !p.grant.Held() {
+		return
+	}
+	// The worker has stopped its tasks by its own clock: nothing sent since can have renewed them.
+	for _, t := range w.tasks {
+		p.log.Warn("task lost", events.TaskLost, zap.Stringer("attempt", t.spec.Attempt), zap.String("worker", w.host.ID))
+		if t.state == reserved {
+			p.overLocked(t, peer.Event{Kind: peer.EventVoid, Reason: "the worker is silent"})
+			continue
+		}
+		p.overLocked(t, peer.Event{Kind: peer.EventLost, Reason: "the worker is silent and its lease has run out"})
+	}
+}
+
+// setOpenLocked tells whether the worker's instances take new requests.
+func (p *Pool) setOpenLocked(w *workerState) {
+	for a, t := range w.tasks {
+		if t.address != "" {
+			p.deps.Instances.SetOpen(a, w.takesRequests())
+		}
+	}
+}
+
+// answeredLocked takes in a worker's report.
+func (p *Pool) answeredLocked(w *workerState, c worker.Contact, rep worker.Report) {
+	if rep.Refused == worker.RefusedStaleEpoch {
+		w.refused = true
+		p.setOpenLocked(w)
+		p.log.Warn("worker has a newer owner", events.WorkerStaleEpoch, zap.String("worker", w.host.ID), zap.Int64("seen", rep.Epoch))
+		return
+	}
+	if w.silent {
+		p.log.Info("worker back", events.WorkerBack, zap.String("worker", w.host.ID))
+	}
+	if w.incarnation != "" && w.incarnation != rep.Incarnation {
+		p.forgotLocked(w)
+	}
+	open := !w.silent && w.leaving == (rep.Leaving || w.host.State == platform.HostLeaving)
+	w.incarnation, w.ticket, w.answered, w.silent = rep.Incarnation, rep.Ticket, time.Now(), false
+	w.leaving = rep.Leaving || w.host.State == platform.HostLeaving
+	for _, s := range rep.Started {
+		p.startAnsweredLocked(w, s)
+	}
+	for _, e := range rep.Ended {
+		p.endedLocked(w, e)
+	}
+	if c.Inventory {
+		p.inventoryLocked(w, rep)
+	}
+	p.stoppedLocked(w, c.Stop)
+	if !open {
+		p.setOpenLocked(w)
+	}
+	if w.ticket != c.Ticket && c.Ticket == 0 {
+		w.signal()
+	}
+}
+
+// forgotLocked handles a worker that has lost its memory, and with it its tasks.
+func (p *Pool) forgotLocked(w *workerState) {
+	for _, t := range w.tasks {
+		if t.state == reserved {
+			p.overLocked(t, peer.Event{Kind: peer.EventVoid, Reason: "the worker was restarted"})
+			continue
+		}
+		p.overLocked(t, peer.Event{Kind: peer.EventLost, Reason: "the worker was restarted"})
+	}
+	w.inventory = true
+}
+
+func (p *Pool) startAnsweredLocked(w *workerState, s worker.Started) {
+	t, ok := w.tasks[s.Attempt]
+	if !ok {
+		return
+	}
+	switch s.Refused {
+	case "":
+		p.startedLocked(t, s.Address)
+	case worker.RefusedStaleTicket:
+		// Not started; it is sent again with the ticket of this report.
+		w.signal()
+	case worker.RefusedStopped:
+		p.overLocked(t, peer.Event{Kind: peer.EventEnded, Result: worker.ResultStopped, Reason: "stopped before it was started"})
+	default:
+		w.inventory = true
+		p.overLocked(t, peer.Event{Kind: peer.EventVoid, Reason: "the worker refused it: " + string(s.Refused)})
+	}
+}
+
+func (p *Pool) endedLocked(w *workerState, e worker.Ended) {
+	t, ok := p.tasks[e.Attempt]
+	if !ok {
+		t = &task{spec: worker.Spec{Attempt: e.Attempt}, worker: w.host.ID, state: running}
+		p.tasks[e.Attempt] = t
+	}
+	if t.state == over {
+		return
+	}
+	if e.Result == worker.ResultDone || e.Result == worker.ResultFailed {
+		if w.noteResultLocked(e.Attempt.Job, e.Result == worker.ResultDone, p.opts) {
+			p.log.Warn("worker set aside", events.WorkerSetAside, zap.String("worker", w.host.ID), zap.Duration("for", w.asideFor))
+		}
+	}
+	p.overLocked(t, peer.Event{Kind: peer.EventEnded, Result: e.Result, Reason: e.Reason})
+}
+
+// inventoryLocked holds a worker's full list against what the pool knows.
+func (p *Pool) inventoryLocked(w *workerState, rep worker.Report) {
+	seen := make(map[worker.Attempt]bool, len(rep.Running))
+	for _, r := range rep.Running {
+		seen[r.Spec.Attempt] = true
+		t, ok := p.tasks[r.Spec.Attempt]
+		if !ok {
+			t = &task{spec: r.Spec, worker: w.host.ID, state: starting}
+			p.tasks[r.Spec.Attempt] = t
+			w.addLocked(t)
+		}
+		if t.state == over {
+			w.stops = append(w.stops, r.Spec.Attempt)
+			continue
+		}
+		p.startedLocked(t, r.Address)
+	}
+	for a, t := range w.tasks {
+		if t.state == running && !seen[a] {
+			p.overLocked(t, peer.Event{Kind: peer.EventLost, Reason: "the worker does not run it any more"})
+		}
+	}
+	w.fenced, w.inventory = true, false
+}
+
+// stoppedLocked ends the tasks whose stop the worker has taken without having run them.
+func (p *Pool) stoppedLocked(w *workerState, stops []worker.Attempt) {
+	for _, a := range stops {
+		if t, ok := w.tasks[a]; ok {
+			p.overLocked(t, peer.Event{Kind: peer.EventEnded, Result: worker.ResultStopped, Reason: "stopped before it was started"})
+		}
+	}
+}
--- /dev/null
+++ b/internal/shard/manager.go
@@ -0,0 +1,532 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package shard
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/lease"
+	"switchbank.example/switchbank/internal/platform"
+)
+
+const (
+	// TableShards is the table with a row for each shard.
+	TableShards = "shards"
+	// TableRevision holds one row that is written with every change of a shard's
+	// owner, so that nodes read the shards only after a change.
+	TableRevision = "shard-revision"
+	revisionKey   = "revision"
+	// settlePolls is how many polls a shard's preferred owner must stay the same
+	// before its owner hands it over.
+	settlePolls = 3
+)
+
+// Row is the row of a shard.
+type Row struct {
+	Owner       string `json:"owner"`
+	Incarnation string `json:"incarnation"`
+	PeerAddress string `json:"peer_address"`
+	Epoch       int64  `json:"epoch"`
+	// Change names the write, to settle a lost reply.
+	Change string `json:"change"`
+}
+
+// Grant is the ownership of a shard under one epoch.
+type Grant struct {
+	// Owner is the id of this node.
+	Owner string
+	Key   Key
+	Epoch int64
+	// Version is the version of the shard's row, the condition of every write
+	// that only the owner may make.
+	Version int64
+	// Held reports whether the ownership is certain now.
+	Held func() bool
+	// LapsedFor is how long the node has been without its lease.
+	LapsedFor func() time.Duration
+}
+
+// Handler is told of the shards of one kind.
+type Handler interface {
+	// Acquire takes up a shard; it is called again until it succeeds.
+	Acquire(ctx context.Context, g Grant) error
+	// Release ends the work on a shard, waiting for what is in flight.
+	Release(ctx context.Context, key Key)
+	// Drop forgets a shard whose ownership is lost.
+	Drop(key Key)
+}
+
+// Options are the settings of a Manager.
+type Options struct {
+	// Every is the time between reads of the shards.
+	Every time.Duration
+	// ReleaseTimeout bounds the wait for what is in flight when a shard is handed over.
+	ReleaseTimeout time.Duration
+	// NoEpochs switches the raising of epochs off, to show that tests see it.
+	NoEpochs bool
+}
+
+// ErrorKind tells apart the errors of this package.
+type ErrorKind string
+
+// The kinds of error.
+const (
+	// ErrorStore is a call of the table service that failed.
+	ErrorStore ErrorKind = "store"
+	// ErrorConflict is a write that lost against another node's.
+	ErrorConflict ErrorKind = "conflict"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Err  error
+}
+
+// Error returns the operation, kind and cause.
+func (e *Error) Error() string { return fmt.Sprintf("shard: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Manager takes, keeps and hands over shards for one node.
+type Manager struct {
+	table    lease.Table
+	lease    *lease.Lease
+	keys     []Key
+	handlers map[Kind]Handler
+	opts     Options
+	log      *zap.Logger
+	wake     chan struct{}
+	busy     sync.WaitGroup
+
+	mu       sync.Mutex
+	revision int64
+	read     bool
+	rows     map[Key]entry
+	owned    map[Key]*owned
+	changed  func(Key)
+}
+
+type entry struct {
+	row     Row
+	version int64
+}
+
+type owned struct {
+	epoch   int64
+	version int64
+	// confirmed is the lease generation under which the row was last read.
+	confirmed int64
+	loaded    bool
+	releasing bool
+	stray     int
+	cancel    context.CancelFunc
+}
+
+// New returns a manager that owns nothing yet.
+func New(table lease.Table, l *lease.Lease, keys []Key, handlers map[Kind]Handler, opts Options, log *zap.Logger) *Manager {
+	return &Manager{
+		table:    table,
+		lease:    l,
+		keys:     keys,
+		handlers: handlers,
+		opts:     opts,
+		log:      log,
+		wake:     make(chan struct{}, 1),
+		rows:     make(map[Key]entry),
+		owned:    make(map[Key]*owned),
+		changed:  func(Key) {},
+	}
+}
+
+// OnChange sets the function that is told of a shard whose owner has changed.
+func (m *Manager) OnChange(fn func(Key)) { m.changed = fn }
+
+// Run keeps the node's shards until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	t := time.NewTicker(m.opts.Every)
+	defer t.Stop()
+	for {
+		m.poll(ctx)
+		select {
+		case <-ctx.Done():
+			m.busy.Wait()
+			return nil
+		case <-t.C:
+		case <-m.wake:
+		}
+	}
+}
+
+// Wake makes Run read the shards at once.
+func (m *Manager) Wake() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Owner returns the row of a shard as last read.
+func (m *Manager) Owner(key Key) (Row, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.rows[key]
+	return e.row, ok && e.row.Owner != ""
+}
+
+// Owns reports whether this node certainly owns a shard and has loaded it.
+func (m *Manager) Owns(key Key) bool {
+	m.mu.Lock()
+	o, ok := m.owned[key]
+	if !ok || !o.loaded {
+		m.mu.Unlock()
+		return false
+	}
+	epoch := o.epoch
+	m.mu.Unlock()
+	return m.held(key, epoch)
+}
+
+// Owned returns how many shards of a kind this node has loaded.
+func (m *Manager) Owned(kind Kind) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for key, o := range m.owned {
+		if key.Kind() == kind && o.loaded {
+			n++
+		}
+	}
+	return n
+}
+
+// Unowned returns how many shards have no loaded owner as far as this node knows.
+func (m *Manager) Unowned() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, key := range m.keys {
+		if e, ok := m.rows[key]; !ok || e.row.Owner == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// ReleaseAll hands every shard over, for a planned stop.
+func (m *Manager) ReleaseAll(ctx context.Context) {
+	m.mu.Lock()
+	var keys []Key
+	for key, o := range m.owned {
+		if !o.releasing {
+			o.releasing = true
+			keys = append(keys, key)
+		}
+	}
+	m.mu.Unlock()
+	var g errgroup.Group
+	for _, key := range keys {
+		g.Go(func() error {
+			m.release(ctx, key)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	m.busy.Wait()
+}
+
+// held reports whether the ownership of key under epoch is certain now.
+func (m *Manager) held(key Key, epoch int64) bool {
+	generation, held := m.lease.Generation()
+	if !held {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.owned[key]
+	return ok && o.epoch == epoch && o.confirmed == generation
+}
+
+func (m *Manager) poll(ctx context.Context) {
+	generation, held := m.lease.Generation()
+	if err := m.refresh(ctx); err != nil {
+		m.log.Warn("shards not read", events.ShardsNotRead, zap.Error(err))
+		return
+	}
+	m.confirm(generation)
+	if !held || ctx.Err() != nil {
+		return
+	}
+	live := m.lease.Live()
+	self := m.lease.Self()
+	if self.Draining {
+		return
+	}
+	for _, key := range m.keys {
+		want, ok := Preferred(key, live)
+		if !ok {
+			continue
+		}
+		m.settle(ctx, key, want, self)
+	}
+}
+
+// settle takes key when this node should own it, and hands it over when another should.
+func (m *Manager) settle(ctx context.Context, key Key, want, self lease.Node) {
+	m.mu.Lock()
+	e, o := m.rows[key], m.owned[key]
+	handOver := false
+	if o != nil {
+		if want.ID == self.ID {
+			o.stray = 0
+		} else {
+			o.stray++
+		}
+		handOver = o.stray >= settlePolls && o.loaded && !o.releasing
+		o.releasing = o.releasing || handOver
+	}
+	m.mu.Unlock()
+	if handOver {
+		m.busy.Go(func() { m.release(ctx, key) })
+	}
+	if o != nil || want.ID != self.ID {
+		return
+	}
+	guard, free := m.free(e)
+	if !free {
+		return
+	}
+	if err := m.take(ctx, key, e, guard, self); err != nil {
+		m.log.Warn("shard not taken", events.ShardsNotRead, zap.String("shard", string(key)), zap.Error(err))
+	}
+}
+
+// free reports whether a shard may be taken, and under which condition.
+func (m *Manager) free(e entry) ([]platform.Condition, bool) {
+	if e.row.Owner == "" {
+		return nil, true
+	}
+	dead, guard := m.lease.Dead(e.row.Owner, e.row.Incarnation)
+	return guard, dead
+}
+
+func (m *Manager) take(ctx context.Context, key Key, e entry, guard []platform.Condition, self lease.Node) error {
+	row := Row{
+		Owner: self.ID, Incarnation: self.Incarnation, PeerAddress: self.PeerAddress, Epoch: e.row.Epoch + 1,
+		Change: fmt.Sprintf("%s/%d", self.Incarnation, e.row.Epoch+1),
+	}
+	if m.opts.NoEpochs {
+		row.Epoch = 1
+	}
+	generation, held := m.lease.Generation()
+	if !held {
+		return nil
+	}
+	version, err := m.write(ctx, key, row, e.version, guard)
+	if err != nil {
+		return err
+	}
+	m.own(ctx, key, row, version, generation)
+	return nil
+}
+
+// own records a shard as this node's and loads it.
+func (m *Manager) own(ctx context.Context, key Key, row Row, version, generation int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	o := &owned{epoch: row.Epoch, version: version, confirmed: generation, cancel: cancel}
+	m.mu.Lock()
+	m.rows[key] = entry{row, version}
+	m.owned[key] = o
+	m.mu.Unlock()
+	m.log.Info("shard taken", events.ShardTaken, zap.String("shard", string(key)), zap.Int64("epoch", row.Epoch))
+	m.busy.Go(func() { m.load(ctx, key, o) })
+}
+
+func (m *Manager) load(ctx context.Context, key Key, o *owned) {
+	g := Grant{
+		Owner: m.lease.Self().ID, Key: key, Epoch: o.epoch, Version: o.version,
+		Held:      func() bool { return m.held(key, o.epoch) },
+		LapsedFor: m.lease.LapsedFor,
+	}
+	for ctx.Err() == nil {
+		err := m.handlers[key.Kind()].Acquire(ctx, g)
+		if err == nil {
+			break
+		}
+		m.log.Warn("shard not loaded", events.ShardNotLoaded, zap.String("shard", string(key)), zap.Error(err))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(m.opts.Every):
+		}
+	}
+	m.mu.Lock()
+	present := m.owned[key] == o
+	o.loaded = true
+	m.mu.Unlock()
+	if !present {
+		m.handlers[key.Kind()].Drop(key)
+		return
+	}
+	m.changed(key)
+}
+
+func (m *Manager) release(ctx context.Context, key Key) {
+	m.mu.Lock()
+	o, ok := m.owned[key]
+	m.mu.Unlock()
+	if !ok {
+		return
+	}
+	if o.loaded {
+		wait, cancel := context.WithTimeout(ctx, m.opts.ReleaseTimeout)
+		m.handlers[key.Kind()].Release(wait, key)
+		cancel()
+	}
+	m.mu.Lock()
+	present := m.owned[key] == o
+	delete(m.owned, key)
+	m.mu.Unlock()
+	o.cancel()
+	m.handlers[key.Kind()].Drop(key)
+	if !present {
+		return
+	}
+	row := Row{Epoch: o.epoch, Change: fmt.Sprintf("%s/%d/released", m.lease.Self().Incarnation, o.epoch)}
+	if _, err := m.write(ctx, key, row, o.version, nil); err != nil {
+		m.log.Warn("shard not released", events.ShardNotReleased, zap.String("shard", string(key)), zap.Error(err))
+		return
+	}
+	m.log.Info("shard released", events.ShardReleased, zap.String("shard", string(key)), zap.Int64("epoch", o.epoch))
+}
+
+// write changes a shard's row under its version; a lost reply is settled by reading it back.
+func (m *Manager) write(ctx context.Context, key Key, row Row, version int64, guard []platform.Condition) (int64, error) {
+	value, err := json.Marshal(row)
+	if err != nil {
+		return 0, err
+	}
+	txn := platform.Txn{
+		If: append([]platform.Condition{{Table: TableShards, Key: string(key), Version: version}}, guard...),
+		Put: []platform.Put{
+			{Table: TableShards, Key: string(key), Value: value},
+			{Table: TableRevision, Key: revisionKey, Value: json.RawMessage(`{}`)},
+		},
+	}
+	res, err := m.table.Commit(ctx, txn)
+	if err != nil {
+		// The write may have taken effect, or may yet: the next poll reads it.
+		m.forgetRevision()
+		return 0, &Error{"write", ErrorStore, err}
+	}
+	if !res.Committed {
+		m.forgetRevision()
+		return 0, &Error{"write", ErrorConflict, errors.Errorf("shard %s has moved", key)}
+	}
+	return res.Versions[0], nil
+}
+
+func (m *Manager) forgetRevision() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.read = false
+}
+
+// refresh reads the shards when their revision has changed.
+func (m *Manager) refresh(ctx context.Context) error {
+	rev, err := m.table.Get(ctx, TableRevision, revisionKey)
+	if err != nil {
+		return &Error{"refresh", ErrorStore, err}
+	}
+	m.mu.Lock()
+	fresh := m.read && rev.Version == m.revision
+	m.mu.Unlock()
+	if fresh {
+		return nil
+	}
+	rows, err := m.table.List(ctx, TableShards, "")
+	if err != nil {
+		return &Error{"refresh", ErrorStore, err}
+	}
+	read := make(map[Key]entry, len(rows))
+	for _, r := range rows {
+		var row Row
+		if err := json.Unmarshal(r.Value, &row); err != nil {
+			return &Error{"refresh", ErrorStore, err}
+		}
+		read[Key(r.Key)] = entry{row, r.Version}
+	}
+	m.adopt(ctx, rev.Version, read)
+	return nil
+}
+
+// adopt replaces the rows as known by those just read, and tells of changes.
+func (m *Manager) adopt(ctx context.Context, revision int64, read map[Key]entry) {
+	self := m.lease.Self()
+	var changed []Key
+	var mine []Key
+	m.mu.Lock()
+	for key, e := range read {
+		old := m.rows[key]
+		if e.version < old.version {
+			read[key] = old
+			continue
+		}
+		if e.row.Epoch != old.row.Epoch || e.row.Owner != old.row.Owner {
+			changed = append(changed, key)
+		}
+		if e.row.Incarnation == self.Incarnation && m.owned[key] == nil {
+			mine = append(mine, key)
+		}
+	}
+	m.rows, m.revision, m.read = read, revision, true
+	m.mu.Unlock()
+	for _, key := range changed {
+		m.changed(key)
+	}
+	for _, key := range mine {
+		m.reclaim(ctx, key, read[key], self)
+	}
+}
+
+// reclaim gives a shard back to the table that this node's write took although
+// its reply was lost; it is then taken again under a new epoch.
+func (m *Manager) reclaim(ctx context.Context, key Key, e entry, self lease.Node) {
+	row := Row{Epoch: e.row.Epoch, Change: fmt.Sprintf("%s/%d/reclaimed", self.Incarnation, e.row.Epoch)}
+	if _, err := m.write(ctx, key, row, e.version, nil); err != nil {
+		m.log.Warn("shard not released", events.ShardNotReleased, zap.String("shard", string(key)), zap.Error(err))
+	}
+	m.forgetRevision()
+}
+
+// confirm checks the owned shards against the rows read under generation.
+func (m *Manager) confirm(generation int64) {
+	m.mu.Lock()
+	var lost []Key
+	for key, o := range m.owned {
+		if e := m.rows[key]; e.version != o.version {
+			lost = append(lost, key)
+			delete(m.owned, key)
+			o.cancel()
+			continue
+		}
+		o.confirmed = generation
+	}
+	m.mu.Unlock()
+	for _, key := range lost {
+		m.log.Warn("shard lost", events.ShardLost, zap.String("shard", string(key)))
+		m.handlers[key.Kind()].Drop(key)
+		m.changed(key)
+	}
+}
--- /dev/null
+++ b/standin/worker/instance.go
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"switchbank.example/switchbank/internal/httpx"
+	"switchbank.example/switchbank/internal/worker"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	maxRequestBytes   = 4 << 20
+	// HeaderRequestID carries the id of a request to and from an instance.
+	HeaderRequestID = "Switchbank-Request-Id"
+	// HeaderNotRun is set by an instance on an answer to a request that it did not run.
+	HeaderNotRun = "Switchbank-Not-Run"
+)
+
+// Answer is what a stand-in instance answers to a request.
+type Answer struct {
+	Instance  string `json:"instance"`
+	RequestID string `json:"request_id"`
+	Echo      string `json:"echo"`
+}
+
+// instance answers the requests of one service task.
+type instance struct {
+	w    *Worker
+	spec worker.Spec
+	l    net.Listener
+	srv  *http.Server
+	busy atomic.Int64
+}
+
+func newInstance(w *Worker, spec worker.Spec) (*instance, error) {
+	l, err := w.cfg.Listen()
+	if err != nil {
+		return nil, err
+	}
+	i := &instance{w: w, spec: spec, l: l}
+	i.srv = &http.Server{Handler: i, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = i.srv.Serve(l) }()
+	return i, nil
+}
+
+func (i *instance) address() string { return i.l.Addr().String() }
+
+func (i *instance) close() { _ = i.srv.Close() }
+
+// ServeHTTP answers a request with its own body; a body "sleep 50ms" takes that long.
+func (i *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(HeaderRequestID)
+	w.Header().Set(HeaderRequestID, id)
+	if i.busy.Add(1) > int64(i.spec.Slots) {
+		i.busy.Add(-1)
+		i.w.evidence.add(i.w.cfg.ID, SawOverload, i.spec.Attempt)
+		w.Header().Set(HeaderNotRun, "slots")
+		http.Error(w, "no slot is free", http.StatusServiceUnavailable)
+		return
+	}
+	defer i.busy.Add(-1)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	i.w.evidence.append(Sight{Worker: i.w.cfg.ID, Saw: SawRequest, Attempt: i.spec.Attempt, Request: id, At: time.Now()})
+	if d, ok := sleepOf(string(body)); ok {
+		select {
+		case <-time.After(d):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	httpx.WriteJSON(w, http.StatusOK, Answer{Instance: i.spec.Attempt.String(), RequestID: id, Echo: string(body)})
+}
+
+func sleepOf(body string) (time.Duration, bool) {
+	const prefix = "sleep "
+	if len(body) < len(prefix) || body[:len(prefix)] != prefix {
+		return 0, false
+	}
+	d, err := time.ParseDuration(body[len(prefix):])
+	return d, err == nil
+}
+
+// Switches are the faults of a stand-in worker that can be set from outside.
+type Switches struct {
+	Leaving bool `json:"leaving"`
+}
+
+// EvidenceReply is the answer to a read of the evidence.
+type EvidenceReply struct {
+	Sights []Sight `json:"sights"`
+}
+
+// Handler returns the HTTP side of the stand-in.
+func (w *Worker) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /worker/v1/contact", httpx.Handle(maxRequestBytes, w.Contact))
+	mux.HandleFunc("GET /standin/v1/evidence", func(rw http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(rw).Encode(EvidenceReply{Sights: w.Evidence()})
+	})
+	mux.Handle("POST /standin/v1/switches", httpx.Handle(maxRequestBytes, func(_ context.Context, s Switches) (httpx.None, error) {
+		w.SetLeaving(s.Leaving)
+		return httpx.None{}, nil
+	}))
+	return mux
+}
--- /dev/null
+++ b/standin/worker/worker.go
@@ -0,0 +1,279 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package worker is a small stand-in for a worker, for tests and for the local
+// run: it keeps the worker's side of the contract and records what it saw.
+//
+// A task's command says what it does: "sleep 200ms" ends well after that
+// time, "fail" ends badly at once, "serve" answers requests until stopped.
+//
+// # Usage
+//
+//	w := worker.New(worker.Config{ID: "w1", Capacity: …, Listen: listenTCP})
+//	http.Serve(l, w.Handler())
+package worker
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"switchbank.example/switchbank/internal/resource"
+	"switchbank.example/switchbank/internal/worker"
+)
+
+// Config says what the stand-in is.
+type Config struct {
+	ID       string
+	Capacity resource.Amount
+	// Listen opens a listener for an instance.
+	Listen func() (net.Listener, error)
+	// FailAll makes every task fail.
+	FailAll bool
+	// IgnoreTickets switches a guard off, to show that tests see it.
+	IgnoreTickets bool
+	// IgnoreEpochs switches a guard off, to show that tests see it.
+	IgnoreEpochs bool
+}
+
+// Worker is the stand-in.
+type Worker struct {
+	cfg         Config
+	incarnation string
+	born        time.Time
+	evidence    Evidence
+
+	mu      sync.Mutex
+	epoch   int64
+	leaving bool
+	tasks   map[worker.Attempt]*task
+	ended   map[worker.Attempt]worker.Ended
+	dead    map[worker.Attempt]bool
+}
+
+type task struct {
+	spec     worker.Spec
+	address  string
+	expires  time.Time
+	lease    *time.Timer
+	done     *time.Timer
+	instance *instance
+}
+
+// New returns a worker that runs nothing.
+func New(cfg Config) *Worker {
+	return &Worker{
+		cfg:         cfg,
+		incarnation: rand.Text(),
+		born:        time.Now().Add(-time.Second),
+		tasks:       make(map[worker.Attempt]*task),
+		ended:       make(map[worker.Attempt]worker.Ended),
+		dead:        make(map[worker.Attempt]bool),
+	}
+}
+
+// SetLeaving makes the worker say that it is leaving.
+func (w *Worker) SetLeaving(leaving bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = leaving
+}
+
+// Close stops every task, as a worker that dies does.
+func (w *Worker) Close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for a := range w.tasks {
+		w.endLocked(a, worker.ResultStopped, "worker closed")
+	}
+}
+
+// Contact carries out what a node sent.
+func (w *Worker) Contact(_ context.Context, c worker.Contact) (worker.Report, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if c.Epoch < w.epoch && !w.cfg.IgnoreEpochs {
+		return worker.Report{Worker: w.cfg.ID, Incarnation: w.incarnation, Epoch: w.epoch, Refused: worker.RefusedStaleEpoch}, nil
+	}
+	w.epoch = max(w.epoch, c.Epoch)
+	for _, a := range c.Ack {
+		delete(w.ended, a)
+	}
+	for _, a := range c.Stop {
+		w.stopLocked(a)
+	}
+	if c.Renew {
+		w.renewLocked(c)
+	}
+	rep := worker.Report{Worker: w.cfg.ID, Incarnation: w.incarnation, Epoch: w.epoch, Ticket: w.clock(), Leaving: w.leaving}
+	for _, spec := range c.Start {
+		rep.Started = append(rep.Started, w.startLocked(spec, c))
+	}
+	for _, a := range c.Checkpoint {
+		w.evidence.add(w.cfg.ID, SawCheckpoint, a)
+	}
+	if c.Inventory {
+		for _, t := range w.tasks {
+			rep.Running = append(rep.Running, worker.Running{Spec: t.spec, Address: t.address})
+		}
+	}
+	for _, e := range w.ended {
+		rep.Ended = append(rep.Ended, e)
+	}
+	return rep, nil
+}
+
+// clock is the worker's own clock, in nanoseconds; it is never 0.
+func (w *Worker) clock() int64 { return int64(time.Since(w.born)) }
+
+func (w *Worker) expiry(c worker.Contact) time.Time {
+	if w.cfg.IgnoreTickets {
+		return time.Now().Add(time.Duration(c.LeaseMS) * time.Millisecond)
+	}
+	return w.born.Add(time.Duration(c.Ticket) + time.Duration(c.LeaseMS)*time.Millisecond)
+}
+
+func (w *Worker) renewLocked(c worker.Contact) {
+	expires := w.expiry(c)
+	for a, t := range w.tasks {
+		if expires.After(t.expires) && !slices.Contains(c.Except, a) {
+			t.expires = expires
+			t.lease.Reset(time.Until(expires))
+		}
+	}
+}
+
+func (w *Worker) startLocked(spec worker.Spec, c worker.Contact) worker.Started {
+	a := spec.Attempt
+	if t, ok := w.tasks[a]; ok {
+		return worker.Started{Attempt: a, Address: t.address}
+	}
+	if refusal := w.refuseLocked(spec, c); refusal != "" {
+		return worker.Started{Attempt: a, Refused: refusal}
+	}
+	t := &task{spec: spec, expires: w.expiry(c)}
+	if spec.Service != "" {
+		inst, err := newInstance(w, spec)
+		if err != nil {
+			return worker.Started{Attempt: a, Refused: worker.RefusedNoRoom}
+		}
+		t.instance, t.address = inst, inst.address()
+	}
+	w.tasks[a] = t
+	w.dead[a] = true
+	w.evidence.add(w.cfg.ID, SawStart, a)
+	t.lease = time.AfterFunc(time.Until(t.expires), func() { w.lapse(a) })
+	w.runLocked(t)
+	return worker.Started{Attempt: a, Address: t.address}
+}
+
+func (w *Worker) refuseLocked(spec worker.Spec, c worker.Contact) worker.Refusal {
+	if !w.cfg.IgnoreTickets && (c.Ticket == 0 || !time.Now().Before(w.expiry(c))) {
+		return worker.RefusedStaleTicket
+	}
+	if w.dead[spec.Attempt] {
+		return worker.RefusedStopped
+	}
+	if w.leaving {
+		return worker.RefusedLeaving
+	}
+	used := spec.Size
+	for _, t := range w.tasks {
+		used = used.Add(t.spec.Size)
+	}
+	if !w.cfg.Capacity.Fits(used) {
+		w.evidence.add(w.cfg.ID, SawOverload, spec.Attempt)
+		return worker.RefusedNoRoom
+	}
+	return ""
+}
+
+func (w *Worker) runLocked(t *task) {
+	a, verb, arg := t.spec.Attempt, "sleep", "0s"
+	if len(t.spec.Command) > 0 {
+		verb = t.spec.Command[0]
+	}
+	if len(t.spec.Command) > 1 {
+		arg = t.spec.Command[1]
+	}
+	if w.cfg.FailAll {
+		verb = "fail"
+	}
+	switch verb {
+	case "serve":
+	case "fail":
+		t.done = time.AfterFunc(0, func() { w.end(a, worker.ResultFailed, "the command failed") })
+	default:
+		d, err := time.ParseDuration(arg)
+		if err != nil {
+			t.done = time.AfterFunc(0, func() { w.end(a, worker.ResultFailed, "the command is not known") })
+			return
+		}
+		t.done = time.AfterFunc(d, func() { w.end(a, worker.ResultDone, "") })
+	}
+}
+
+func (w *Worker) end(a worker.Attempt, result worker.Result, reason string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endLocked(a, result, reason)
+}
+
+func (w *Worker) lapse(a worker.Attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t, ok := w.tasks[a]
+	if !ok {
+		return
+	}
+	if left := time.Until(t.expires); left > 0 {
+		t.lease.Reset(left)
+		return
+	}
+	w.endLocked(a, worker.ResultLapsed, "the lease lapsed")
+}
+
+func (w *Worker) stopLocked(a worker.Attempt) {
+	w.dead[a] = true
+	if _, ok := w.tasks[a]; ok {
+		w.endLocked(a, worker.ResultStopped, "stopped by its owner")
+	}
+}
+
+func (w *Worker) endLocked(a worker.Attempt, result worker.Result, reason string) {
+	t, ok := w.tasks[a]
+	if !ok {
+		return
+	}
+	delete(w.tasks, a)
+	t.lease.Stop()
+	if t.done != nil {
+		t.done.Stop()
+	}
+	if t.instance != nil {
+		t.instance.close()
+	}
+	w.ended[a] = worker.Ended{Attempt: a, Result: result, Reason: reason}
+	w.evidence.add(w.cfg.ID, sawEnd(result), a)
+}
+
+// Running returns how many tasks run now.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.tasks)
+}
+
+// Evidence returns what the worker saw so far.
+func (w *Worker) Evidence() []Sight { return w.evidence.all() }
+
+// Serve answers contacts on l until ctx ends.
+func (w *Worker) Serve(ctx context.Context, l net.Listener) error {
+	srv := &http.Server{Handler: w.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close(); w.Close() })
+	defer stop()
+	return srv.Serve(l)
+}
