--- a/internal/jobs/schedule.go
+++ b/internal/jobs/schedule.go
@@ -38,6 +38,8 @@
 	spec  api.Workload
 	specs []worker.Spec
 	whole bool
+	// untried is set while no task of the job was ever placed.
+	untried bool
 }
 
 // round is what one round of scheduling works on.
@@ -48,6 +50,8 @@
 	teams  []policy.Team
 	jobs   []waiting
 	placed []placed
+	// whole is set when the workers of every worker shard are known.
+	whole bool
 }
 
 // schedule gives places to the tasks that wait, in the order of the policy.
@@ -99,9 +103,14 @@
 
 func (s *Set) newRound() round {
 	r := round{bundle: s.deps.Bundle(), pools: s.deps.Room.Pools()}
+	known := 0
 	for _, p := range r.pools {
 		r.total = r.total.Add(p.Capacity)
+		if p.Known {
+			known++
+		}
 	}
+	r.whole = known == s.opts.WorkerShards
 	for _, t := range r.bundle.Teams {
 		r.teams = append(r.teams, policy.Team{Name: t.Name, Weight: t.Weight, Quota: t.Quota})
 	}
@@ -154,7 +163,7 @@
 			continue
 		}
 		class, _ := b.Class(j.Spec.Class)
-		w := waiting{shard: sh, job: id, spec: j.Spec, whole: j.Spec.Kind == api.KindAllAtOnce}
+		w := waiting{shard: sh, job: id, spec: j.Spec, whole: j.Spec.Kind == api.KindAllAtOnce, untried: j.untried()}
 		w.specs = j.ready(now, class.GraceMS)
 		if len(w.specs) == 0 || (w.whole && len(w.specs) < len(j.Tasks)) {
 			continue
@@ -201,6 +210,11 @@
 // place reserves room for a job's tasks and journals the places; the starts follow.
 // It returns why tasks still wait, or "".
 func (s *Set) place(ctx context.Context, r *round, w *waiting) (string, error) {
+	if r.neverFits(w) {
+		why := "no worker of the cell has as much as a task needs"
+		_, err := w.shard.append(Record{Reject: &Reject{Job: w.job, Reason: why, At: time.Now().UTC()}})
+		return why, err
+	}
 	if why := r.overLimit(w); why != "" {
 		return why, nil
 	}
@@ -226,6 +240,22 @@
 	return "", nil
 }
 
+// neverFits reports whether every worker of the cell is known and none could
+// hold a task of the job, empty as it may be.
+func (r *round) neverFits(w *waiting) bool {
+	if !r.whole || !w.untried {
+		return false
+	}
+	for _, p := range r.pools {
+		for _, shape := range p.Shapes {
+			if shape.Fits(w.spec.Size) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // overLimit tells whether the job's next tasks would take its team over its limit.
 func (r *round) overLimit(w *waiting) string {
 	t, ok := r.bundle.Team(w.spec.Team)
--- a/internal/jobs/set.go
+++ b/internal/jobs/set.go
@@ -34,6 +34,8 @@
 	KeyAnswerBytes int
 	// SnapshotEvery is how many batches a journal holds before a snapshot is taken.
 	SnapshotEvery int64
+	// WorkerShards is the number of worker shards of the cell.
+	WorkerShards int
 	// StartUnkept starts tasks before their place is kept, to show that tests see it.
 	StartUnkept bool
 }
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -38,6 +38,7 @@
 	Place  *Place     `json:"place,omitempty"`
 	Event  *Event     `json:"event,omitempty"`
 	Cancel *Cancel    `json:"cancel,omitempty"`
+	Reject *Reject    `json:"reject,omitempty"`
 	Forget *Forget    `json:"forget,omitempty"`
 	Intent *Intent    `json:"intent,omitempty"`
 	Finish *KeyResult `json:"finish,omitempty"`
@@ -66,6 +67,13 @@
 	At  time.Time `json:"at"`
 }
 
+// Reject fails a workload that can never run.
+type Reject struct {
+	Job    string    `json:"job"`
+	Reason string    `json:"reason"`
+	At     time.Time `json:"at"`
+}
+
 // Forget drops workloads that ended and keys whose window is over.
 type Forget struct {
 	Jobs []string `json:"jobs,omitempty"`
@@ -150,6 +158,8 @@
 		s.event(r.Event)
 	case r.Cancel != nil:
 		s.cancel(r.Cancel)
+	case r.Reject != nil:
+		s.reject(r.Reject)
 	case r.Forget != nil:
 		s.forget(r.Forget)
 	case r.Intent != nil:
@@ -218,6 +228,8 @@
 		t.Address = ev.Address
 		j.set(t, api.TaskRunning, "")
 	case peer.EventVoid:
+		// Others of an all-at-once job may run or have ended without this one.
+		j.Regroup = j.Spec.Kind == api.KindAllAtOnce
 		j.again(t, ev.Attempt, r.At.Add(voidWait), ev.Reason)
 	case peer.EventLost:
 		j.lost(t, ev, r.At)
@@ -362,6 +374,30 @@
 	j.settle(r.At)
 }
 
+func (s *State) reject(r *Reject) {
+	j, ok := s.Jobs[r.Job]
+	if !ok || !j.untried() {
+		return
+	}
+	for i := range j.Tasks {
+		j.set(&j.Tasks[i], api.TaskFailed, r.Reason)
+	}
+	j.settle(r.At)
+}
+
+// untried reports whether no task of the job was ever placed.
+func (j *Job) untried() bool {
+	if j.counts.Waiting < len(j.Tasks) {
+		return false
+	}
+	for i := range j.Tasks {
+		if j.Tasks[i].Attempt > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *State) forget(r *Forget) {
 	for _, id := range r.Jobs {
 		delete(s.Jobs, id)
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -273,15 +273,15 @@
 	wait := firstRetryWait
 	for len(parts) > 0 {
 		res, err := c.table.Commit(ctx, c.txn(parts))
+		c.noteReply(err)
 		if err == nil && res.Committed {
-			c.finish(parts, nil)
+			c.finish(parts)
 			return
 		}
 		if err == nil {
 			parts = c.resolve(parts, res.Mismatch, token)
 			continue
 		}
-		c.noteFailure(err)
 		if !pause(ctx, wait) {
 			c.abandon(parts)
 			return
@@ -342,7 +342,7 @@
 	moved := make(map[string]bool)
 	for _, row := range mismatch {
 		if row.Table == TableJournal && tokenOf(row) == token {
-			c.finish(parts, nil)
+			c.finish(parts)
 			return nil
 		}
 		moved[row.Table+"\x00"+row.Key] = true
@@ -374,9 +374,8 @@
 	settle(pt, &Error{"write", KindFenced, errors.New(pt.stream.key)})
 }
 
-func (c *Committer) finish(parts []*part, err error) {
+func (c *Committer) finish(parts []*part) {
 	c.mu.Lock()
-	c.failing = time.Time{}
 	c.counts.Writes++
 	for _, pt := range parts {
 		for _, p := range pt.items {
@@ -388,7 +387,7 @@
 		pt.stream.mu.Lock()
 		pt.stream.next = pt.seq + 1
 		pt.stream.mu.Unlock()
-		settle(pt, err)
+		settle(pt, nil)
 	}
 }
 
@@ -405,10 +404,15 @@
 	}
 }
 
-func (c *Committer) noteFailure(err error) {
+// noteReply notes whether the store answers; any answer ends a failure, also
+// one that fences the whole batch.
+func (c *Committer) noteReply(err error) {
 	c.mu.Lock()
-	first := c.failing.IsZero()
-	if first {
+	first := err != nil && c.failing.IsZero()
+	switch {
+	case err == nil:
+		c.failing = time.Time{}
+	case first:
 		c.failing = time.Now()
 	}
 	c.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -36,6 +37,9 @@
 	"switchbank.example/switchbank/internal/worker"
 )
 
+// handedKept is how many ids of requests that were handed over are kept.
+const handedKept = 1 << 14
+
 // Platform is what a node uses of the platform.
 type Platform interface {
 	Commit(ctx context.Context, t platform.Txn) (platform.TxnResult, error)
@@ -73,7 +77,10 @@
 	Peers     net.Listener
 	Operators net.Listener
 	// Dial opens connections to peers, workers and instances; nil means TCP.
-	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Wrap goes around the transport of each of the node's HTTP clients; nil
+	// means nothing.
+	Wrap   func(http.RoundTripper) http.RoundTripper
 	Log    *zap.Logger
 	Guards Guards
 }
@@ -120,11 +127,14 @@
 	follower  *follower
 	load      *load
 	peerHTTP  *http.Client
+	clients   []*http.Client
 	shardKeys []shard.Key
 
 	draining atomic.Bool
 	drain    chan struct{}
 	inFlight chan struct{}
+	// handed holds the ids of the requests that peers handed over last.
+	handed   *lru.Cache[string, struct{}]
 	counters counters
 	runCtx   context.Context
 	stopRun  context.CancelFunc
@@ -138,6 +148,8 @@
 		drain:    make(chan struct{}, 1),
 		inFlight: make(chan struct{}, cfg.Limits.InFlight),
 	}
+	// The size is a constant above 0, so that this can't fail.
+	n.handed, _ = lru.New[string, struct{}](handedKept)
 	n.runCtx, n.stopRun = context.WithCancel(context.Background())
 	n.peerHTTP = n.newClient(peerConns)
 	n.follower = newFollower(n)
@@ -181,7 +193,7 @@
 	n.jobs = jobs.NewSet(jobs.Deps{Journal: n.journal, Pools: poolRouter{n}, Room: n.load, Bundle: n.bundle}, jobs.Options{
 		Every: cfg.Tasks.Every, AskEvery: cfg.Tasks.Ask, Retention: cfg.Tasks.Retention,
 		KeyWindow: cfg.Requests.KeyWindow, KeyMargin: cfg.Requests.KeyMargin, KeyAnswerBytes: cfg.Requests.KeyAnswerBytes,
-		SnapshotEvery: cfg.Journal.SnapshotEvery, StartUnkept: n.deps.Guards.StartUnkept,
+		SnapshotEvery: cfg.Journal.SnapshotEvery, WorkerShards: workerShards(cfg), StartUnkept: n.deps.Guards.StartUnkept,
 	}, n.log)
 	n.shardKeys = shard.Layout(cfg.JobShards, cfg.DataCentres)
 	handlers := map[shard.Kind]shard.Handler{shard.KindJob: n.jobs, shard.KindWorker: n.pools}
@@ -191,6 +203,14 @@
 	n.shards.OnChange(n.shardChanged)
 }
 
+func workerShards(cfg config.Config) int {
+	n := 0
+	for _, dc := range cfg.DataCentres {
+		n += dc.WorkerShards
+	}
+	return n
+}
+
 func (n *Node) newRequests() {
 	cfg := n.cfg.Requests
 	n.entry = requests.NewEntry(requests.Deps{
@@ -271,6 +291,9 @@
 	for _, s := range servers {
 		s.stop(ctx)
 	}
+	for _, c := range n.clients {
+		c.CloseIdleConnections()
+	}
 	if run.Err() == nil {
 		resign, cancel := context.WithTimeout(context.Background(), n.cfg.Platform.Timeout)
 		defer cancel()
@@ -298,6 +321,8 @@
 		return errors.New("draining")
 	case !n.follower.read():
 		return errors.New("the bundle in force has not been read yet")
+	case !n.follower.isFresh():
+		return errors.New("the bundle in force was not confirmed lately")
 	case !n.load.exchanged():
 		return errors.New("the shards have not been read yet")
 	}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -212,10 +212,16 @@
 		}
 	}
 	head, err := n.bundles.Accept(ctx, req.Change)
-	if err == nil {
-		n.log.Info("bundle accepted", events.BundleRolledOut, zap.Int64("version", head.Version), zap.String("change", head.Change))
+	if err != nil {
+		return head, err
+	}
+	n.log.Info("bundle accepted", events.BundleRolledOut, zap.Int64("version", head.Version), zap.String("change", head.Change))
+	// In force here at once, and by the peers' exchange everywhere, even when the
+	// store goes down before any node has read the new head.
+	if err := n.follower.follow(ctx, head); err != nil {
+		n.log.Warn("bundle not read", events.BundleNotRead, zap.Error(err))
 	}
-	return head, err
+	return head, nil
 }
 
 func (n *Node) history(ctx context.Context, _ httpx.None) (HistoryReply, error) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -95,8 +95,12 @@
 	return api.StatusList{Workloads: n.jobs.List(req.Team)}, nil
 }
 
-// requestHere ends a request that a peer handed over; it is not handed on.
+// requestHere ends a request that a peer handed over; it is not handed on. A
+// message that comes twice is turned away the second time.
 func (n *Node) requestHere(ctx context.Context, r requests.Request) (requests.Result, error) {
+	if seen, _ := n.handed.ContainsOrAdd(r.ID, struct{}{}); seen {
+		return requests.Result{}, httpx.NewProblem(http.StatusConflict, "handed_over_before", r.ID)
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.TimeoutMS)*time.Millisecond)
 	defer cancel()
 	return n.entry.Here(ctx, r), nil
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -33,7 +33,12 @@
 // newClient returns an HTTP client with bounds on everything; calls bound
 // their own time by their context.
 func (n *Node) newClient(connsPerHost int) *http.Client {
-	return newClient(n.cfg, n.deps.Dial, connsPerHost)
+	c := newClient(n.cfg, n.deps.Dial, connsPerHost)
+	if n.deps.Wrap != nil {
+		c.Transport = n.deps.Wrap(c.Transport)
+	}
+	n.clients = append(n.clients, c)
+	return c
 }
 
 // NewPlatformHTTP returns the HTTP client for the platform.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -183,8 +183,10 @@
 
 // PoolSummary tells how much room a worker shard has.
 type PoolSummary struct {
-	Shard    string          `json:"shard"`
-	Workers  int             `json:"workers"`
+	Shard   string `json:"shard"`
+	Workers int    `json:"workers"`
+	// Known is set once the shard's hosts were read and each has answered or is gone.
+	Known    bool            `json:"known,omitempty"`
 	Free     resource.Amount `json:"free"`
 	Capacity resource.Amount `json:"capacity"`
 	// Largest is the free room of the worker that has most.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -161,6 +161,8 @@
 	mu      sync.Mutex
 	closed  bool
 	dropped bool
+	// listed is set once the host list was read.
+	listed  bool
 	workers map[string]*workerState
 	order   []*workerState
 	tasks   map[worker.Attempt]*task
@@ -448,10 +450,11 @@
 func (p *Pool) summary(usage *usageByTeam) peer.PoolSummary {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := peer.PoolSummary{Shard: string(p.grant.Key)}
+	s := peer.PoolSummary{Shard: string(p.grant.Key), Known: p.listed}
 	now := time.Now()
 	shapes := make(map[resource.Amount]bool)
 	for _, w := range p.order {
+		s.Known = s.Known && (w.fenced || w.gone)
 		if !w.leaving && !w.gone && !shapes[w.host.Capacity] {
 			shapes[w.host.Capacity] = true
 			s.Shapes = append(s.Shapes, w.host.Capacity)
--- a/internal/pool/set.go
+++ b/internal/pool/set.go
@@ -235,6 +235,7 @@
 	if p.dropped {
 		return
 	}
+	p.listed = true
 	listed := make(map[string]bool, len(hosts))
 	for _, h := range hosts {
 		listed[h.ID] = h.State != platform.HostGone
--- /dev/null
+++ b/matrix/cell_test.go
@@ -0,0 +1,500 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package matrix_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/examples"
+	"switchbank.example/switchbank/internal/bundle"
+	"switchbank.example/switchbank/internal/client"
+	"switchbank.example/switchbank/internal/config"
+	"switchbank.example/switchbank/internal/journal"
+	"switchbank.example/switchbank/internal/lease"
+	"switchbank.example/switchbank/internal/node"
+	"switchbank.example/switchbank/internal/peer"
+	"switchbank.example/switchbank/internal/platform"
+	"switchbank.example/switchbank/internal/resource"
+	"switchbank.example/switchbank/internal/shard"
+	"switchbank.example/switchbank/internal/worker"
+	standin "switchbank.example/switchbank/standin/platform"
+	standinworker "switchbank.example/switchbank/standin/worker"
+)
+
+const (
+	dataCentre      = "dc"
+	platformHost    = "platform"
+	platformTimeout = time.Second
+	cellWorkers     = 4
+	cellNodes       = 3
+
+	cellJobShards    = 4
+	cellWorkerShards = 2
+)
+
+// cell is a platform, nodes and workers on an in-memory network.
+type cell struct {
+	t       *testing.T
+	ctx     context.Context
+	net     *network
+	plat    *standin.Platform
+	guards  node.Guards
+	ignore  standinworker.Config
+	steps   *stepper
+	mu      sync.Mutex
+	nodes   map[string]*cellNode
+	workers map[string]*cellWorker
+	// sights of workers that were replaced.
+	past []standinworker.Sight
+}
+
+type cellNode struct {
+	name   string
+	n      *node.Node
+	stop   context.CancelFunc
+	ended  chan struct{}
+	client *client.Client
+	http   *http.Transport
+	// killed, faulted and drained say from when the node is not judged as a healthy one.
+	killed  bool
+	drained time.Time
+}
+
+type cellWorker struct {
+	host platform.Host
+	w    *standinworker.Worker
+	stop context.CancelFunc
+	dead bool
+}
+
+func newCell(t *testing.T, guards node.Guards, ignore standinworker.Config) *cell {
+	c := &cell{
+		t: t, ctx: t.Context(), net: newNetwork(), plat: standin.New(), guards: guards, ignore: ignore,
+		steps: newStepper(), nodes: make(map[string]*cellNode), workers: make(map[string]*cellWorker),
+	}
+	for i := range cellWorkers {
+		c.startWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("rack%d", i/2))
+	}
+	for i := range cellNodes {
+		c.startNode(fmt.Sprintf("n%d", i))
+	}
+	return c
+}
+
+func (c *cell) config(name string) config.Config {
+	cfg := config.Default()
+	cfg.Node, cfg.DataCentre = name, dataCentre
+	cfg.DataCentres = []shard.DataCentre{{Name: dataCentre, WorkerShards: cellWorkerShards}}
+	cfg.JobShards = cellJobShards
+	cfg.Lease = config.Lease{TTL: 3 * time.Second, Margin: 500 * time.Millisecond, Every: 500 * time.Millisecond}
+	cfg.Tasks.Lease, cfg.Tasks.Grace, cfg.Tasks.Reservation = 10*time.Second, 20*time.Second, 4*time.Second
+	cfg.Tasks.SetAside = 2 * time.Second
+	cfg.Requests.DrainDelay, cfg.Requests.DrainTimeout = time.Second, 8*time.Second
+	cfg.Requests.KeyMargin = time.Second
+	cfg.Requests.Linger = time.Second
+	cfg.Platform.Timeout = platformTimeout
+	cfg.Journal.SnapshotEvery = 8
+	return cfg
+}
+
+func (c *cell) startNode(name string) *cellNode {
+	ctx, stop := context.WithCancel(context.Background())
+	cn := &cellNode{name: name, stop: stop, ended: make(chan struct{})}
+	cn.n = node.New(c.config(name), node.Deps{
+		Platform: &nodePlatform{c: c, node: name},
+		Callers:  c.net.listen(name + ":1"), Peers: c.net.listen(name + ":2"), Operators: c.net.listen(name + ":3"),
+		Dial: c.net.dial(name), Log: testLog(), Guards: c.guards,
+		Wrap: func(rt http.RoundTripper) http.RoundTripper { return &tap{c: c, node: name, next: rt} },
+	})
+	cn.http = &http.Transport{DialContext: c.net.dial("caller"), MaxIdleConnsPerHost: 64}
+	cn.client = client.New(client.Config{Callers: name + ":1", Operators: name + ":3", Team: "inkasoft", Transport: cn.http})
+	c.mu.Lock()
+	c.nodes[name] = cn
+	c.mu.Unlock()
+	go func() {
+		defer close(cn.ended)
+		_ = cn.n.Run(ctx)
+	}()
+	return cn
+}
+
+// testLog returns the log of the nodes: none, unless MATRIX_LOG is set.
+func testLog() *zap.Logger {
+	if os.Getenv("MATRIX_LOG") == "" {
+		return zap.NewNop()
+	}
+	log, _ := zap.NewDevelopment()
+	return log
+}
+
+// live returns the nodes that were not killed or stopped.
+func (c *cell) live() []*cellNode {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var live []*cellNode
+	for _, n := range c.nodes {
+		if !n.killed && n.drained.IsZero() {
+			live = append(live, n)
+		}
+	}
+	return live
+}
+
+// kill ends a node's process as far as anyone outside can tell.
+func (c *cell) kill(name string) {
+	c.mu.Lock()
+	n := c.nodes[name]
+	c.mu.Unlock()
+	if n == nil || n.killed {
+		return
+	}
+	n.killed = true
+	c.net.setCut(name, "*", true)
+	c.net.reset(name)
+}
+
+// drain begins a planned stop of a node.
+func (c *cell) drain(n *cellNode) {
+	n.drained = time.Now()
+	n.stop()
+}
+
+func (c *cell) startWorker(id, rack string) {
+	ctx, stop := context.WithCancel(context.Background())
+	h := platform.Host{
+		ID: id, DataCentre: dataCentre, Rack: rack, Address: id + ":4", State: platform.HostLive,
+		Capacity: resource.Amount{CPUMilli: 4000, MemoryMB: 4000},
+	}
+	cfg := c.ignore
+	cfg.ID, cfg.Capacity = id, h.Capacity
+	var next int
+	cfg.Listen = func() (net.Listener, error) {
+		next++
+		return c.net.listen(fmt.Sprintf("%s:%d", id, 10+next)), nil
+	}
+	w := standinworker.New(cfg)
+	c.mu.Lock()
+	if old := c.workers[id]; old != nil {
+		c.past = append(c.past, old.w.Evidence()...)
+	}
+	c.workers[id] = &cellWorker{host: h, w: w, stop: stop}
+	c.mu.Unlock()
+	c.plat.SetHost(h)
+	l := c.net.listen(h.Address)
+	go func() { _ = w.Serve(ctx, l) }()
+}
+
+// killWorker ends a worker and its tasks; the host list keeps it as live for lag.
+func (c *cell) killWorker(id string, lag time.Duration) {
+	c.mu.Lock()
+	w := c.workers[id]
+	c.mu.Unlock()
+	if w == nil || w.dead {
+		return
+	}
+	w.dead = true
+	c.net.setCut(id, "*", true)
+	w.stop()
+	go func() {
+		sleep(c.ctx, lag)
+		c.plat.RemoveHost(id)
+	}()
+}
+
+// evidence returns what all workers saw.
+func (c *cell) evidence() []standinworker.Sight {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := append([]standinworker.Sight(nil), c.past...)
+	for _, w := range c.workers {
+		all = append(all, w.w.Evidence()...)
+	}
+	return all
+}
+
+// close ends everything, so that no goroutine is left in the bubble.
+func (c *cell) close() {
+	c.plat.SetFaults(standin.Faults{})
+	c.steps.disarm()
+	for _, n := range c.nodes {
+		c.net.resume(n.name)
+		n.stop()
+	}
+	for _, n := range c.nodes {
+		<-n.ended
+		n.http.CloseIdleConnections()
+		c.net.reset(n.name)
+	}
+	for _, w := range c.workers {
+		w.stop()
+	}
+	c.net.reset("caller")
+}
+
+// bundle returns the example's bundle with a mark that tells versions apart.
+func testBundle(mark int) *bundle.Bundle {
+	sub, err := fs.Sub(examples.Bundle, "bundle")
+	if err != nil {
+		panic(err)
+	}
+	b, err := bundle.LoadFS(sub)
+	if err != nil {
+		panic(err)
+	}
+	b.Limits.TimeoutMS += int64(mark)
+	return b
+}
+
+// accept rolls a bundle out by way of a node; it returns when it was accepted.
+func (c *cell) accept(ctx context.Context, cl *client.Client, change string, mark int) (int64, time.Time, error) {
+	var err error
+	for tries := 0; tries < 200 && ctx.Err() == nil; tries++ {
+		var st node.BundleStatus
+		st, err = cl.Bundle(ctx)
+		if err == nil && st.Head.Change == change {
+			return st.Head.Version, time.Now(), nil
+		}
+		if err == nil {
+			p := bundle.Proposal{Base: st.Head.Version, Change: change, Operator: change, Proposed: time.Now()}
+			_, err = cl.Propose(ctx, testBundle(mark), p)
+		}
+		if err == nil {
+			var head bundle.Head
+			if head, err = cl.Accept(ctx, change); err == nil {
+				return head.Version, time.Now(), nil
+			}
+		}
+		if p, ok := client.ProblemOf(err); ok && p.Reason == "bundle_conflict" && st.Head.Version > 1 {
+			return 0, time.Time{}, err
+		}
+		sleep(ctx, 300*time.Millisecond)
+	}
+	return 0, time.Time{}, err
+}
+
+// nodePlatform is a node's way to the stand-in platform.
+type nodePlatform struct {
+	c    *cell
+	node string
+}
+
+var errNoReply = errors.New("no reply in time")
+
+// reach waits as a call over the network would, and fails when it does not get through.
+func (p *nodePlatform) reach(ctx context.Context) error {
+	if err := p.c.net.wait(p.node, ctx.Done()); err != nil {
+		return err
+	}
+	if p.c.net.isCut(p.node, platformHost) {
+		sleep(ctx, platformTimeout)
+		return errNoReply
+	}
+	return nil
+}
+
+// platformCall makes one call with its steps before and after.
+func platformCall[T any](p *nodePlatform, ctx context.Context, step string, fn func(context.Context) (T, error)) (T, error) {
+	var zero T
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	p.c.steps.hit(step, before, p.node, "")
+	if err := p.reach(ctx); err != nil {
+		return zero, err
+	}
+	v, err := fn(ctx)
+	p.c.steps.hit(step, after, p.node, "")
+	if rerr := p.reach(context.WithoutCancel(ctx)); rerr != nil {
+		return zero, rerr
+	}
+	if ctx.Err() != nil {
+		return zero, ctx.Err()
+	}
+	return v, err
+}
+
+func (p *nodePlatform) Commit(ctx context.Context, t platform.Txn) (platform.TxnResult, error) {
+	return platformCall(p, ctx, stepOfTxn(t), func(ctx context.Context) (platform.TxnResult, error) { return p.c.plat.Commit(ctx, t) })
+}
+
+func (p *nodePlatform) Get(ctx context.Context, table, key string) (platform.Row, error) {
+	step := stepNone
+	if table == bundle.TableBundles && key == "head" {
+		step = stepApply
+	}
+	return platformCall(p, ctx, step, func(ctx context.Context) (platform.Row, error) { return p.c.plat.Get(ctx, table, key) })
+}
+
+func (p *nodePlatform) List(ctx context.Context, table, prefix string) ([]platform.Row, error) {
+	step := stepNone
+	if table == journal.TableJournal {
+		step = stepOpen
+	}
+	return platformCall(p, ctx, step, func(ctx context.Context) ([]platform.Row, error) { return p.c.plat.List(ctx, table, prefix) })
+}
+
+func (p *nodePlatform) Hosts(ctx context.Context, dc string) ([]platform.Host, error) {
+	return platformCall(p, ctx, stepNone, func(ctx context.Context) ([]platform.Host, error) { return p.c.plat.Hosts(ctx, dc) })
+}
+
+func (p *nodePlatform) PutObject(ctx context.Context, key string, data []byte) error {
+	step := stepNone
+	if strings.HasPrefix(key, "snapshot") {
+		step = stepSnapshot
+	}
+	_, err := platformCall(p, ctx, step, func(ctx context.Context) (bool, error) { return true, p.c.plat.PutObject(ctx, key, data) })
+	return err
+}
+
+func (p *nodePlatform) GetObject(ctx context.Context, key string) ([]byte, error) {
+	step := stepNone
+	if strings.HasPrefix(key, "bundle") {
+		step = stepStage
+	}
+	return platformCall(p, ctx, step, func(ctx context.Context) ([]byte, error) { return p.c.plat.GetObject(ctx, key) })
+}
+
+func (p *nodePlatform) DeleteObject(ctx context.Context, key string) error {
+	_, err := platformCall(p, ctx, stepNone, func(ctx context.Context) (bool, error) { return true, p.c.plat.DeleteObject(ctx, key) })
+	return err
+}
+
+// stepOfTxn names the step that a write belongs to.
+func stepOfTxn(t platform.Txn) string {
+	for _, put := range t.Put {
+		value := string(put.Value)
+		switch put.Table {
+		case lease.TableNodes:
+			return stepLease
+		case shard.TableShards:
+			var row shard.Row
+			if json.Unmarshal(put.Value, &row) == nil && row.Owner == "" {
+				return stepHandOver
+			}
+			return stepTake
+		case bundle.TableBundles:
+			if put.Key == "proposal" {
+				return stepPropose
+			}
+			return stepAccept
+		case journal.TableJournal:
+			return stepOfRecords(value)
+		}
+	}
+	return stepNone
+}
+
+func stepOfRecords(value string) string {
+	for _, s := range []struct{ mark, step string }{
+		{`{"intent"`, stepKeyBegin}, {`{"finish"`, stepKeyFinish}, {`{"admit"`, stepAdmit}, {`{"cancel"`, stepCancel},
+		{`{"place"`, stepPlace}, {`"kind":"ended"`, stepEnded}, {`"kind":"started"`, stepStarted},
+	} {
+		if strings.Contains(value, s.mark) {
+			return s.step
+		}
+	}
+	return stepNone
+}
+
+// tap goes around a node's HTTP clients: it sees each message and can delay it,
+// send it twice, or lose its reply.
+type tap struct {
+	c    *cell
+	node string
+	next http.RoundTripper
+}
+
+func (tp *tap) RoundTrip(r *http.Request) (*http.Response, error) {
+	body := []byte(nil)
+	if r.Body != nil {
+		body, _ = io.ReadAll(r.Body)
+		_ = r.Body.Close()
+		r.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	step, to := stepOfMessage(r, body), hostOf(r.URL.Host)
+	how := tp.c.steps.hit(step, before, tp.node, to)
+	if how.delay > 0 {
+		sleep(r.Context(), how.delay)
+	}
+	if how.late > 0 {
+		tp.sendLate(r, body, how.late)
+	}
+	if how.twice {
+		tp.sendLate(r, body, 0)
+	}
+	resp, err := tp.next.RoundTrip(r)
+	how = tp.c.steps.hit(step, after, tp.node, to)
+	if how.loseReply && err == nil {
+		_ = resp.Body.Close()
+		return nil, errNoReply
+	}
+	return resp, err
+}
+
+// sendLate sends a copy of a message after a time; nobody waits for its reply.
+func (tp *tap) sendLate(r *http.Request, body []byte, after time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), after+5*time.Second)
+	dup := r.Clone(ctx)
+	dup.Body = io.NopCloser(bytes.NewReader(body))
+	go func() {
+		defer cancel()
+		sleep(ctx, after)
+		if resp, err := tp.next.RoundTrip(dup); err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+	}()
+}
+
+// stepOfMessage names the step that a message belongs to.
+func stepOfMessage(r *http.Request, body []byte) string {
+	switch r.URL.Path {
+	case peer.PathReserve:
+		return stepReserve
+	case peer.PathConfirm:
+		return stepConfirm
+	case peer.PathEvents:
+		return stepEvents
+	case peer.PathRequest:
+		return stepForward
+	case peer.PathKeyBegin:
+		return stepKeyBeginMsg
+	case "/":
+		return stepDispatch
+	case "/worker/v1/contact":
+		return stepOfContact(body)
+	}
+	return stepNone
+}
+
+func stepOfContact(body []byte) string {
+	var c worker.Contact
+	if json.Unmarshal(body, &c) != nil {
+		return stepNone
+	}
+	switch {
+	case len(c.Start) > 0:
+		return stepStart
+	case len(c.Stop) > 0:
+		return stepStop
+	case len(c.Ack) > 0:
+		return stepAck
+	case c.Inventory:
+		return stepInventory
+	}
+	return stepRenew
+}
--- /dev/null
+++ b/matrix/net_test.go
@@ -0,0 +1,230 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package matrix_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+const dialTimeout = 2 * time.Second
+
+var errClosed = errors.New("connection closed")
+
+// network is an in-memory network of hosts. An address is host:port; a node listens
+// for callers on port 1, for peers on 2 and for operators on 3.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	conns     map[*conn]bool
+	// cut holds the directed pairs between which nothing passes, "*" for all.
+	cut map[link]bool
+	// paused holds the hosts that neither send nor receive now.
+	paused map[string]chan struct{}
+}
+
+type link struct{ from, to string }
+
+func newNetwork() *network {
+	return &network{
+		listeners: make(map[string]*listener), conns: make(map[*conn]bool),
+		cut: make(map[link]bool), paused: make(map[string]chan struct{}),
+	}
+}
+
+type addr string
+
+func (a addr) Network() string { return "mem" }
+func (a addr) String() string  { return string(a) }
+
+func hostOf(address string) string {
+	host, _, _ := strings.Cut(address, ":")
+	return host
+}
+
+// setCut cuts or mends everything between two hosts; "*" stands for all.
+func (n *network) setCut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range []link{{a, b}, {b, a}} {
+		if cut {
+			n.cut[l] = true
+		} else {
+			delete(n.cut, l)
+		}
+	}
+}
+
+func (n *network) isCut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[link{from, to}] || n.cut[link{from, "*"}] || n.cut[link{"*", to}]
+}
+
+// pause holds a host's traffic back until resume.
+func (n *network) pause(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.paused[host] == nil {
+		n.paused[host] = make(chan struct{})
+	}
+}
+
+func (n *network) resume(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if ch := n.paused[host]; ch != nil {
+		close(ch)
+		delete(n.paused, host)
+	}
+}
+
+// wait blocks while host is paused.
+func (n *network) wait(host string, closed <-chan struct{}) error {
+	n.mu.Lock()
+	ch := n.paused[host]
+	n.mu.Unlock()
+	if ch == nil {
+		return nil
+	}
+	select {
+	case <-ch:
+		return nil
+	case <-closed:
+		return errClosed
+	}
+}
+
+// reset closes all connections of a host, as the end of its process does.
+func (n *network) reset(host string) {
+	n.mu.Lock()
+	var mine []*conn
+	for c := range n.conns {
+		if c.local == host || c.remote == host {
+			mine = append(mine, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range mine {
+		_ = c.Close()
+	}
+}
+
+type listener struct {
+	n       *network
+	address string
+	backlog chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (n *network) listen(address string) net.Listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{n: n, address: address, backlog: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.backlog:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return addr(l.address) }
+
+// dial returns the dial function of a host.
+func (n *network) dial(from string) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, _, to string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		if err := n.wait(from, ctx.Done()); err != nil {
+			return nil, err
+		}
+		if n.isCut(from, hostOf(to)) || n.isCut(hostOf(to), from) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		n.mu.Lock()
+		l := n.listeners[to]
+		n.mu.Unlock()
+		if l == nil {
+			return nil, errors.New("connection refused")
+		}
+		a, b := net.Pipe()
+		near := n.conn(a, from, hostOf(to))
+		far := n.conn(b, hostOf(to), from)
+		select {
+		case l.backlog <- far:
+			return near, nil
+		case <-l.closed:
+			return nil, errors.New("connection refused")
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+type conn struct {
+	net.Conn
+	n             *network
+	local, remote string
+	closed        chan struct{}
+	once          sync.Once
+}
+
+func (n *network) conn(c net.Conn, local, remote string) *conn {
+	mc := &conn{Conn: c, n: n, local: local, remote: remote, closed: make(chan struct{})}
+	n.mu.Lock()
+	n.conns[mc] = true
+	n.mu.Unlock()
+	return mc
+}
+
+func (c *conn) RemoteAddr() net.Addr { return addr(c.remote) }
+func (c *conn) LocalAddr() net.Addr  { return addr(c.local) }
+
+// Write drops what a cut link would lose, and waits while the host is paused.
+func (c *conn) Write(b []byte) (int, error) {
+	if err := c.n.wait(c.local, c.closed); err != nil {
+		return 0, err
+	}
+	if err := c.n.wait(c.remote, c.closed); err != nil {
+		return 0, err
+	}
+	if c.n.isCut(c.local, c.remote) {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.n.mu.Lock()
+		delete(c.n.conns, c)
+		c.n.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/matrix/scenario_test.go
@@ -0,0 +1,330 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package matrix_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"switchbank.example/switchbank/internal/api"
+	"switchbank.example/switchbank/internal/client"
+	"switchbank.example/switchbank/internal/lease"
+	"switchbank.example/switchbank/internal/resource"
+	"switchbank.example/switchbank/internal/shard"
+	standinworker "switchbank.example/switchbank/standin/worker"
+)
+
+const (
+	callEvery   = 250 * time.Millisecond
+	callTimeout = 2 * time.Second
+	keyEvery    = 4
+	runLimit    = 150 * time.Second
+)
+
+// call is one request of a caller and what it was told.
+type call struct {
+	body, key string
+	node      *cellNode
+	outcome   string
+	// wrong is set when the answer was not that of the request.
+	wrong    bool
+	sent, at time.Time
+}
+
+// scenario is the load of a cell: workloads, requests, a roll-out, a node that
+// joins and one that stops.
+type scenario struct {
+	c    *cell
+	done chan struct{}
+	wg   sync.WaitGroup
+
+	mu        sync.Mutex
+	calls     []call
+	cancelled map[string]time.Time
+	leaving   map[string]time.Time
+	accepted  map[int64]time.Time
+	versions  []sample
+	fails     bool
+	stuck     []string
+	admitted  bool
+}
+
+// sample is the bundle version that a node applied at a time.
+type sample struct {
+	node    *cellNode
+	ready   bool
+	version int64
+	at      time.Time
+}
+
+func newScenario(c *cell) *scenario {
+	return &scenario{
+		c: c, done: make(chan struct{}), cancelled: make(map[string]time.Time),
+		leaving: make(map[string]time.Time), accepted: make(map[int64]time.Time),
+	}
+}
+
+func (s *scenario) mayFail() { s.mu.Lock(); s.fails = true; s.mu.Unlock() }
+
+func (s *scenario) leaves(w string, at time.Time) { s.mu.Lock(); s.leaving[w] = at; s.mu.Unlock() }
+
+// any returns a node that serves, another one for each i.
+func (s *scenario) any(i int) *cellNode {
+	live := s.c.live()
+	slices.SortFunc(live, func(a, b *cellNode) int { return len(a.name) - len(b.name) })
+	return live[i%len(live)]
+}
+
+// workloads are what the scenario runs.
+func workloads() []api.Workload {
+	small := resource.Amount{CPUMilli: 500, MemoryMB: 500}
+	base := api.Workload{Team: "inkasoft", Class: "notice", Size: small, Command: []string{"sleep", "2s"}, MaxAttempts: 20}
+	service, once, again, whole, standing := base, base, base, base, base
+	service.ID, service.Kind, service.Tasks, service.Class = "svc", api.KindService, 2, "counter"
+	service.Service, service.Slots, service.Command = "svc", 4, []string{"serve"}
+	once.ID, once.Kind, once.Tasks, once.AtMostOnce, once.MaxAttempts = "once", api.KindBatch, 4, true, 0
+	again.ID, again.Kind, again.Tasks = "again", api.KindBatch, 4
+	whole.ID, whole.Kind, whole.Tasks = "whole", api.KindAllAtOnce, 3
+	standing.ID, standing.Kind, standing.Tasks, standing.Command = "standing", api.KindBatch, 2, []string{"sleep", "1h"}
+	return []api.Workload{service, once, again, whole, standing}
+}
+
+// run drives the scenario to its end: everything settled, or the limit reached.
+func (s *scenario) run() {
+	began := time.Now()
+	s.wg.Go(s.callers)
+	s.wg.Go(s.watchVersions)
+	for i, w := range workloads() {
+		s.wg.Go(func() { s.submit(i, w) })
+	}
+	sleep(s.c.ctx, 3*time.Second)
+	s.wg.Go(func() { s.cancel("standing") })
+	sleep(s.c.ctx, time.Second)
+	s.wg.Go(func() { s.rollOut("second", 2) })
+	sleep(s.c.ctx, 2*time.Second)
+	joined := s.c.startNode(joiner())
+	sleep(s.c.ctx, 6*time.Second)
+	s.c.drain(joined)
+	for time.Since(began) < outage+12*time.Second || (!s.settled() && time.Since(began) < runLimit) {
+		sleep(s.c.ctx, 500*time.Millisecond)
+	}
+	close(s.done)
+	s.wg.Wait()
+	s.checkEnd()
+}
+
+// joiner returns the name of a node that takes shards of both kinds when it joins.
+func joiner() string {
+	var nodes []lease.Node
+	for i := range cellNodes {
+		nodes = append(nodes, lease.Node{ID: fmt.Sprintf("n%d", i), DataCentre: dataCentre})
+	}
+	for i := 0; ; i++ {
+		id := fmt.Sprintf("joiner%d", i)
+		taken := make(map[shard.Kind]int)
+		for _, key := range shard.Layout(cellJobShards, []shard.DataCentre{{Name: dataCentre, WorkerShards: cellWorkerShards}}) {
+			if want, _ := shard.Preferred(key, append(nodes, lease.Node{ID: id, DataCentre: dataCentre})); want.ID == id {
+				taken[key.Kind()]++
+			}
+		}
+		if taken[shard.KindJob] > 0 && taken[shard.KindWorker] > 0 {
+			return id
+		}
+	}
+}
+
+// submit declares a workload until it is taken in.
+func (s *scenario) submit(i int, w api.Workload) {
+	for n := 0; s.running(); n++ {
+		ctx, cancel := timeout(s.c, 5*time.Second)
+		_, err := s.any(i+n).client.Create(ctx, w)
+		cancel()
+		if err == nil {
+			return
+		}
+		sleep(s.c.ctx, 300*time.Millisecond)
+	}
+}
+
+func (s *scenario) running() bool {
+	select {
+	case <-s.done:
+		return false
+	default:
+		return s.c.ctx.Err() == nil
+	}
+}
+
+// cancel ends a workload until that is taken in, and notes when.
+func (s *scenario) cancel(id string) {
+	for n := 0; s.running(); n++ {
+		ctx, cancel := timeout(s.c, 8*time.Second)
+		_, err := s.any(n).client.Cancel(ctx, id)
+		cancel()
+		if err == nil {
+			s.mu.Lock()
+			s.cancelled[id] = time.Now()
+			s.mu.Unlock()
+			return
+		}
+		sleep(s.c.ctx, 300*time.Millisecond)
+	}
+}
+
+func (s *scenario) cancelWave() {
+	for _, id := range []string{"again", "whole"} {
+		s.cancel(id)
+	}
+}
+
+// rollOut puts a bundle in force by way of any node.
+func (s *scenario) rollOut(change string, mark int) {
+	ctx, cancel := timeout(s.c, runLimit)
+	defer cancel()
+	for n := 0; s.running() && ctx.Err() == nil; n++ {
+		try, stop := timeout(s.c, 10*time.Second)
+		version, at, err := s.c.accept(try, s.any(n).client, change, mark)
+		stop()
+		if err == nil {
+			s.mu.Lock()
+			s.accepted[version] = at
+			s.mu.Unlock()
+			return
+		}
+		if p, ok := client.ProblemOf(err); ok && p.Reason == "bundle_conflict" {
+			return
+		}
+	}
+}
+
+func (s *scenario) rivalOperator() { s.rollOut("rival", 3) }
+
+// submitImpossible declares what no worker has room for; it must be refused.
+func (s *scenario) submitImpossible() {
+	w := workloads()[2]
+	w.ID, w.Size.CPUMilli = "impossible", 1_000_000
+	ctx, cancel := timeout(s.c, 5*time.Second)
+	defer cancel()
+	if _, err := s.any(0).client.Create(ctx, w); err == nil {
+		s.mu.Lock()
+		s.admitted = true
+		s.mu.Unlock()
+	}
+}
+
+// callers send requests all the time, to one node after the other.
+func (s *scenario) callers() {
+	var wg sync.WaitGroup
+	for i := 0; s.running(); i++ {
+		sleep(s.c.ctx, callEvery)
+		cl := call{body: fmt.Sprintf("sleep 20ms #%d", i)}
+		if i%keyEvery == 0 {
+			cl.key = fmt.Sprintf("key-%d", i)
+		}
+		created := time.Now()
+		wg.Go(func() { s.call(cl, i, created) })
+		if cl.key != "" {
+			wg.Go(func() {
+				sleep(s.c.ctx, 50*time.Millisecond)
+				s.call(cl, i+1, created)
+			})
+		}
+	}
+	wg.Wait()
+}
+
+func (s *scenario) call(cl call, i int, created time.Time) {
+	cl.node, cl.sent = s.any(i), time.Now()
+	ctx, cancel := timeout(s.c, callTimeout+time.Second)
+	defer cancel()
+	ans, err := cl.node.client.Request(ctx, client.Request{
+		Service: "svc", Body: []byte(cl.body), Timeout: callTimeout, Key: cl.key, KeyCreated: created,
+	})
+	cl.at = time.Now()
+	cl.outcome = string(api.OutcomeDone)
+	if err != nil {
+		cl.outcome = "cut"
+		if p, ok := client.ProblemOf(err); ok && p.Outcome != "" {
+			cl.outcome = p.Outcome
+		}
+	} else {
+		var a standinworker.Answer
+		cl.wrong = json.Unmarshal(ans.Body, &a) != nil || a.Echo != cl.body
+	}
+	s.mu.Lock()
+	s.calls = append(s.calls, cl)
+	s.mu.Unlock()
+}
+
+// watchVersions samples which bundle each node applies.
+func (s *scenario) watchVersions() {
+	for s.running() {
+		for _, n := range s.c.live() {
+			ctx, cancel := timeout(s.c, time.Second)
+			st, err := n.client.Status(ctx)
+			cancel()
+			if err == nil {
+				s.mu.Lock()
+				s.versions = append(s.versions, sample{n, st.Ready, st.Bundle.Version, time.Now()})
+				s.mu.Unlock()
+			}
+		}
+		sleep(s.c.ctx, 500*time.Millisecond)
+	}
+}
+
+// settled reports whether all workloads have come to where they must.
+func (s *scenario) settled() bool { return len(s.unsettled()) == 0 }
+
+func (s *scenario) unsettled() []string {
+	var open []string
+	cl := s.any(0).client
+	for _, w := range workloads() {
+		ctx, cancel := timeout(s.c, 2*time.Second)
+		st, err := cl.Get(ctx, w.ID, 0, false)
+		cancel()
+		if err != nil {
+			open = append(open, fmt.Sprintf("%s: %v", w.ID, err))
+			continue
+		}
+		ok := st.State.Final()
+		if w.Kind == api.KindService {
+			ok = st.Counts.Running == w.Tasks
+		}
+		if !ok {
+			open = append(open, fmt.Sprintf("%s: %s %+v %s", w.ID, st.State, st.Counts, st.Waits))
+		}
+	}
+	return append(open, s.silent()...)
+}
+
+// silent returns the nodes that do not get a request answered.
+func (s *scenario) silent() []string {
+	var open []string
+	for _, n := range s.c.live() {
+		ctx, cancel := timeout(s.c, 3*time.Second)
+		_, err := n.client.Request(ctx, client.Request{Service: "svc", Body: []byte("last"), Timeout: callTimeout})
+		cancel()
+		if err != nil {
+			open = append(open, n.name+": "+err.Error())
+		}
+	}
+	return open
+}
+
+// checkEnd notes what is stuck, and what became of a job that can never run.
+func (s *scenario) checkEnd() {
+	s.stuck = s.unsettled()
+	if !s.admitted {
+		return
+	}
+	ctx, cancel := timeout(s.c, 3*time.Second)
+	defer cancel()
+	st, err := s.any(0).client.Get(ctx, "impossible", 0, false)
+	if err != nil || st.State != api.JobFailed {
+		s.stuck = append(s.stuck, fmt.Sprintf("a job that can never run: %s, %v", st.State, err))
+	}
+}
--- /dev/null
+++ b/matrix/steps_test.go
@@ -0,0 +1,129 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package matrix_test
+
+import (
+	"sync"
+	"time"
+)
+
+// The steps of a request, of a task, of an ownership change and of a roll-out.
+const (
+	stepNone        = ""
+	stepForward     = "request: hand over"
+	stepDispatch    = "request: dispatch"
+	stepKeyBeginMsg = "key: ask home"
+	stepKeyBegin    = "key: intent kept"
+	stepKeyFinish   = "key: outcome kept"
+	stepAdmit       = "task: admit"
+	stepReserve     = "task: reserve"
+	stepPlace       = "task: place kept"
+	stepConfirm     = "task: confirm"
+	stepStart       = "task: start"
+	stepStarted     = "task: started kept"
+	stepRenew       = "task: renew"
+	stepEvents      = "task: tell end"
+	stepEnded       = "task: end kept"
+	stepAck         = "task: acknowledge"
+	stepCancel      = "task: cancel kept"
+	stepStop        = "task: stop"
+	stepLease       = "owner: renew lease"
+	stepTake        = "owner: take shard"
+	stepOpen        = "owner: read journal"
+	stepInventory   = "owner: ask worker"
+	stepSnapshot    = "owner: snapshot"
+	stepHandOver    = "owner: hand over"
+	stepPropose     = "bundle: propose"
+	stepStage       = "bundle: stage"
+	stepAccept      = "bundle: accept"
+	stepApply       = "bundle: apply"
+)
+
+var allSteps = []string{
+	stepForward, stepDispatch, stepKeyBeginMsg, stepKeyBegin, stepKeyFinish,
+	stepAdmit, stepReserve, stepPlace, stepConfirm, stepStart, stepStarted, stepRenew, stepEvents, stepEnded, stepAck, stepCancel, stepStop,
+	stepLease, stepTake, stepOpen, stepInventory, stepSnapshot, stepHandOver,
+	stepPropose, stepStage, stepAccept, stepApply,
+}
+
+// phase is before a step takes effect, or after it and before its reply.
+type phase int
+
+const (
+	before phase = iota
+	after
+)
+
+// handling is what happens to the message that triggers a fault.
+type handling struct {
+	// delay holds the message back; late sends a copy of it that much later.
+	delay, late time.Duration
+	twice       bool
+	loseReply   bool
+}
+
+// trigger waits for the n-th time that a step is reached.
+type trigger struct {
+	step  string
+	phase phase
+	skip  int
+	// fire is called once, with the node and the worker or peer of the message.
+	fire func(node, to string) handling
+}
+
+// stepper counts the steps and fires the armed triggers.
+type stepper struct {
+	mu    sync.Mutex
+	armed []*trigger
+	seen  map[string]int
+	fired []string
+}
+
+func newStepper() *stepper { return &stepper{seen: make(map[string]int)} }
+
+func (s *stepper) arm(t trigger) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.armed = append(s.armed, &t)
+}
+
+func (s *stepper) disarm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.armed = nil
+}
+
+// hit tells that a step is reached; it returns how to handle its message.
+func (s *stepper) hit(step string, ph phase, node, to string) handling {
+	if step == stepNone {
+		return handling{}
+	}
+	s.mu.Lock()
+	s.seen[step]++
+	var due *trigger
+	for i, t := range s.armed {
+		if t.step != step || t.phase != ph {
+			continue
+		}
+		if t.skip > 0 {
+			t.skip--
+			continue
+		}
+		due = t
+		s.armed = append(s.armed[:i:i], s.armed[i+1:]...)
+		s.fired = append(s.fired, step)
+		break
+	}
+	s.mu.Unlock()
+	if due == nil {
+		return handling{}
+	}
+	return due.fire(node, to)
+}
+
+// pending returns how many triggers have not fired.
+func (s *stepper) pending() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.armed)
+}
--- a/standin/worker/evidence.go
+++ b/standin/worker/evidence.go
@@ -15,12 +15,15 @@
 
 // The sights that are recorded.
 const (
-	SawStart      Saw = "start"
-	SawDone       Saw = "done"
-	SawFailed     Saw = "failed"
-	SawStopped    Saw = "stopped"
-	SawLapsed     Saw = "lapsed"
+	SawStart   Saw = "start"
+	SawDone    Saw = "done"
+	SawFailed  Saw = "failed"
+	SawStopped Saw = "stopped"
+	SawLapsed  Saw = "lapsed"
+	// SawOverload is a start beyond the worker's capacity, and SawSlots a request
+	// beyond the instance's slots; both were refused.
 	SawOverload   Saw = "overload"
+	SawSlots      Saw = "slots"
 	SawCheckpoint Saw = "checkpoint"
 	SawRequest    Saw = "request"
 )
@@ -30,8 +33,9 @@
 	Worker  string         `json:"worker"`
 	Saw     Saw            `json:"saw"`
 	Attempt worker.Attempt `json:"attempt"`
-	// Request is the id of the request, for SawRequest.
+	// Request is the id of the request, and Body its body, for SawRequest.
 	Request string    `json:"request,omitempty"`
+	Body    string    `json:"body,omitempty"`
 	At      time.Time `json:"at"`
 }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -82,6 +82,13 @@
 	w.leaving = leaving
 }
 
+// SetFailAll makes every task that starts from now on fail.
+func (w *Worker) SetFailAll(fail bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cfg.FailAll = fail
+}
+
 // Close stops every task, as a worker that dies does.
 func (w *Worker) Close() {
 	w.mu.Lock()
