--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GO  := go
 LDFLAGS := -s -w
 
-.PHONY: all build run test race e2e lint bench fuzz tools verify clean
+.PHONY: all build run test race e2e matrix lint bench fuzz tools verify clean
 
 all: build
 
@@ -27,6 +27,13 @@
 e2e: build
 	SWITCHBANK_BIN=$(CURDIR)/$(BIN) $(GO) test -count=1 -tags e2e ./e2e/...
 
+# matrix runs every fault at every step and prints the grid; test runs a sample.
+matrix:
+	mkdir -p $(BIN)
+	rm -f $(BIN)/matrix.txt
+	MATRIX=full MATRIX_OUT=$(CURDIR)/$(BIN)/matrix.txt $(GO) test -count=1 -timeout 20m ./matrix; \
+	status=$$?; cat $(BIN)/matrix.txt; exit $$status
+
 tools: $(BIN)/golangci-lint
 
 $(BIN)/golangci-lint: tools/go.mod tools/go.sum
--- a/internal/jobs/schedule.go
+++ b/internal/jobs/schedule.go
@@ -246,14 +246,16 @@
 	if !r.whole || !w.untried {
 		return false
 	}
+	known := false
 	for _, p := range r.pools {
 		for _, shape := range p.Shapes {
 			if shape.Fits(w.spec.Size) {
 				return false
 			}
+			known = true
 		}
 	}
-	return true
+	return known
 }
 
 // overLimit tells whether the job's next tasks would take its team over its limit.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -67,6 +67,9 @@
 	Margin time.Duration
 	// Every is the time between renewals.
 	Every time.Duration
+	// NoCheck takes the lease for held whatever the clock says, to show that
+	// tests see it.
+	NoCheck bool
 }
 
 // Kind tells apart the errors of this package.
@@ -289,14 +292,18 @@
 func (l *Lease) Held() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Now().Before(l.until)
+	return l.heldLocked()
+}
+
+func (l *Lease) heldLocked() bool {
+	return time.Now().Before(l.until) || (l.opts.NoCheck && l.version != 0)
 }
 
 // Generation returns the lease's generation, and whether the lease is held.
 func (l *Lease) Generation() (int64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.generation, time.Now().Before(l.until)
+	return l.generation, l.heldLocked()
 }
 
 // LapsedFor returns how long ago the lease lapsed; 0 while it is held.
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -80,7 +80,7 @@
 	present := f.head
 	staged, have := f.staged, f.stagedHave
 	f.mu.Unlock()
-	if head.Version <= present.Version && !f.n.deps.Guards.AnyVersion {
+	if head.Version <= present.Version {
 		return nil
 	}
 	if head.Digest == "" || head.Digest == present.Digest && head.Version == present.Version {
@@ -101,7 +101,7 @@
 func (f *follower) apply(head bundle.Head, b *bundle.Bundle) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if head.Version <= f.head.Version && !f.n.deps.Guards.AnyVersion {
+	if head.Version <= f.head.Version {
 		return
 	}
 	f.head, f.bundle = head, b
@@ -181,5 +181,5 @@
 func (f *follower) isFresh() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.ready && time.Since(f.fresh) < staleAfter
+	return f.ready && (time.Since(f.fresh) < staleAfter || f.n.deps.Guards.ServeStale)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,8 @@
 type Guards struct {
 	// NoEpochs lets a shard's new owner keep the old epoch.
 	NoEpochs bool
+	// NoLeaseCheck takes the lease for held whatever the clock says.
+	NoLeaseCheck bool
 	// Unconditional writes the journal without its conditions.
 	Unconditional bool
 	// StartUnkept starts tasks before their place is journalled.
@@ -64,8 +66,14 @@
 	NoIntent bool
 	// Overcommit leaves the slots of instances uncounted.
 	Overcommit bool
-	// AnyVersion applies whatever bundle version was read last.
-	AnyVersion bool
+	// AnyAnswer passes on answers without comparing their request id.
+	AnyAnswer bool
+	// GuessNotRun says of a call that broke off that it did not run.
+	GuessNotRun bool
+	// IgnoreLeaving goes on using workers that leave.
+	IgnoreLeaving bool
+	// ServeStale serves without having heard of the bundle in force lately.
+	ServeStale bool
 	// NoDrain drops what is in flight at a planned stop.
 	NoDrain bool
 }
@@ -167,7 +175,9 @@
 		ID: cfg.Node, DataCentre: cfg.DataCentre,
 		PeerAddress:     cfg.PeerAddress(n.deps.Peers.Addr().String()),
 		OperatorAddress: cfg.OperatorAddress(n.deps.Operators.Addr().String()),
-	}, lease.Options{TTL: cfg.Lease.TTL, Margin: cfg.Lease.Margin, Every: cfg.Lease.Every}, n.log)
+	}, lease.Options{
+		TTL: cfg.Lease.TTL, Margin: cfg.Lease.Margin, Every: cfg.Lease.Every, NoCheck: n.deps.Guards.NoLeaseCheck,
+	}, n.log)
 	n.journal = journal.New(p, p, journal.Options{
 		Spacing: cfg.Journal.Spacing, DownAfter: cfg.Journal.DownAfter, Unconditional: n.deps.Guards.Unconditional,
 	}, n.log)
@@ -189,6 +199,7 @@
 	}, pool.Options{
 		Lease: cfg.Tasks.Lease, Margin: cfg.Tasks.Margin, Grace: cfg.Tasks.Grace,
 		Reservation: cfg.Tasks.Reservation, Every: cfg.Tasks.Hosts, SetAside: cfg.Tasks.SetAside,
+		IgnoreLeaving: n.deps.Guards.IgnoreLeaving,
 	}, n.log)
 	n.jobs = jobs.NewSet(jobs.Deps{Journal: n.journal, Pools: poolRouter{n}, Room: n.load, Bundle: n.bundle}, jobs.Options{
 		Every: cfg.Tasks.Every, AskEvery: cfg.Tasks.Ask, Retention: cfg.Tasks.Retention,
@@ -215,10 +226,12 @@
 	cfg := n.cfg.Requests
 	n.entry = requests.NewEntry(requests.Deps{
 		Balancer: n.balancer,
-		Upstream: requests.NewUpstream(n.newClient(upstreamConns), cfg.Linger),
-		Peers:    n.load,
-		Keys:     keyRouter{n},
-		Bundle:   n.bundle,
+		Upstream: requests.NewUpstream(n.newClient(upstreamConns), requests.UpstreamOptions{
+			Linger: cfg.Linger, AnyAnswer: n.deps.Guards.AnyAnswer, GuessNotRun: n.deps.Guards.GuessNotRun,
+		}),
+		Peers:  n.load,
+		Keys:   keyRouter{n},
+		Bundle: n.bundle,
 	}, requests.Options{KeyWindow: cfg.KeyWindow, KeyMargin: cfg.KeyMargin, NoIntent: n.deps.Guards.NoIntent}, n.log)
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -117,6 +117,8 @@
 	Every time.Duration
 	// SetAside is how long a worker is set aside that fails unlike jobs, at first.
 	SetAside time.Duration
+	// IgnoreLeaving goes on using workers that leave, to show that tests see it.
+	IgnoreLeaving bool
 }
 
 // renewEvery returns the time between two renewals.
--- a/internal/pool/set.go
+++ b/internal/pool/set.go
@@ -262,7 +262,7 @@
 func (p *Pool) hostChangedLocked(w *workerState, h platform.Host) {
 	changed := w.host != h || w.gone
 	w.host, w.gone = h, h.State == platform.HostGone
-	if h.State == platform.HostLeaving {
+	if h.State == platform.HostLeaving && !p.opts.IgnoreLeaving {
 		w.leaving = true
 	}
 	if changed {
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -267,9 +267,10 @@
 	if w.incarnation != "" && w.incarnation != rep.Incarnation {
 		p.forgotLocked(w)
 	}
-	open := !w.silent && w.leaving == (rep.Leaving || w.host.State == platform.HostLeaving)
+	leaving := (rep.Leaving || w.host.State == platform.HostLeaving) && !p.opts.IgnoreLeaving
+	changed := w.silent || w.leaving != leaving
 	w.incarnation, w.ticket, w.answered, w.silent = rep.Incarnation, rep.Ticket, time.Now(), false
-	w.leaving = rep.Leaving || w.host.State == platform.HostLeaving
+	w.leaving = leaving
 	for _, s := range rep.Started {
 		p.startAnsweredLocked(w, s)
 	}
@@ -280,7 +281,7 @@
 		p.inventoryLocked(w, rep)
 	}
 	p.stoppedLocked(w, c.Stop)
-	if !open {
+	if changed {
 		p.setOpenLocked(w)
 	}
 	if w.ticket != c.Ticket && c.Ticket == 0 {
--- a/internal/requests/dispatch.go
+++ b/internal/requests/dispatch.go
@@ -21,17 +21,25 @@
 	"switchbank.example/switchbank/internal/peer"
 )
 
+// UpstreamOptions are the settings of an Upstream.
+type UpstreamOptions struct {
+	// Linger is how long a slot is held for an instance that still works on a
+	// request which was given up.
+	Linger time.Duration
+	// AnyAnswer and GuessNotRun switch safeguards off, to show that tests see it.
+	AnyAnswer   bool
+	GuessNotRun bool
+}
+
 // Upstream sends requests to instances.
 type Upstream struct {
 	http *http.Client
-	// linger is how long a slot is held for an instance that still works on a
-	// request which was given up.
-	linger time.Duration
+	opts UpstreamOptions
 }
 
 // NewUpstream returns an Upstream.
-func NewUpstream(c *http.Client, linger time.Duration) *Upstream {
-	return &Upstream{http: c, linger: linger}
+func NewUpstream(c *http.Client, opts UpstreamOptions) *Upstream {
+	return &Upstream{http: c, opts: opts}
 }
 
 // Send sends r to the slot's instance and gives the slot back when the instance
@@ -56,7 +64,7 @@
 		return res
 	case <-ctx.Done():
 	}
-	time.AfterFunc(u.linger, stop)
+	time.AfterFunc(u.opts.Linger, stop)
 	return unknown(KindDeadline, "the time was over while the upstream worked on the request")
 }
 
@@ -76,7 +84,7 @@
 	resp, err := u.http.Do(req)
 	if err != nil {
 		slot.Suspect()
-		if !sent.Load() {
+		if !sent.Load() || u.opts.GuessNotRun {
 			return notRun(KindUnreached, err.Error())
 		}
 		return unknown(KindUpstream, err.Error())
@@ -102,7 +110,7 @@
 	if int64(len(body)) > maxBody {
 		return unknown(KindTooLarge, fmt.Sprintf("the answer is larger than %d bytes", maxBody))
 	}
-	if id := resp.Header.Get(api.HeaderRequestID); id != "" && id != r.ID {
+	if id := resp.Header.Get(api.HeaderRequestID); id != "" && id != r.ID && !u.opts.AnyAnswer {
 		slot.Suspect()
 		return unknown(KindMismatch, "the upstream answered request "+id)
 	}
--- a/matrix/cell_test.go
+++ b/matrix/cell_test.go
@@ -49,13 +49,15 @@
 
 // cell is a platform, nodes and workers on an in-memory network.
 type cell struct {
-	t       *testing.T
-	ctx     context.Context
-	net     *network
-	plat    *standin.Platform
-	guards  node.Guards
-	ignore  standinworker.Config
-	steps   *stepper
+	t      *testing.T
+	ctx    context.Context
+	net    *network
+	plat   *standin.Platform
+	guards node.Guards
+	ignore standinworker.Config
+	steps  *stepper
+	// wire sends what was already under way when its sender died or was cut off.
+	wire    *http.Transport
 	mu      sync.Mutex
 	nodes   map[string]*cellNode
 	workers map[string]*cellWorker
@@ -87,8 +89,9 @@
 		t: t, ctx: t.Context(), net: newNetwork(), plat: standin.New(), guards: guards, ignore: ignore,
 		steps: newStepper(), nodes: make(map[string]*cellNode), workers: make(map[string]*cellWorker),
 	}
+	c.wire = &http.Transport{DialContext: c.net.dial("wire")}
 	for i := range cellWorkers {
-		c.startWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("rack%d", i/2))
+		c.startWorker(fmt.Sprintf("w%d", i), rackIn(i%cellWorkerShards))
 	}
 	for i := range cellNodes {
 		c.startNode(fmt.Sprintf("n%d", i))
@@ -96,13 +99,24 @@
 	return c
 }
 
+// rackIn returns the name of a rack whose workers are in the i-th worker shard.
+func rackIn(i int) string {
+	dc := shard.DataCentre{Name: dataCentre, WorkerShards: cellWorkerShards}
+	want := shard.Layout(0, []shard.DataCentre{dc})[i]
+	for n := 0; ; n++ {
+		if rack := fmt.Sprintf("rack%d", n); shard.WorkerKey(dc, rack) == want {
+			return rack
+		}
+	}
+}
+
 func (c *cell) config(name string) config.Config {
 	cfg := config.Default()
 	cfg.Node, cfg.DataCentre = name, dataCentre
 	cfg.DataCentres = []shard.DataCentre{{Name: dataCentre, WorkerShards: cellWorkerShards}}
 	cfg.JobShards = cellJobShards
-	cfg.Lease = config.Lease{TTL: 3 * time.Second, Margin: 500 * time.Millisecond, Every: 500 * time.Millisecond}
-	cfg.Tasks.Lease, cfg.Tasks.Grace, cfg.Tasks.Reservation = 10*time.Second, 20*time.Second, 4*time.Second
+	cfg.Lease = config.Lease{TTL: 2500 * time.Millisecond, Margin: 500 * time.Millisecond, Every: 500 * time.Millisecond}
+	cfg.Tasks.Lease, cfg.Tasks.Grace, cfg.Tasks.Reservation = 6*time.Second, 20*time.Second, 4*time.Second
 	cfg.Tasks.SetAside = 2 * time.Second
 	cfg.Requests.DrainDelay, cfg.Requests.DrainTimeout = time.Second, 8*time.Second
 	cfg.Requests.KeyMargin = time.Second
@@ -243,6 +257,8 @@
 	for _, w := range c.workers {
 		w.stop()
 	}
+	c.wire.CloseIdleConnections()
+	c.net.reset("wire")
 	c.net.reset("caller")
 }
 
@@ -308,7 +324,7 @@
 }
 
 // platformCall makes one call with its steps before and after.
-func platformCall[T any](p *nodePlatform, ctx context.Context, step string, fn func(context.Context) (T, error)) (T, error) {
+func platformCall[T any](ctx context.Context, p *nodePlatform, step string, fn func(context.Context) (T, error)) (T, error) {
 	var zero T
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
@@ -328,7 +344,7 @@
 }
 
 func (p *nodePlatform) Commit(ctx context.Context, t platform.Txn) (platform.TxnResult, error) {
-	return platformCall(p, ctx, stepOfTxn(t), func(ctx context.Context) (platform.TxnResult, error) { return p.c.plat.Commit(ctx, t) })
+	return platformCall(ctx, p, stepOfTxn(t), func(ctx context.Context) (platform.TxnResult, error) { return p.c.plat.Commit(ctx, t) })
 }
 
 func (p *nodePlatform) Get(ctx context.Context, table, key string) (platform.Row, error) {
@@ -336,7 +352,7 @@
 	if table == bundle.TableBundles && key == "head" {
 		step = stepApply
 	}
-	return platformCall(p, ctx, step, func(ctx context.Context) (platform.Row, error) { return p.c.plat.Get(ctx, table, key) })
+	return platformCall(ctx, p, step, func(ctx context.Context) (platform.Row, error) { return p.c.plat.Get(ctx, table, key) })
 }
 
 func (p *nodePlatform) List(ctx context.Context, table, prefix string) ([]platform.Row, error) {
@@ -344,11 +360,11 @@
 	if table == journal.TableJournal {
 		step = stepOpen
 	}
-	return platformCall(p, ctx, step, func(ctx context.Context) ([]platform.Row, error) { return p.c.plat.List(ctx, table, prefix) })
+	return platformCall(ctx, p, step, func(ctx context.Context) ([]platform.Row, error) { return p.c.plat.List(ctx, table, prefix) })
 }
 
 func (p *nodePlatform) Hosts(ctx context.Context, dc string) ([]platform.Host, error) {
-	return platformCall(p, ctx, stepNone, func(ctx context.Context) ([]platform.Host, error) { return p.c.plat.Hosts(ctx, dc) })
+	return platformCall(ctx, p, stepNone, func(ctx context.Context) ([]platform.Host, error) { return p.c.plat.Hosts(ctx, dc) })
 }
 
 func (p *nodePlatform) PutObject(ctx context.Context, key string, data []byte) error {
@@ -356,7 +372,7 @@
 	if strings.HasPrefix(key, "snapshot") {
 		step = stepSnapshot
 	}
-	_, err := platformCall(p, ctx, step, func(ctx context.Context) (bool, error) { return true, p.c.plat.PutObject(ctx, key, data) })
+	_, err := platformCall(ctx, p, step, func(ctx context.Context) (bool, error) { return true, p.c.plat.PutObject(ctx, key, data) })
 	return err
 }
 
@@ -365,11 +381,11 @@
 	if strings.HasPrefix(key, "bundle") {
 		step = stepStage
 	}
-	return platformCall(p, ctx, step, func(ctx context.Context) ([]byte, error) { return p.c.plat.GetObject(ctx, key) })
+	return platformCall(ctx, p, step, func(ctx context.Context) ([]byte, error) { return p.c.plat.GetObject(ctx, key) })
 }
 
 func (p *nodePlatform) DeleteObject(ctx context.Context, key string) error {
-	_, err := platformCall(p, ctx, stepNone, func(ctx context.Context) (bool, error) { return true, p.c.plat.DeleteObject(ctx, key) })
+	_, err := platformCall(ctx, p, stepNone, func(ctx context.Context) (bool, error) { return true, p.c.plat.DeleteObject(ctx, key) })
 	return err
 }
 
@@ -400,8 +416,8 @@
 
 func stepOfRecords(value string) string {
 	for _, s := range []struct{ mark, step string }{
-		{`{"intent"`, stepKeyBegin}, {`{"finish"`, stepKeyFinish}, {`{"admit"`, stepAdmit}, {`{"cancel"`, stepCancel},
-		{`{"place"`, stepPlace}, {`"kind":"ended"`, stepEnded}, {`"kind":"started"`, stepStarted},
+		{`{"intent"`, stepKeyBegin}, {`{"finish"`, stepKeyFinish}, {`{"place"`, stepPlace}, {`{"admit"`, stepAdmit},
+		{`{"cancel"`, stepCancel}, {`"kind":"ended"`, stepEnded}, {`"kind":"started"`, stepStarted},
 	} {
 		if strings.Contains(value, s.mark) {
 			return s.step
@@ -453,7 +469,7 @@
 	go func() {
 		defer cancel()
 		sleep(ctx, after)
-		if resp, err := tp.next.RoundTrip(dup); err == nil {
+		if resp, err := tp.c.wire.RoundTrip(dup); err == nil {
 			_, _ = io.Copy(io.Discard, resp.Body)
 			_ = resp.Body.Close()
 		}
--- a/matrix/faults_test.go
+++ b/matrix/faults_test.go
@@ -13,8 +13,13 @@
 
 const (
 	// outage is how long a fault lasts; it is beyond the leases of nodes and tasks.
-	outage  = 15 * time.Second
+	outage  = 18 * time.Second
 	listLag = 5 * time.Second
+	// takeover is within the lease of a task, and after a dead node's shards have
+	// a new owner.
+	takeover = 5500 * time.Millisecond
+	// rushing is when the requests of a rush are being worked on.
+	rushing = 50 * time.Millisecond
 )
 
 // fault is a row of the matrix. Its inject is called where the step is reached,
@@ -48,129 +53,168 @@
 	return "w0"
 }
 
-var faults = []fault{
-	{name: "node killed", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, _ string) handling {
-		c.kill(node)
-		heal(c, func() { c.startNode(node + "b") })
-		return handling{}
-	}},
-	{name: "node paused past its lease", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, _ string) handling {
-		c.net.pause(node)
-		heal(c, func() { c.net.resume(node) })
-		return handling{}
-	}},
-	{name: "worker dead", cutsAnswers: true, inject: func(c *cell, _ *scenario, _, to string) handling {
-		c.killWorker(c.workerOf(to), listLag)
-		return handling{}
-	}},
-	{name: "worker cut from its owner only", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, to string) handling {
-		w := c.workerOf(to)
-		c.net.setCut(node, w, true)
-		heal(c, func() { c.net.setCut(node, w, false) })
-		return handling{}
-	}},
-	{name: "node cut from the store only", inject: func(c *cell, _ *scenario, node, _ string) handling {
-		c.net.setCut(node, platformHost, true)
-		heal(c, func() { c.net.setCut(node, platformHost, false) })
-		return handling{}
-	}},
-	{name: "node cut from its peers only", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, _ string) handling {
-		for _, n := range c.live() {
-			if n.name != node {
-				c.net.setCut(node, n.name, true)
-				heal(c, func() { c.net.setCut(node, n.name, false) })
-			}
-		}
-		return handling{}
-	}},
-	{name: "store down", inject: func(c *cell, _ *scenario, _, _ string) handling {
-		c.plat.SetFaults(standin.Faults{Down: true})
-		heal(c, func() { c.plat.SetFaults(standin.Faults{}) })
-		return handling{}
-	}},
-	{name: "store slow", inject: func(c *cell, _ *scenario, _, _ string) handling {
-		c.plat.SetFaults(standin.Faults{DelayMS: 700})
-		heal(c, func() { c.plat.SetFaults(standin.Faults{}) })
-		return handling{}
-	}},
-	{name: "store reply lost", inject: func(c *cell, _ *scenario, _, _ string) handling {
-		c.plat.SetFaults(standin.Faults{LoseReplies: 3})
-		return handling{}
-	}},
-	{name: "message delayed", needsMessage: true, inject: func(_ *cell, _ *scenario, _, _ string) handling {
-		return handling{delay: 2 * time.Second}
-	}},
-	{name: "message delayed past the lease", needsMessage: true, cutsAnswers: true, inject: func(_ *cell, _ *scenario, _, _ string) handling {
-		return handling{delay: outage}
-	}},
-	{name: "message doubled, the second late", needsMessage: true, doubles: true, inject: func(_ *cell, _ *scenario, _, _ string) handling {
-		return handling{late: outage}
-	}},
-	{name: "message doubled at once", needsMessage: true, doubles: true, inject: func(_ *cell, _ *scenario, _, _ string) handling {
-		return handling{twice: true}
-	}},
-	{name: "reply of message lost", needsMessage: true, cutsAnswers: true, inject: func(_ *cell, _ *scenario, _, _ string) handling {
-		return handling{loseReply: true}
-	}},
-	{name: "worker fails all", inject: func(c *cell, s *scenario, _, to string) handling {
-		w := c.workerOf(to)
-		c.mu.Lock()
-		c.workers[w].w.SetFailAll(true)
-		c.mu.Unlock()
-		heal(c, func() { c.workers[w].w.SetFailAll(false) })
-		s.mayFail()
-		return handling{}
-	}},
-	{name: "job that can never run", inject: func(_ *cell, s *scenario, _, _ string) handling {
-		go s.submitImpossible()
-		return handling{}
-	}},
-	{name: "cancel wave", inject: func(_ *cell, s *scenario, _, _ string) handling {
-		go s.cancelWave()
-		return handling{}
-	}},
-	{name: "two operators at once", inject: func(_ *cell, s *scenario, _, _ string) handling {
-		go s.rivalOperator()
-		return handling{}
-	}},
-	{name: "planned stop", inject: func(c *cell, _ *scenario, node, _ string) handling {
-		c.mu.Lock()
-		n := c.nodes[node]
-		c.mu.Unlock()
-		go func() {
-			if len(c.live()) > 2 && n.drained.IsZero() {
-				c.drain(n)
+var faults []fault
+
+func init() { faults = allFaults() }
+
+func allFaults() []fault {
+	return []fault{
+		{name: "node killed", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, _ string) handling {
+			c.kill(node)
+			heal(c, func() { c.startNode(node + "b") })
+			return handling{}
+		}},
+		{name: "node paused past its lease", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, _ string) handling {
+			c.net.pause(node)
+			heal(c, func() { c.net.resume(node) })
+			return handling{}
+		}},
+		{name: "worker dead", cutsAnswers: true, inject: func(c *cell, _ *scenario, _, to string) handling {
+			c.killWorker(c.workerOf(to), listLag)
+			return handling{}
+		}},
+		{name: "worker cut from its owner only", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, to string) handling {
+			w := c.workerOf(to)
+			c.net.setCut(node, w, true)
+			heal(c, func() { c.net.setCut(node, w, false) })
+			return handling{}
+		}},
+		{name: "node cut from the store only", inject: func(c *cell, _ *scenario, node, _ string) handling {
+			c.net.setCut(node, platformHost, true)
+			heal(c, func() { c.net.setCut(node, platformHost, false) })
+			return handling{}
+		}},
+		{name: "node cut from its peers only", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, _ string) handling {
+			for _, n := range c.live() {
+				if n.name != node {
+					c.net.setCut(node, n.name, true)
+					heal(c, func() { c.net.setCut(node, n.name, false) })
+				}
 			}
-		}()
-		return handling{}
-	}},
-	{name: "worker leaving", inject: func(c *cell, s *scenario, _, to string) handling {
-		w := c.workerOf(to)
-		go func() {
+			return handling{}
+		}},
+		{name: "store down", inject: func(c *cell, _ *scenario, _, _ string) handling {
+			c.plat.SetFaults(standin.Faults{Down: true})
+			heal(c, func() { c.plat.SetFaults(standin.Faults{}) })
+			return handling{}
+		}},
+		{name: "store slow", inject: func(c *cell, _ *scenario, _, _ string) handling {
+			c.plat.SetFaults(standin.Faults{DelayMS: 700})
+			heal(c, func() { c.plat.SetFaults(standin.Faults{}) })
+			return handling{}
+		}},
+		{name: "store reply lost", inject: func(c *cell, _ *scenario, _, _ string) handling {
+			c.plat.SetFaults(standin.Faults{LoseReplies: 3})
+			return handling{}
+		}},
+		{name: "message delayed", needsMessage: true, inject: func(_ *cell, _ *scenario, _, _ string) handling {
+			return handling{delay: 2 * time.Second}
+		}},
+		{name: "message delayed past the lease", needsMessage: true, cutsAnswers: true, inject: func(_ *cell, _ *scenario, _, _ string) handling {
+			return handling{delay: outage}
+		}},
+		{name: "message doubled, the second late", needsMessage: true, doubles: true, inject: func(_ *cell, _ *scenario, _, _ string) handling {
+			return handling{late: outage + time.Second}
+		}},
+		{name: "message doubled at once", needsMessage: true, doubles: true, inject: func(_ *cell, _ *scenario, _, _ string) handling {
+			return handling{twice: true}
+		}},
+		{name: "reply of message lost", needsMessage: true, cutsAnswers: true, inject: func(_ *cell, _ *scenario, _, _ string) handling {
+			return handling{loseReply: true}
+		}},
+		{name: "node cut from store and peers", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, _ string) handling {
+			faultNamed("node cut from the store only").inject(c, nil, node, "")
+			return faultNamed("node cut from its peers only").inject(c, nil, node, "")
+		}},
+		{name: "answers swapped", cutsAnswers: true, inject: func(c *cell, _ *scenario, _, to string) handling {
 			c.mu.Lock()
-			h := c.workers[w].host
+			w := c.workers
 			c.mu.Unlock()
-			h.State = platform.HostLeaving
-			c.plat.SetHost(h)
-			s.leaves(w, time.Now())
-		}()
-		return handling{}
-	}},
-	{name: "host listed late", cutsAnswers: true, inject: func(c *cell, _ *scenario, _, to string) handling {
-		c.killWorker(c.workerOf(to), 2*outage)
-		heal(c, func() { c.startWorker("w9", "rack0") })
-		return handling{}
-	}},
-	{name: "all hosts replaced", cutsAnswers: true, inject: func(c *cell, _ *scenario, _, _ string) handling {
-		go func() {
-			for i, n := range c.live() {
-				c.startNode(fmt.Sprintf("r%d", i))
-				sleep(c.ctx, 4*time.Second)
-				c.kill(n.name)
+			for _, cw := range w {
+				cw.w.SetSwapAnswers(true)
+				heal(c, func() { cw.w.SetSwapAnswers(false) })
 			}
-		}()
-		return handling{}
-	}},
+			return handling{}
+		}},
+		{name: "owner killed, its message arrives after the takeover", needsMessage: true, doubles: true, cutsAnswers: true, inject: func(c *cell, _ *scenario, node, _ string) handling {
+			c.kill(node)
+			return handling{late: takeover}
+		}},
+		{name: "all workers die in a rush", cutsAnswers: true, inject: func(c *cell, s *scenario, _, _ string) handling {
+			go func() {
+				s.rush()
+				sleep(c.ctx, rushing)
+				for i := range cellWorkers {
+					c.killWorker(fmt.Sprintf("w%d", i), listLag)
+					c.startWorker(fmt.Sprintf("spare%d", i), rackIn(i%cellWorkerShards))
+				}
+			}()
+			return handling{}
+		}},
+		{name: "requests rush", inject: func(_ *cell, s *scenario, _, _ string) handling {
+			go s.rush()
+			return handling{}
+		}},
+		{name: "worker fails all", inject: func(c *cell, s *scenario, _, to string) handling {
+			w := c.workerOf(to)
+			c.mu.Lock()
+			c.workers[w].w.SetFailAll(true)
+			c.mu.Unlock()
+			heal(c, func() { c.workers[w].w.SetFailAll(false) })
+			s.mayFail()
+			return handling{}
+		}},
+		{name: "job that can never run", inject: func(_ *cell, s *scenario, _, _ string) handling {
+			go s.submitImpossible()
+			return handling{}
+		}},
+		{name: "cancel wave", inject: func(_ *cell, s *scenario, _, _ string) handling {
+			go s.cancelWave()
+			return handling{}
+		}},
+		{name: "two operators at once", inject: func(_ *cell, s *scenario, _, _ string) handling {
+			go s.rivalOperator()
+			return handling{}
+		}},
+		{name: "planned stop", inject: func(c *cell, _ *scenario, node, _ string) handling {
+			c.mu.Lock()
+			n := c.nodes[node]
+			c.mu.Unlock()
+			go func() {
+				if len(c.live()) > 2 && n.drained.IsZero() {
+					c.drain(n)
+				}
+			}()
+			return handling{}
+		}},
+		{name: "worker leaving", inject: func(c *cell, s *scenario, _, to string) handling {
+			w := c.workerOf(to)
+			go func() {
+				c.mu.Lock()
+				h := c.workers[w].host
+				c.mu.Unlock()
+				h.State = platform.HostLeaving
+				c.plat.SetHost(h)
+				s.leaves(w, time.Now())
+			}()
+			return handling{}
+		}},
+		{name: "host listed late", cutsAnswers: true, inject: func(c *cell, _ *scenario, _, to string) handling {
+			c.killWorker(c.workerOf(to), 2*outage)
+			heal(c, func() { c.startWorker("w9", rackIn(0)) })
+			return handling{}
+		}},
+		{name: "all hosts replaced", cutsAnswers: true, inject: func(c *cell, _ *scenario, _, _ string) handling {
+			go func() {
+				for i, n := range c.live() {
+					c.startNode(fmt.Sprintf("r%d", i))
+					sleep(c.ctx, 4*time.Second)
+					c.kill(n.name)
+				}
+			}()
+			return handling{}
+		}},
+	}
 }
 
 // pairs are faults that can interact; both come at the same step.
--- /dev/null
+++ b/matrix/guards_test.go
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package matrix_test
+
+import (
+	"slices"
+	"testing"
+
+	"switchbank.example/switchbank/internal/node"
+	standinworker "switchbank.example/switchbank/standin/worker"
+)
+
+// guardCase is a safeguard that is switched off, and the cells that must see it.
+type guardCase struct {
+	name string
+	// promises are those that the guard keeps; one of them must be seen broken.
+	promises []string
+	guards   node.Guards
+	ignore   standinworker.Config
+	rows     []string
+	steps    []string
+	phases   []phase
+	// skips are the occurrences of the step at which the fault is tried.
+	skips []int
+	// ownerOf names a job whose shard's owner is the only node hit.
+	ownerOf string
+}
+
+var guardCases = []guardCase{
+	{
+		name: "slot count", promises: []string{promiseRoom}, guards: node.Guards{Overcommit: true},
+		rows: []string{"requests rush"}, steps: []string{stepDispatch}, phases: []phase{before},
+	},
+	{
+		name: "ticket", promises: []string{promisePlace}, ignore: standinworker.Config{IgnoreTickets: true},
+		rows:  []string{"worker cut from its owner only", "message doubled, the second late"},
+		steps: []string{stepStart}, phases: []phase{before}, skips: []int{0, 1, 2, 3, 4, 5, 6, 7},
+	},
+	{
+		name: "epoch check", promises: []string{promisePlace}, ignore: standinworker.Config{IgnoreEpochs: true},
+		rows:  []string{"owner killed, its message arrives after the takeover"},
+		steps: []string{stepStart}, phases: []phase{before}, skips: []int{0, 1, 2, 3, 4, 5, 6, 7},
+	},
+	{
+		name: "journal before start", promises: []string{promisePlace, promiseOnce}, guards: node.Guards{StartUnkept: true},
+		rows: []string{"node cut from the store only"}, steps: []string{stepPlace}, phases: []phase{before}, ownerOf: "again",
+	},
+	{
+		name: "answer check", promises: []string{promiseAnswer}, guards: node.Guards{AnyAnswer: true},
+		rows: []string{"answers swapped"}, steps: []string{stepDispatch}, phases: []phase{before},
+	},
+	{
+		name: "unknown told as unknown", promises: []string{promiseNotRun}, guards: node.Guards{GuessNotRun: true},
+		rows: []string{"all workers die in a rush"}, steps: []string{stepDispatch}, phases: []phase{after}, skips: []int{0, 8},
+	},
+	{
+		name: "key intent", promises: []string{promiseOnce}, guards: node.Guards{NoIntent: true},
+		rows: []string{"job that can never run"}, steps: []string{stepDispatch}, phases: []phase{before},
+	},
+	{
+		name: "leaving workers", promises: []string{promiseLeaving}, guards: node.Guards{IgnoreLeaving: true},
+		rows: []string{"worker leaving"}, steps: []string{stepStart}, phases: []phase{after}, skips: []int{0, 1, 2},
+	},
+	{
+		name: "drain wait", promises: []string{promiseStop}, guards: node.Guards{NoDrain: true},
+		rows: []string{"planned stop"}, steps: []string{stepDispatch, stepForward}, phases: []phase{before}, skips: []int{0, 5, 10},
+	},
+	{
+		name: "confirmed bundle", promises: []string{promiseBundle}, guards: node.Guards{ServeStale: true},
+		rows: []string{"node cut from store and peers"}, steps: []string{stepApply}, phases: []phase{before}, skips: []int{0, 1, 2},
+	},
+}
+
+// specs returns the cells of a case, with its guard off or on.
+func (g guardCase) specs(off bool) []spec {
+	if len(g.skips) == 0 {
+		g.skips = []int{0}
+	}
+	var fs []fault
+	for _, row := range g.rows {
+		fs = append(fs, faultNamed(row))
+	}
+	var specs []spec
+	for _, step := range g.steps {
+		for _, ph := range g.phases {
+			for _, skip := range g.skips {
+				sp := spec{row: g.name, faults: fs, step: step, phase: ph, skip: skip, calm: true, ownerOf: g.ownerOf}
+				if off {
+					sp.guards, sp.ignore = g.guards, g.ignore
+				}
+				specs = append(specs, sp)
+			}
+		}
+	}
+	return specs
+}
+
+// TestMatrixCanFail switches one safeguard off for each promise: the cells that
+// rest on it must go red, and be green with it.
+func TestMatrixCanFail(t *testing.T) {
+	for _, g := range guardCases {
+		t.Run(g.name, func(t *testing.T) {
+			t.Parallel()
+			var seen []string
+			for _, sp := range g.specs(true) {
+				for _, b := range sp.run(t).breaches {
+					seen = append(seen, b.promise)
+				}
+			}
+			if !slices.ContainsFunc(seen, func(p string) bool { return slices.Contains(g.promises, p) }) {
+				t.Errorf("with the guard off, no cell breaks promise %v; broken: %v", g.promises, seen)
+			}
+			for _, sp := range g.specs(false) {
+				for _, b := range sp.run(t).breaches {
+					t.Errorf("with the guard on, at %s: promise %s: %s", sp.step, b.promise, b.how)
+				}
+			}
+		})
+	}
+}
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -35,8 +35,11 @@
 	step   string
 	phase  phase
 	skip   int
-	guards node.Guards
-	ignore standinworker.Config
+	calm   bool
+	// ownerOf names a job whose shard's owner is the only node hit; empty means any.
+	ownerOf string
+	guards  node.Guards
+	ignore  standinworker.Config
 }
 
 // run runs one cell in a bubble of virtual time.
@@ -47,12 +50,13 @@
 		ctx, stop := context.WithCancel(context.Background())
 		c.ctx = ctx
 		s := newScenario(c)
+		s.calm = sp.calm
 		if _, _, err := c.accept(ctx, c.nodes["n0"].client, "first", 1); err != nil {
 			t.Fatal(err)
 		}
 		sleep(ctx, 2*time.Second)
 		cuts := false
-		c.steps.arm(trigger{step: sp.step, phase: sp.phase, skip: sp.skip, fire: func(node, to string) handling {
+		c.steps.arm(trigger{step: sp.step, phase: sp.phase, skip: sp.skip, node: ownerOf(sp.ownerOf), fire: func(node, to string) handling {
 			var how handling
 			for _, f := range sp.faults {
 				h := f.inject(c, s, node, to)
--- a/matrix/scenario_test.go
+++ b/matrix/scenario_test.go
@@ -39,6 +39,8 @@
 type scenario struct {
 	c    *cell
 	done chan struct{}
+	// calm leaves out the node that joins and stops.
+	calm bool
 	wg   sync.WaitGroup
 
 	mu        sync.Mutex
@@ -87,6 +89,7 @@
 	service.Service, service.Slots, service.Command = "svc", 4, []string{"serve"}
 	once.ID, once.Kind, once.Tasks, once.AtMostOnce, once.MaxAttempts = "once", api.KindBatch, 4, true, 0
 	again.ID, again.Kind, again.Tasks = "again", api.KindBatch, 4
+	again.Command = []string{"sleep", "12s"}
 	whole.ID, whole.Kind, whole.Tasks = "whole", api.KindAllAtOnce, 3
 	standing.ID, standing.Kind, standing.Tasks, standing.Command = "standing", api.KindBatch, 2, []string{"sleep", "1h"}
 	return []api.Workload{service, once, again, whole, standing}
@@ -105,9 +108,11 @@
 	sleep(s.c.ctx, time.Second)
 	s.wg.Go(func() { s.rollOut("second", 2) })
 	sleep(s.c.ctx, 2*time.Second)
-	joined := s.c.startNode(joiner())
-	sleep(s.c.ctx, 6*time.Second)
-	s.c.drain(joined)
+	if !s.calm {
+		joined := s.c.startNode(joiner())
+		sleep(s.c.ctx, 6*time.Second)
+		s.c.drain(joined)
+	}
 	for time.Since(began) < outage+12*time.Second || (!s.settled() && time.Since(began) < runLimit) {
 		sleep(s.c.ctx, 500*time.Millisecond)
 	}
@@ -116,12 +121,27 @@
 	s.checkEnd()
 }
 
-// joiner returns the name of a node that takes shards of both kinds when it joins.
-func joiner() string {
+// firstNodes are the nodes that a cell starts with.
+func firstNodes() []lease.Node {
 	var nodes []lease.Node
 	for i := range cellNodes {
 		nodes = append(nodes, lease.Node{ID: fmt.Sprintf("n%d", i), DataCentre: dataCentre})
 	}
+	return nodes
+}
+
+// ownerOf returns the node that owns a job's shard once the cell has settled.
+func ownerOf(job string) string {
+	if job == "" {
+		return ""
+	}
+	owner, _ := shard.Preferred(shard.JobKey(job, cellJobShards), firstNodes())
+	return owner.ID
+}
+
+// joiner returns the name of a node that takes shards of both kinds when it joins.
+func joiner() string {
+	nodes := firstNodes()
 	for i := 0; ; i++ {
 		id := fmt.Sprintf("joiner%d", i)
 		taken := make(map[shard.Kind]int)
@@ -185,7 +205,7 @@
 	ctx, cancel := timeout(s.c, runLimit)
 	defer cancel()
 	for n := 0; s.running() && ctx.Err() == nil; n++ {
-		try, stop := timeout(s.c, 10*time.Second)
+		try, stop := timeout(s.c, 3*time.Second)
 		version, at, err := s.c.accept(try, s.any(n).client, change, mark)
 		stop()
 		if err == nil {
@@ -259,6 +279,14 @@
 	s.mu.Unlock()
 }
 
+// rush sends more requests at once than there are slots.
+func (s *scenario) rush() {
+	const n = 60
+	for i := range n {
+		s.wg.Go(func() { s.call(call{body: fmt.Sprintf("sleep 100ms rush #%d", i)}, i, time.Now()) })
+	}
+}
+
 // watchVersions samples which bundle each node applies.
 func (s *scenario) watchVersions() {
 	for s.running() {
--- a/matrix/steps_test.go
+++ b/matrix/steps_test.go
@@ -67,6 +67,8 @@
 	step  string
 	phase phase
 	skip  int
+	// node is the only one at which the step counts; empty means any.
+	node string
 	// fire is called once, with the node and the worker or peer of the message.
 	fire func(node, to string) handling
 }
@@ -102,7 +104,7 @@
 	s.seen[step]++
 	var due *trigger
 	for i, t := range s.armed {
-		if t.step != step || t.phase != ph {
+		if t.step != step || t.phase != ph || (t.node != "" && t.node != node) {
 			continue
 		}
 		if t.skip > 0 {
--- a/standin/worker/instance.go
+++ b/standin/worker/instance.go
@@ -39,6 +39,7 @@
 	l    net.Listener
 	srv  *http.Server
 	busy atomic.Int64
+	last atomic.Pointer[Answer]
 }
 
 func newInstance(w *Worker, spec worker.Spec) (*instance, error) {
@@ -81,7 +82,12 @@
 			return
 		}
 	}
-	httpx.WriteJSON(w, http.StatusOK, Answer{Instance: i.spec.Attempt.String(), RequestID: id, Echo: string(body)})
+	ans := Answer{Instance: i.spec.Attempt.String(), RequestID: id, Echo: string(body)}
+	if last := i.last.Swap(&ans); last != nil && i.w.swapsAnswers() {
+		w.Header().Set(HeaderRequestID, last.RequestID)
+		ans = *last
+	}
+	httpx.WriteJSON(w, http.StatusOK, ans)
 }
 
 // sleepOf reads how long a request takes: "sleep 50ms", and anything behind it.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -33,6 +33,8 @@
 	Listen func() (net.Listener, error)
 	// FailAll makes every task fail.
 	FailAll bool
+	// SwapAnswers gives every other request the answer to the one before it.
+	SwapAnswers bool
 	// IgnoreTickets switches a guard off, to show that tests see it.
 	IgnoreTickets bool
 	// IgnoreEpochs switches a guard off, to show that tests see it.
@@ -89,6 +91,19 @@
 	w.cfg.FailAll = fail
 }
 
+// SetSwapAnswers makes instances give every other request the answer to the one before it.
+func (w *Worker) SetSwapAnswers(swap bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cfg.SwapAnswers = swap
+}
+
+func (w *Worker) swapsAnswers() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cfg.SwapAnswers
+}
+
 // Close stops every task, as a worker that dies does.
 func (w *Worker) Close() {
 	w.mu.Lock()
