--- /dev/null
+++ b/internal/bundle/bundle_test.go
@@ -0,0 +1,197 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package bundle_test
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"io/fs"
+	"strings"
+	"testing"
+	"testing/fstest"
+
+	"switchbank.example/switchbank/examples"
+	"switchbank.example/switchbank/internal/bundle"
+	standin "switchbank.example/switchbank/standin/platform"
+)
+
+func TestLoadExample(t *testing.T) {
+	sub, err := fs.Sub(examples.Bundle, "bundle")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := bundle.LoadFS(sub)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b.Teams) != 3 || len(b.Classes) != 3 || b.Placement.Packing != 0.6 {
+		t.Errorf("have %+v", b)
+	}
+}
+
+func TestLoadNamesFileLineAndKey(t *testing.T) {
+	tests := []struct {
+		name, yaml string
+		want       []string
+	}{
+		{"unknown key", "teams:\n  - name: a\n    wieght: 2\n", []string{"x.yaml:3", "wieght"}},
+		{"doubled key", "limits: {timeout_ms: 5}\nlimits: {timeout_ms: 6}\n", []string{"x.yaml:2", "limits"}},
+		{"wrong type", "limits:\n  timeout_ms: soon\n", []string{"x.yaml:2"}},
+		{"doubled name", "teams:\n  - name: a\n  - name: a\n", []string{"x.yaml:3", "$.teams[1].name", "already"}},
+		{"bad name", "teams:\n  - name: A B\n", []string{"x.yaml:2", "$.teams[0].name"}},
+		{"negative", "teams:\n  - name: a\n    quota: {cpu_milli: -1}\n", []string{"x.yaml:3", "$.teams[0].quota"}},
+		{"bad token", "teams:\n  - name: a\n    token_sha256: [xyz]\n", []string{"x.yaml:3", "token_sha256[0]"}},
+		{"priority", "classes:\n  - {name: a, priority: 5000}\n", []string{"x.yaml:2", "priority"}},
+		{"reviewer's key", "review:\n  reviewers:\n    - {name: a, key: abc}\n", []string{"x.yaml:3", "key"}},
+		{"too many signatures", "review: {required: 2}\n", []string{"review.required"}},
+		{"not YAML", "teams: [\n", []string{"x.yaml"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := bundle.LoadFS(fstest.MapFS{"x.yaml": {Data: []byte(tt.yaml)}})
+			if err == nil {
+				t.Fatal("it was taken")
+			}
+			for _, w := range tt.want {
+				if !strings.Contains(err.Error(), w) {
+					t.Errorf("%q does not name %q", err, w)
+				}
+			}
+		})
+	}
+}
+
+type reviewer struct {
+	name string
+	key  ed25519.PrivateKey
+}
+
+func newReviewer(name string, seed byte) (reviewer, bundle.Reviewer) {
+	key := ed25519.NewKeyFromSeed([]byte(strings.Repeat(string(rune(seed)), ed25519.SeedSize)))
+	pub := key.Public().(ed25519.PublicKey)
+	return reviewer{name, key}, bundle.Reviewer{Name: name, Key: base64.StdEncoding.EncodeToString(pub)}
+}
+
+func (r reviewer) sign(b *bundle.Bundle) bundle.Signature {
+	return bundle.Sign(b.Digest(), r.name, r.key)
+}
+
+func kindOf(err error) bundle.Kind {
+	var be *bundle.Error
+	if errors.As(err, &be) {
+		return be.Kind
+	}
+	return ""
+}
+
+// rollOut proposes and accepts b on top of base.
+func rollOut(t *testing.T, s *bundle.Store, b *bundle.Bundle, base int64, change string, sigs ...bundle.Signature) (bundle.Head, error) {
+	t.Helper()
+	p := bundle.Proposal{Base: base, Change: change, Operator: change, Signatures: sigs}
+	if _, err := s.Propose(t.Context(), b, p); err != nil {
+		return bundle.Head{}, err
+	}
+	return s.Accept(t.Context(), change)
+}
+
+// TestSignatures asks for as many reviewers as the present bundle does, whatever
+// the next one says of itself.
+func TestSignatures(t *testing.T) {
+	r1, pub1 := newReviewer("r1", 'a')
+	r2, pub2 := newReviewer("r2", 'b')
+	mallory, _ := newReviewer("r2", 'c')
+	p := standin.New()
+	s := bundle.NewStore(p, p, bundle.Review{Required: 1, Reviewers: []bundle.Reviewer{pub1}})
+	strict := bundle.Default()
+	strict.Review = bundle.Review{Required: 2, Reviewers: []bundle.Reviewer{pub1, pub2}}
+	if _, err := rollOut(t, s, strict, 0, "unsigned"); kindOf(err) != bundle.KindSignature {
+		t.Errorf("without a signature: %v", err)
+	}
+	if _, err := rollOut(t, s, strict, 0, "first", r1.sign(strict)); err != nil {
+		t.Fatal(err)
+	}
+	loose := bundle.Default()
+	loose.Review = bundle.Review{Required: 0}
+	for name, sigs := range map[string][]bundle.Signature{
+		"one":           {r1.sign(loose)},
+		"one twice":     {r1.sign(loose), r1.sign(loose)},
+		"a false key":   {r1.sign(loose), mallory.sign(loose)},
+		"of another":    {r1.sign(loose), r2.sign(strict)},
+		"none":          nil,
+		"unknown names": {{Reviewer: "nobody", Value: "AAAA"}, {Reviewer: "", Value: ""}},
+	} {
+		if _, err := rollOut(t, s, loose, 1, "loose-"+strings.ReplaceAll(name, " ", "-"), sigs...); kindOf(err) != bundle.KindSignature {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := rollOut(t, s, loose, 1, "second", r1.sign(loose), r2.sign(loose)); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestRacingOperators lets two operators race on the same base: one wins, and
+// the other is told who did.
+func TestRacingOperators(t *testing.T) {
+	p := standin.New()
+	s := bundle.NewStore(p, p, bundle.Review{})
+	a, b := bundle.Default(), bundle.Default()
+	a.Limits.TimeoutMS, b.Limits.TimeoutMS = 1000, 2000
+	if _, err := s.Propose(t.Context(), a, bundle.Proposal{Change: "anna-1", Operator: "anna"}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Propose(t.Context(), b, bundle.Proposal{Change: "bela-1", Operator: "bela"}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Accept(t.Context(), "anna-1"); kindOf(err) != bundle.KindConflict {
+		t.Errorf("a proposal that was replaced: %v", err)
+	}
+	head, err := s.Accept(t.Context(), "bela-1")
+	if err != nil || head.Version != 1 {
+		t.Fatal(head, err)
+	}
+	_, err = s.Propose(t.Context(), a, bundle.Proposal{Change: "anna-2", Operator: "anna"})
+	if kindOf(err) != bundle.KindConflict || !strings.Contains(err.Error(), "bela") {
+		t.Errorf("the loser is not told of the winner: %v", err)
+	}
+}
+
+// TestAcceptReplyLost loses the reply of an accept that took effect.
+func TestAcceptReplyLost(t *testing.T) {
+	p := standin.New()
+	s := bundle.NewStore(p, p, bundle.Review{})
+	if _, err := s.Propose(t.Context(), bundle.Default(), bundle.Proposal{Change: "c", Operator: "o"}); err != nil {
+		t.Fatal(err)
+	}
+	p.SetFaults(standin.Faults{LoseReplies: 1})
+	if _, err := s.Accept(t.Context(), "c"); kindOf(err) != bundle.KindStore {
+		t.Errorf("a lost reply: %v", err)
+	}
+	head, err := s.Accept(t.Context(), "c")
+	if err != nil || head.Version != 1 {
+		t.Errorf("settled by its change id: %+v, %v", head, err)
+	}
+}
+
+func TestDiff(t *testing.T) {
+	a, b := bundle.Default(), bundle.Default()
+	a.Teams = []bundle.Team{{Name: "x", Weight: 1}, {Name: "y", Weight: 1}}
+	b.Teams = []bundle.Team{{Name: "x", Weight: 2}, {Name: "z", Weight: 1}}
+	got := make(map[string]bool)
+	for _, c := range bundle.Diff(a, b) {
+		got[c.Op+strings.Fields(c.What)[1]] = true
+	}
+	for _, want := range []string{"~x:", "+z:", "-y"} {
+		if !got[want] {
+			t.Errorf("no %s in %v", want, got)
+		}
+	}
+}
+
+func FuzzLoad(f *testing.F) {
+	f.Add([]byte("teams:\n  - name: a\n    weight: 2\n"))
+	f.Add([]byte("review: {required: 1, reviewers: [{name: r, key: eA==}]}"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = bundle.LoadFS(fstest.MapFS{"x.yaml": {Data: data}})
+	})
+}
--- /dev/null
+++ b/internal/policy/policy_test.go
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package policy_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"switchbank.example/switchbank/internal/policy"
+	"switchbank.example/switchbank/internal/resource"
+)
+
+var (
+	packs = policy.Weights{Packing: 1}
+	waits = policy.Weights{Waiting: 1}
+)
+
+func amount(cpu, mem, acc int64) resource.Amount {
+	return resource.Amount{CPUMilli: cpu, MemoryMB: mem, Accelerators: acc}
+}
+
+func TestPlace(t *testing.T) {
+	full := policy.Candidate{Free: amount(1000, 1000, 0), Capacity: amount(4000, 4000, 0)}
+	empty := policy.Candidate{Free: amount(4000, 4000, 0), Capacity: amount(4000, 4000, 0)}
+	accel := policy.Candidate{Free: amount(4000, 4000, 2), Capacity: amount(4000, 4000, 2)}
+	closed := empty
+	closed.Closed = true
+	sameRack := empty
+	sameRack.RackTasks = 1
+	tests := []struct {
+		name    string
+		size    resource.Amount
+		cs      []policy.Candidate
+		shape   policy.Shape
+		weights policy.Weights
+		want    int
+		ok      bool
+	}{
+		{"packing fills the fuller", amount(500, 500, 0), []policy.Candidate{empty, full}, policy.Shape{}, packs, 1, true},
+		{"waiting takes the emptier", amount(500, 500, 0), []policy.Candidate{full, empty}, policy.Shape{}, waits, 1, true},
+		{"no room", amount(5000, 500, 0), []policy.Candidate{full, empty}, policy.Shape{}, packs, -1, false},
+		{"closed", amount(500, 500, 0), []policy.Candidate{closed}, policy.Shape{}, packs, -1, false},
+		{"accelerators are kept free", amount(500, 500, 0), []policy.Candidate{accel, empty}, policy.Shape{}, packs, 1, true},
+		{"accelerators where asked", amount(500, 500, 1), []policy.Candidate{empty, accel}, policy.Shape{}, packs, 1, true},
+		{"another rack", amount(500, 500, 0), []policy.Candidate{sameRack, full}, policy.Shape{Spread: true}, waits, 1, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, ok := policy.Place(tt.size, tt.cs, tt.shape, tt.weights)
+			if got != tt.want || ok != tt.ok {
+				t.Errorf("have %d, %t", got, ok)
+			}
+		})
+	}
+}
+
+// TestPlaceNeverOverfills places at random until nothing fits: no worker is
+// given more than it has in any resource.
+func TestPlaceNeverOverfills(t *testing.T) {
+	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(11))
+	props.Property("free never goes below zero", prop.ForAll(func(seed int64, packing float64) bool {
+		r := rand.New(rand.NewPCG(uint64(seed), 1))
+		cs := make([]policy.Candidate, 16)
+		for i := range cs {
+			cs[i].Capacity = amount(1000+r.Int64N(8000), 1000+r.Int64N(8000), r.Int64N(4))
+			cs[i].Free = cs[i].Capacity
+		}
+		for range 400 {
+			size := amount(1+r.Int64N(3000), 1+r.Int64N(3000), r.Int64N(2))
+			i, ok := policy.Place(size, cs, policy.Shape{Spread: r.IntN(2) == 0}, policy.Weights{Packing: packing, Waiting: 1 - packing})
+			if !ok {
+				continue
+			}
+			cs[i].Free = cs[i].Free.Sub(size)
+			if !cs[i].Free.Fits(amount(0, 0, 0)) {
+				return false
+			}
+		}
+		return true
+	}, gen.Int64(), gen.Float64Range(0, 1)))
+	props.TestingRun(t)
+}
+
+func TestOrder(t *testing.T) {
+	now := time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+	total := amount(100_000, 100_000, 10)
+	teams := []policy.Team{
+		{Name: "a", Weight: 1, Used: amount(50_000, 0, 0)},
+		{Name: "b", Weight: 1, Used: amount(10_000, 0, 0)},
+		{Name: "c", Weight: 10, Used: amount(50_000, 0, 0)},
+	}
+	need := amount(1000, 1000, 0)
+	items := []policy.Item{
+		{Team: 0, Priority: 1, Need: need},
+		{Team: 1, Priority: 1, Need: need},
+		{Team: 0, Priority: 9, Need: need},
+		{Team: 1, Priority: 1, Need: need, Deadline: now.Add(time.Minute), Run: 30 * time.Second},
+		{Team: 1, Priority: 1, Need: need, Deadline: now.Add(50 * time.Second), Run: time.Second},
+		{Team: 2, Priority: 1, Need: need},
+	}
+	got := policy.Order(now, items, teams, total)
+	// The urgent one; team c has the least share for its weight; then b by slack, then a.
+	want := []int{2, 5, 3, 4, 1, 0}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("have %v, want %v", got, want)
+	}
+}
+
+func TestOrderQuotaGoesBeforeBorrowing(t *testing.T) {
+	total := amount(100_000, 100_000, 0)
+	teams := []policy.Team{
+		{Name: "borrows", Weight: 1, Used: amount(1000, 1000, 0)},
+		{Name: "owns", Weight: 1, Used: amount(20_000, 20_000, 0), Quota: amount(40_000, 40_000, 0)},
+	}
+	items := []policy.Item{{Team: 0, Need: amount(1000, 1000, 0)}, {Team: 1, Need: amount(1000, 1000, 0)}}
+	if got := policy.Order(time.Time{}, items, teams, total); got[0] != 1 {
+		t.Errorf("have %v: the team within its quota must go first", got)
+	}
+}
+
+func benchmarkPlace(b *testing.B, workers int) {
+	r := rand.New(rand.NewPCG(1, 2))
+	cs := make([]policy.Candidate, workers)
+	for i := range cs {
+		cs[i].Capacity = amount(32_000, 64_000, 0)
+		cs[i].Free = amount(r.Int64N(32_000), r.Int64N(64_000), 0)
+	}
+	w := policy.Weights{Waiting: 0.4, Packing: 0.6}
+	b.ReportAllocs()
+	for b.Loop() {
+		policy.Place(amount(2000, 2000, 0), cs, policy.Shape{}, w)
+	}
+}
+
+func BenchmarkPlace64(b *testing.B)   { benchmarkPlace(b, 64) }
+func BenchmarkPlace1024(b *testing.B) { benchmarkPlace(b, 1024) }
--- a/internal/yamlx/yamlx.go
+++ b/internal/yamlx/yamlx.go
@@ -12,8 +12,11 @@
 	"bytes"
 	"fmt"
 	"io"
+	"strconv"
+	"strings"
 
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 	"github.com/goccy/go-yaml/token"
 	"github.com/pkg/errors"
@@ -60,10 +63,37 @@
 		if tk := p.GetToken(); tk != nil {
 			e.Line, e.Key = tk.Position.Line, tk.Value
 		}
+		return e
 	}
+	e.find(data)
 	return e
 }
 
+// find looks for the value that an error without a position quotes, such as a
+// duration that can't be read.
+func (e *Error) find(data []byte) {
+	f, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return
+	}
+	for _, doc := range f.Docs {
+		if doc.Body != nil {
+			ast.Walk(finder{e}, doc.Body)
+		}
+	}
+}
+
+type finder struct{ e *Error }
+
+// Visit notes the first value that the error quotes.
+func (v finder) Visit(n ast.Node) ast.Visitor {
+	pair, ok := n.(*ast.MappingValueNode)
+	if ok && v.e.Line == 0 && strings.Contains(v.e.Detail, strconv.Quote(pair.Value.String())) {
+		v.e.Line, v.e.Key = pair.GetToken().Position.Line, strings.TrimPrefix(pair.Value.GetPath(), "$.")
+	}
+	return v
+}
+
 // At returns an error for the value at path, as $.a.b[0], with its line.
 func At(file string, data []byte, path, detail string) error {
 	return &Error{File: file, Line: line(data, path), Key: path, Detail: detail}
