--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GO  := go
 LDFLAGS := -s -w
 
-.PHONY: all build run test race e2e matrix lint bench fuzz tools verify clean
+.PHONY: all build run test race e2e matrix lint bench slopes fuzz tools verify clean
 
 all: build
 
@@ -49,5 +49,10 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
+# slopes measures what a node uses by number of workers, tasks, nodes and changes.
+slopes: build
+	SWITCHBANK_BIN=$(CURDIR)/$(BIN) SLOPES_OUT=$(CURDIR)/$(BIN)/slopes.txt $(GO) test -count=1 -timeout 20m -tags slopes -run TestSlopes ./e2e/...
+	cat $(BIN)/slopes.txt
+
 clean:
 	rm -rf $(BIN)
--- a/e2e/cell_test.go
+++ b/e2e/cell_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-//go:build e2e
+//go:build e2e || slopes
 
 package e2e_test
 
@@ -40,6 +40,7 @@
 	bin      string
 	reviewer local.Reviewer
 	platform string
+	settings string
 	store    *proc
 	nodes    []*nodeProc
 	workers  []*workerProc
@@ -77,7 +78,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &cell{t: t, ctx: ctx, bin: filepath.Join(os.Getenv("SWITCHBANK_BIN"), "switchbank"), reviewer: reviewer, relayed: relayed}
+	c := &cell{t: t, ctx: ctx, settings: fastSettings, bin: filepath.Join(os.Getenv("SWITCHBANK_BIN"), "switchbank"), reviewer: reviewer, relayed: relayed}
 	p, out := c.start("dev", "platform", "--listen", "127.0.0.1:0")
 	c.store = p
 	c.platform = "http://" + readListening(t, out)
@@ -135,7 +136,8 @@
 	c.workers = append(c.workers, &workerProc{*p, readListening(c.t, out)})
 }
 
-const settings = `
+// fastSettings has short leases, so that takeovers are seen soon.
+const fastSettings = `
 node: entry-%d
 data_centre: kosice-1
 data_centres: [{name: kosice-1, worker_shards: 4}]
@@ -157,7 +159,7 @@
 	}
 	r := c.reviewer.Review.Reviewers[0]
 	file := filepath.Join(c.t.TempDir(), "node.yaml")
-	if err := os.WriteFile(file, fmt.Appendf(nil, settings, i, platform, r.Name, r.Key), 0o600); err != nil {
+	if err := os.WriteFile(file, fmt.Appendf(nil, c.settings, i, platform, r.Name, r.Key), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
 	p, out := c.start("serve", "--config", file)
@@ -234,3 +236,11 @@
 	}
 	return all
 }
+
+// wait lets real time pass: the faults here are those of real processes.
+func wait(c *cell, d time.Duration) {
+	select {
+	case <-c.ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/e2e/evidence_test.go
+++ b/e2e/evidence_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-//go:build e2e
+//go:build e2e || slopes
 
 package e2e_test
 
@@ -51,7 +51,7 @@
 			v.overloads++
 		case worker.SawRequest:
 			v.runs[s.Body]++
-		case worker.SawCheckpoint, worker.SawSlots:
+		case worker.SawCheckpoint, worker.SawSlots, worker.SawThrottle:
 		}
 	}
 	return v
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -60,14 +60,6 @@
 	}},
 }
 
-// wait lets real time pass: the faults here are those of real processes.
-func wait(c *cell, d time.Duration) {
-	select {
-	case <-c.ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // TestFaults brings each fault about under load, and counts what must not happen.
 func TestFaults(t *testing.T) {
 	for _, f := range realFaults {
--- a/e2e/relay_test.go
+++ b/e2e/relay_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-//go:build e2e
+//go:build e2e || slopes
 
 package e2e_test
 
--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -86,13 +86,14 @@
 }
 
 // rollOut proposes and accepts b on top of base.
-func rollOut(t *testing.T, s *bundle.Store, b *bundle.Bundle, base int64, change string, sigs ...bundle.Signature) (bundle.Head, error) {
+func rollOut(t *testing.T, s *bundle.Store, b *bundle.Bundle, base int64, change string, sigs ...bundle.Signature) error {
 	t.Helper()
 	p := bundle.Proposal{Base: base, Change: change, Operator: change, Signatures: sigs}
 	if _, err := s.Propose(t.Context(), b, p); err != nil {
-		return bundle.Head{}, err
+		return err
 	}
-	return s.Accept(t.Context(), change)
+	_, err := s.Accept(t.Context(), change)
+	return err
 }
 
 // TestSignatures asks for as many reviewers as the present bundle does, whatever
@@ -105,10 +106,10 @@
 	s := bundle.NewStore(p, p, bundle.Review{Required: 1, Reviewers: []bundle.Reviewer{pub1}})
 	strict := bundle.Default()
 	strict.Review = bundle.Review{Required: 2, Reviewers: []bundle.Reviewer{pub1, pub2}}
-	if _, err := rollOut(t, s, strict, 0, "unsigned"); kindOf(err) != bundle.KindSignature {
+	if err := rollOut(t, s, strict, 0, "unsigned"); kindOf(err) != bundle.KindSignature {
 		t.Errorf("without a signature: %v", err)
 	}
-	if _, err := rollOut(t, s, strict, 0, "first", r1.sign(strict)); err != nil {
+	if err := rollOut(t, s, strict, 0, "first", r1.sign(strict)); err != nil {
 		t.Fatal(err)
 	}
 	loose := bundle.Default()
@@ -121,11 +122,11 @@
 		"none":          nil,
 		"unknown names": {{Reviewer: "nobody", Value: "AAAA"}, {Reviewer: "", Value: ""}},
 	} {
-		if _, err := rollOut(t, s, loose, 1, "loose-"+strings.ReplaceAll(name, " ", "-"), sigs...); kindOf(err) != bundle.KindSignature {
+		if err := rollOut(t, s, loose, 1, "loose-"+strings.ReplaceAll(name, " ", "-"), sigs...); kindOf(err) != bundle.KindSignature {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	if _, err := rollOut(t, s, loose, 1, "second", r1.sign(loose), r2.sign(loose)); err != nil {
+	if err := rollOut(t, s, loose, 1, "second", r1.sign(loose), r2.sign(loose)); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -24,7 +24,6 @@
 
 	"switchbank.example/switchbank/internal/config"
 	"switchbank.example/switchbank/internal/node"
-	"switchbank.example/switchbank/internal/platform"
 	"switchbank.example/switchbank/internal/telemetry"
 	"switchbank.example/switchbank/internal/version"
 )
@@ -142,7 +141,6 @@
 	}
 	defer func() { _ = flush(context.WithoutCancel(ctx)) }()
 	deps := node.Deps{Log: log}
-	deps.Platform = platform.NewClient(cfg.Platform.URL, node.NewPlatformHTTP(cfg), cfg.Platform.Timeout)
 	var lc net.ListenConfig
 	for _, l := range []struct {
 		address string
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -52,13 +52,14 @@
 	MemoryMB     int64  `name:"memory-mb" default:"32000" help:"Memory, in megabytes."`
 	Accelerators int64  `default:"0" help:"Accelerators."`
 	FailAll      bool   `help:"Fail every task."`
+	Count        int    `default:"1" help:"How many workers to run in this process; from 2 on their names and racks are numbered."`
 }
 
 // Run serves a stand-in worker until a signal.
 func (c devWorkerCmd) Run(env *Env) error {
 	ctx, stop := untilSignal()
 	defer stop()
-	return local.RunWorker(ctx, c.Listen, local.WorkerOptions{
+	return local.RunWorkers(ctx, c.Listen, c.Count, local.WorkerOptions{
 		Platform: c.Platform, FailAll: c.FailAll,
 		Host: platform.Host{
 			ID: c.ID, DataCentre: c.DataCentre, Rack: c.Rack, State: platform.HostLive,
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -22,7 +22,7 @@
 		name, old, new string
 		want           []string
 	}{
-		{"unknown key", "log: {level: info}", "log: {levle: info}", []string{"node.yaml:16", "levle"}},
+		{"unknown key", "log: {level: info}", "log: {lvl: info}", []string{"node.yaml:16", "lvl"}},
 		{"wrong unit", "timeout: 2s", "timeout: 2 bananas", []string{"node.yaml:15", "platform.timeout"}},
 		{"no unit", "timeout: 2s", "timeout: 0s", []string{"node.yaml:15", "$.platform.timeout"}},
 		{"missing address", "  peers: 127.0.0.1:8081\n", "", []string{"$.listen.peers", "want IP:port"}},
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -65,9 +65,7 @@
 var (
 	BundleStaged    = zap.String(Field, "SB1501")
 	BundleInForce   = zap.String(Field, "SB1502")
-	BundleRefused   = zap.String(Field, "SB1503")
 	BundleNotRead   = zap.String(Field, "SB1504")
-	BundleConflict  = zap.String(Field, "SB1505")
 	BundleProposed  = zap.String(Field, "SB1506")
 	BundleRolledOut = zap.String(Field, "SB1507")
 )
--- /dev/null
+++ b/internal/events/events_test.go
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package events_test
+
+import (
+	"os"
+	"regexp"
+	"slices"
+	"testing"
+)
+
+var (
+	inCode = regexp.MustCompile(`"(SB\d{4})"`)
+	inPage = regexp.MustCompile(`(?m)^\| (SB\d{4}) \|`)
+)
+
+func numbers(t *testing.T, file string, re *regexp.Regexp) []string {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var found []string
+	for _, m := range re.FindAllStringSubmatch(string(data), -1) {
+		found = append(found, m[1])
+	}
+	slices.Sort(found)
+	return found
+}
+
+// TestCatalogue holds docs/events.md against the code: each number once in both.
+func TestCatalogue(t *testing.T) {
+	code, page := numbers(t, "events.go", inCode), numbers(t, "../../docs/events.md", inPage)
+	if !slices.Equal(code, page) {
+		t.Errorf("the code has %v\nthe page has %v", code, page)
+	}
+	if len(slices.Compact(slices.Clone(code))) != len(code) {
+		t.Error("a number stands twice")
+	}
+}
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -50,8 +50,6 @@
 	Field string `json:"field,omitempty"`
 	// RetryAfterMS is how long to wait before another try, in milliseconds.
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
-	// Message is an event number of docs/events.md, where there is one.
-	Event string `json:"event,omitempty"`
 }
 
 // Kind tells apart the errors of this package.
--- a/internal/httpx/httpx_test.go
+++ b/internal/httpx/httpx_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -53,8 +54,8 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			_, err := httpx.Send[message](t.Context(), srv.Client(), http.MethodPost, srv.URL, strings.NewReader(tt.body))
-			e, ok := err.(*httpx.Error)
-			if !ok || e.Kind != httpx.KindProblem {
+			var e *httpx.Error
+			if !errors.As(err, &e) || e.Kind != httpx.KindProblem {
 				t.Fatalf("want a problem, have %v", err)
 			}
 			if e.Problem.Status != tt.status || e.Problem.Reason != tt.reason || e.Problem.Field != tt.field {
--- a/internal/jobs/schedule.go
+++ b/internal/jobs/schedule.go
@@ -164,7 +164,7 @@
 		}
 		class, _ := b.Class(j.Spec.Class)
 		w := waiting{shard: sh, job: id, spec: j.Spec, whole: j.Spec.Kind == api.KindAllAtOnce, untried: j.untried()}
-		w.specs = j.ready(now, class.GraceMS)
+		w.specs = j.ready(now, class)
 		if len(w.specs) == 0 || (w.whole && len(w.specs) < len(j.Tasks)) {
 			continue
 		}
@@ -174,7 +174,7 @@
 }
 
 // ready returns the specs of the tasks that may be placed now.
-func (j *Job) ready(now time.Time, graceMS int64) []worker.Spec {
+func (j *Job) ready(now time.Time, class bundle.Class) []worker.Spec {
 	most := maxPerRound
 	if j.Spec.Kind == api.KindAllAtOnce {
 		most = len(j.Tasks)
@@ -188,7 +188,8 @@
 		specs = append(specs, worker.Spec{
 			Attempt: worker.Attempt{Job: j.Spec.ID, Task: i, N: t.Attempt + 1},
 			Team:    j.Spec.Team, Class: j.Spec.Class, Size: j.Spec.Size, Command: j.Spec.Command,
-			Service: j.Spec.Service, Slots: j.Spec.Slots, GraceMS: graceMS,
+			Service: j.Spec.Service, Slots: j.Spec.Slots, GraceMS: class.GraceMS,
+			Priority: class.Priority, Preemptible: class.Preemptible && !j.Spec.AtMostOnce && j.Spec.Kind != api.KindAllAtOnce,
 		})
 		if len(specs) == most {
 			break
@@ -283,10 +284,39 @@
 
 // reserve asks worker shards for room until the job's tasks have it or no shard is left.
 func (s *Set) reserve(ctx context.Context, r *round, w *waiting) ([]peer.Placement, error) {
+	places, rest, err := s.reserveIn(ctx, r, w, r.poolOrder(w), w.specs, false)
+	if len(rest) == 0 || w.whole || !r.urgent(w) {
+		return places, err
+	}
+	more, _, perr := s.reserveIn(ctx, r, w, r.allPools(), rest, true)
+	return append(places, more...), cmp.Or(err, perr)
+}
+
+// urgent reports whether a job's class may take room from preemptible ones.
+func (r *round) urgent(w *waiting) bool {
+	class, _ := r.bundle.Class(w.spec.Class)
+	return slices.ContainsFunc(r.bundle.Classes, func(c bundle.Class) bool {
+		return c.Preemptible && c.Priority < class.Priority
+	})
+}
+
+// allPools returns the worker shards that have workers, whatever room they have.
+func (r *round) allPools() []int {
+	var all []int
+	for i, p := range r.pools {
+		if p.Workers > 0 {
+			all = append(all, i)
+		}
+	}
+	return all
+}
+
+// reserveIn asks worker shards in order, and returns what is still without a place.
+func (s *Set) reserveIn(
+	ctx context.Context, r *round, w *waiting, order []int, rest []worker.Spec, preempt bool,
+) ([]peer.Placement, []worker.Spec, error) {
 	var places []peer.Placement
 	var firstErr error
-	rest := w.specs
-	order := r.poolOrder(w)
 	for n, i := range order {
 		if len(rest) == 0 {
 			break
@@ -297,7 +327,7 @@
 			ask = rest[:(len(rest)+left-1)/left]
 		}
 		reply, err := s.deps.Pools.Reserve(ctx, peer.ReserveRequest{
-			Shard: r.pools[i].Shard, Specs: ask, Spread: w.spec.Kind == api.KindService,
+			Shard: r.pools[i].Shard, Specs: ask, Spread: w.spec.Kind == api.KindService, Preempt: preempt,
 		})
 		if err != nil {
 			firstErr = cmp.Or(firstErr, err)
@@ -307,7 +337,7 @@
 		rest = without(rest, reply.Placements)
 		r.took(i, w, len(reply.Placements), len(ask))
 	}
-	return places, firstErr
+	return places, rest, firstErr
 }
 
 // poolOrder returns the worker shards that may have room, best first.
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -210,7 +210,7 @@
 			if err := last.Wait(t.Context()); err != nil {
 				t.Fatal(err)
 			}
-			if _, got := peek(t, p, c); fmt.Sprint(got) != fmt.Sprint(state) {
+			if got := peek(t, p, c); fmt.Sprint(got) != fmt.Sprint(state) {
 				t.Fatalf("round %d: kept %v, want %v", round, got, state)
 			}
 		}
@@ -221,14 +221,14 @@
 }
 
 // peek reads the journal as a new owner would, without taking the shard.
-func peek(t *testing.T, p *standin.Platform, c *journal.Committer) (*journal.Stream, []string) {
+func peek(t *testing.T, p *standin.Platform, c *journal.Committer) []string {
 	t.Helper()
 	row, _ := p.Get(t.Context(), "shards", shardKey)
-	s, rec, err := c.Open(t.Context(), shardKey, 1, row.Version)
+	_, rec, err := c.Open(t.Context(), shardKey, 1, row.Version)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return s, texts(t, rec)
+	return texts(t, rec)
 }
 
 // TestRandomFaults appends under random faults and takeovers: what was told to
@@ -271,7 +271,7 @@
 	}
 	p.SetFaults(standin.Faults{})
 	time.Sleep(10 * time.Second)
-	_, got := peek(t, p, cs[owner])
+	got := peek(t, p, cs[owner])
 	at := 0
 	for i, ap := range pending {
 		if ap.Err() != nil {
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -35,13 +35,41 @@
 	listTimeout      = 5 * time.Second
 )
 
+// Route is a route of the callers' interface.
+type Route struct {
+	Method string
+	Path   string
+}
+
+// CallerRoutes are the routes of the callers' interface, as docs/openapi.yaml has them.
+func CallerRoutes() []Route {
+	var routes []Route
+	for _, r := range (&Node{}).callerHandlers() {
+		routes = append(routes, r.Route)
+	}
+	return routes
+}
+
+type callerHandler struct {
+	Route
+	serve http.HandlerFunc
+}
+
+func (n *Node) callerHandlers() []callerHandler {
+	return []callerHandler{
+		{Route{http.MethodPost, "/v1/services/{service}/requests"}, n.serveRequest},
+		{Route{http.MethodPost, "/v1/workloads"}, n.serveCreate},
+		{Route{http.MethodGet, "/v1/workloads"}, n.serveList},
+		{Route{http.MethodGet, "/v1/workloads/{id}"}, n.serveGet},
+		{Route{http.MethodDelete, "/v1/workloads/{id}"}, n.serveCancel},
+	}
+}
+
 func (n *Node) callerRoutes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/services/{service}/requests", n.serveRequest)
-	mux.HandleFunc("POST /v1/workloads", n.serveCreate)
-	mux.HandleFunc("GET /v1/workloads", n.serveList)
-	mux.HandleFunc("GET /v1/workloads/{id}", n.serveGet)
-	mux.HandleFunc("DELETE /v1/workloads/{id}", n.serveCancel)
+	for _, r := range n.callerHandlers() {
+		mux.HandleFunc(r.Method+" "+r.Path, r.serve)
+	}
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		httpx.WriteError(w, httpx.NewProblem(http.StatusNotFound, "no_route", r.Method+" "+r.URL.Path))
 	})
--- /dev/null
+++ b/internal/node/metrics_test.go
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"testing"
+)
+
+var metricName = regexp.MustCompile(`switchbank_[a-z_]+[a-z]`)
+
+func metricNames(t *testing.T, files ...string) []string {
+	t.Helper()
+	var names []string
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		names = append(names, metricName.FindAllString(string(data), -1)...)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// TestMetricsCatalogue holds docs/metrics.md against the code.
+func TestMetricsCatalogue(t *testing.T) {
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	files = slices.DeleteFunc(files, func(f string) bool { return f == "metrics_test.go" || f == "node_test.go" })
+	code, page := metricNames(t, files...), metricNames(t, "../../docs/metrics.md")
+	if !slices.Equal(code, page) {
+		t.Errorf("the code has %v\nthe page has %v", code, page)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 
 // Deps are the dependencies of a Node.
 type Deps struct {
+	// Platform is the way to the platform; nil means HTTP to the URL of the settings.
 	Platform  Platform
 	Callers   net.Listener
 	Peers     net.Listener
@@ -159,7 +160,10 @@
 	// The size is a constant above 0, so that this can't fail.
 	n.handed, _ = lru.New[string, struct{}](handedKept)
 	n.runCtx, n.stopRun = context.WithCancel(context.Background())
-	n.peerHTTP = n.newClient(peerConns)
+	n.peerHTTP = n.newClient("peers", peerConns)
+	if deps.Platform == nil {
+		n.deps.Platform = platform.NewClient(cfg.Platform.URL, n.newClient("platform", platformConns), cfg.Platform.Timeout)
+	}
 	n.follower = newFollower(n)
 	n.load = newLoad(n)
 	n.newStores()
@@ -192,7 +196,7 @@
 	}
 	n.pools = pool.NewSet(n.runCtx, cfg.DataCentres, pool.Deps{
 		Hosts:     n.deps.Platform,
-		Workers:   worker.NewClient(n.newClient(workerConns), cfg.Tasks.Lease/3),
+		Workers:   worker.NewClient(n.newClient("workers", workerConns), cfg.Tasks.Lease/3),
 		Events:    eventSink{n},
 		Instances: n.balancer,
 		Weights:   func() policy.Weights { return n.bundle().Weights() },
@@ -226,7 +230,7 @@
 	cfg := n.cfg.Requests
 	n.entry = requests.NewEntry(requests.Deps{
 		Balancer: n.balancer,
-		Upstream: requests.NewUpstream(n.newClient(upstreamConns), requests.UpstreamOptions{
+		Upstream: requests.NewUpstream(n.newClient("instances", upstreamConns), requests.UpstreamOptions{
 			Linger: cfg.Linger, AnyAnswer: n.deps.Guards.AnyAnswer, GuessNotRun: n.deps.Guards.GuessNotRun,
 		}),
 		Peers:  n.load,
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/pprof"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -88,7 +89,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", n.serveReady)
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		n.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -30,10 +31,10 @@
 	idleConns    = 512
 )
 
-// newClient returns an HTTP client with bounds on everything; calls bound
-// their own time by their context.
-func (n *Node) newClient(connsPerHost int) *http.Client {
-	c := newClient(n.cfg, n.deps.Dial, connsPerHost)
+// newClient returns an HTTP client for a class of counterparts, with bounds on
+// everything; calls bound their own time by their context.
+func (n *Node) newClient(class string, connsPerHost int) *http.Client {
+	c := newClient(n.cfg, n.counted(class), connsPerHost)
 	if n.deps.Wrap != nil {
 		c.Transport = n.deps.Wrap(c.Transport)
 	}
@@ -41,17 +42,48 @@
 	return c
 }
 
-// NewPlatformHTTP returns the HTTP client for the platform.
-func NewPlatformHTTP(cfg config.Config) *http.Client {
-	return newClient(cfg, nil, platformConns)
+// counted returns the node's dial function, with the bytes of its connections counted.
+func (n *Node) counted(class string) dialFunc {
+	dial := n.deps.Dial
+	if dial == nil {
+		dial = tcpDial
+	}
+	in := n.metrics.NewCounter(`switchbank_bytes_total{to="` + class + `",direction="in"}`)
+	out := n.metrics.NewCounter(`switchbank_bytes_total{to="` + class + `",direction="out"}`)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: c, in: in, out: out}, nil
+	}
+}
+
+// countedConn counts the bytes that pass.
+type countedConn struct {
+	net.Conn
+	in, out *metrics.Counter
+}
+
+// Read counts what comes in.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.in.AddInt64(int64(n))
+	return n, err
+}
+
+// Write counts what goes out.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.out.AddInt64(int64(n))
+	return n, err
 }
 
+var tcpDial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
 func newClient(cfg config.Config, dial dialFunc, connsPerHost int) *http.Client {
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
-	}
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:            dial,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -43,6 +43,8 @@
 	Shard  string        `json:"shard"`
 	Specs  []worker.Spec `json:"specs"`
 	Spread bool          `json:"spread,omitempty"`
+	// Preempt allows tasks of lower priority to be stopped where there is no room.
+	Preempt bool `json:"preempt,omitempty"`
 }
 
 // Placement is a task's place: a reservation, and once confirmed a start.
--- /dev/null
+++ b/internal/policy/preempt.go
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package policy
+
+import (
+	"cmp"
+	"slices"
+
+	"switchbank.example/switchbank/internal/resource"
+)
+
+// MaxPreempted is how often a task may be preempted; after that it is left alone.
+const MaxPreempted = 2
+
+// Running is a task that might be preempted.
+type Running struct {
+	Priority int
+	Size     resource.Amount
+	// Attempt is the task's attempt: a high one has been disturbed before.
+	Attempt     int
+	Preemptible bool
+}
+
+// Victims returns the indices of the tasks to stop on a worker so that size
+// fits, or false when no choice is enough. Only preemptible tasks of a lower
+// priority are taken: the least urgent first, then the least disturbed, and none
+// whose room is not needed.
+func Victims(size, free resource.Amount, priority int, tasks []Running) ([]int, bool) {
+	if free.Fits(size) {
+		return nil, true
+	}
+	var may []int
+	for i, t := range tasks {
+		if t.Preemptible && t.Priority < priority && t.Attempt <= MaxPreempted {
+			may = append(may, i)
+		}
+	}
+	slices.SortStableFunc(may, func(a, b int) int {
+		return cmp.Or(cmp.Compare(tasks[a].Priority, tasks[b].Priority), cmp.Compare(tasks[a].Attempt, tasks[b].Attempt))
+	})
+	var chosen []int
+	for _, i := range may {
+		if free.Fits(size) {
+			break
+		}
+		free = free.Add(tasks[i].Size)
+		chosen = append(chosen, i)
+	}
+	if !free.Fits(size) {
+		return nil, false
+	}
+	return spare(size, free, tasks, chosen), true
+}
+
+// spare leaves out the tasks whose room turned out not to be needed.
+func spare(size, free resource.Amount, tasks []Running, chosen []int) []int {
+	var needed []int
+	for _, i := range chosen {
+		if without := free.Sub(tasks[i].Size); without.Fits(size) {
+			free = without
+			continue
+		}
+		needed = append(needed, i)
+	}
+	return needed
+}
--- /dev/null
+++ b/internal/policy/preempt_test.go
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package policy_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"switchbank.example/switchbank/internal/policy"
+)
+
+func TestVictims(t *testing.T) {
+	low := policy.Running{Priority: 1, Size: amount(1000, 1000, 0), Attempt: 1, Preemptible: true}
+	mid, fixed, weary, large := low, low, low, low
+	mid.Priority = 5
+	fixed.Preemptible = false
+	weary.Attempt = policy.MaxPreempted + 1
+	large.Size = amount(3000, 3000, 0)
+	tests := []struct {
+		name     string
+		priority int
+		tasks    []policy.Running
+		want     string
+		ok       bool
+	}{
+		{"the least urgent goes", 9, []policy.Running{mid, low}, "[1]", true},
+		{"not one as urgent", 5, []policy.Running{mid, fixed}, "[]", false},
+		{"not one that may not", 9, []policy.Running{fixed}, "[]", false},
+		{"not one over and over", 9, []policy.Running{weary}, "[]", false},
+		{"none that is not needed", 9, []policy.Running{low, large}, "[1]", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			need := int64(1000)
+			if tt.name == "none that is not needed" {
+				need = 3000
+			}
+			got, ok := policy.Victims(amount(need, need, 0), amount(0, 0, 0), tt.priority, tt.tasks)
+			if fmt.Sprint(got) != tt.want || ok != tt.ok {
+				t.Errorf("have %v, %t; want %s, %t", got, ok, tt.want, tt.ok)
+			}
+		})
+	}
+}
+
+// TestVictimsAreEnoughAndNoMore draws workers at random.
+func TestVictimsAreEnoughAndNoMore(t *testing.T) {
+	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(13))
+	props.Property("enough, and none to spare", prop.ForAll(func(seed int64) bool {
+		r := rand.New(rand.NewPCG(uint64(seed), 2))
+		tasks := make([]policy.Running, r.IntN(12))
+		for i := range tasks {
+			tasks[i] = policy.Running{
+				Priority: r.IntN(5), Size: amount(1+r.Int64N(2000), 1+r.Int64N(2000), r.Int64N(2)),
+				Attempt: 1 + r.IntN(4), Preemptible: r.IntN(3) > 0,
+			}
+		}
+		size, free := amount(1+r.Int64N(4000), 1+r.Int64N(4000), r.Int64N(2)), amount(r.Int64N(2000), r.Int64N(2000), 0)
+		chosen, ok := policy.Victims(size, free, 3, tasks)
+		if !ok {
+			return true
+		}
+		all := free
+		for _, i := range chosen {
+			if t := tasks[i]; !t.Preemptible || t.Priority >= 3 || t.Attempt > policy.MaxPreempted {
+				return false
+			}
+			all = all.Add(tasks[i].Size)
+		}
+		for _, i := range chosen {
+			if all.Sub(tasks[i].Size).Fits(size) {
+				return false
+			}
+		}
+		return all.Fits(size)
+	}, gen.Int64()))
+	props.TestingRun(t)
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -139,12 +139,21 @@
 	reservation string
 	state       taskState
 	stopping    bool
-	address     string
-	expires     time.Time
+	// why is the reason that the task was told to stop, where the pool decided so.
+	why string
+	// afterRoom is set while the task waits for preempted tasks to end.
+	afterRoom bool
+	// used is what the task was last seen to use; it lags.
+	used    resource.Amount
+	address string
+	expires time.Time
 	// event is what the job's owner is to be told.
 	event peer.Event
 }
 
+// room is what the task takes: the larger of what it declared and what it was seen to use.
+func (t *task) room() resource.Amount { return t.spec.Size.Max(t.used) }
+
 // usesRoom reports whether the task takes room on its worker.
 func (t *task) usesRoom() bool { return t.state != over }
 
@@ -238,11 +247,17 @@
 			continue
 		}
 		i, ok := policy.Place(spec.Size, candidates, policy.Shape{Spread: req.Spread}, weights)
+		preempts := !ok && req.Preempt
+		if preempts {
+			i, ok = p.preemptLocked(spec, candidates)
+		}
 		if !ok {
 			continue
 		}
 		w := p.order[i]
-		t := &task{spec: spec, worker: w.host.ID, reservation: rand.Text(), expires: now.Add(p.opts.Reservation)}
+		t := &task{
+			spec: spec, worker: w.host.ID, reservation: rand.Text(), expires: now.Add(p.opts.Reservation), afterRoom: preempts,
+		}
 		p.tasks[spec.Attempt], p.held[spec.Attempt] = t, t
 		w.addLocked(t)
 		p.noteLocked(candidates, i, spec.Size)
--- /dev/null
+++ b/internal/pool/preempt.go
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package pool
+
+import (
+	"fmt"
+
+	"switchbank.example/switchbank/internal/policy"
+	"switchbank.example/switchbank/internal/resource"
+	"switchbank.example/switchbank/internal/worker"
+)
+
+// preemptLocked makes room for spec by stopping less urgent tasks of one
+// worker, the one where the fewest must go; each is checkpointed first.
+func (p *Pool) preemptLocked(spec worker.Spec, candidates []policy.Candidate) (int, bool) {
+	best, fewest := -1, []*task(nil)
+	for i, w := range p.order {
+		if candidates[i].Closed {
+			continue
+		}
+		victims, ok := w.victimsLocked(spec, candidates[i].Free)
+		if ok && (best < 0 || len(victims) < len(fewest)) {
+			best, fewest = i, victims
+		}
+	}
+	if best < 0 {
+		return 0, false
+	}
+	w := p.order[best]
+	for _, t := range fewest {
+		t.stopping, t.why = true, fmt.Sprintf("preempted for %s of class %s", spec.Attempt.Job, spec.Class)
+		w.checkpoints = append(w.checkpoints, t.spec.Attempt)
+		w.stops = append(w.stops, t.spec.Attempt)
+		candidates[best].Free = candidates[best].Free.Add(t.room())
+	}
+	w.signal()
+	return best, true
+}
+
+// victimsLocked returns the tasks of the worker that would have to go for spec.
+func (w *workerState) victimsLocked(spec worker.Spec, free resource.Amount) ([]*task, bool) {
+	var tasks []*task
+	var candidates []policy.Running
+	for _, t := range w.tasks {
+		if t.state != running || t.stopping {
+			continue
+		}
+		tasks = append(tasks, t)
+		candidates = append(candidates, policy.Running{
+			Priority: t.spec.Priority, Size: t.room(), Attempt: t.spec.Attempt.N, Preemptible: t.spec.Preemptible,
+		})
+	}
+	chosen, ok := policy.Victims(spec.Size, free, spec.Priority, candidates)
+	if !ok {
+		return nil, false
+	}
+	victims := make([]*task, len(chosen))
+	for i, c := range chosen {
+		victims[i] = tasks[c]
+	}
+	return victims, true
+}
+
+// hasRoomLocked reports whether t fits beside the tasks that are on the worker now.
+func (w *workerState) hasRoomLocked(t *task) bool {
+	used := t.spec.Size
+	for _, other := range w.tasks {
+		if other != t && other.state != reserved && !other.afterRoom {
+			used = used.Add(other.room())
+		}
+	}
+	return w.host.Capacity.Fits(used)
+}
+
+// usageLocked takes in what tasks were seen to use. What is above the declared
+// size counts as taken, and the task is throttled to what it declared.
+func (p *Pool) usageLocked(w *workerState, usage []worker.Usage) {
+	for _, u := range usage {
+		t, ok := w.tasks[u.Attempt]
+		if !ok {
+			continue
+		}
+		before := t.room()
+		t.used = u.Used
+		w.used = w.used.Sub(before).Add(t.room())
+		if !t.spec.Size.Fits(u.Used) {
+			w.throttles = append(w.throttles, u.Attempt)
+		}
+	}
+}
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -47,8 +47,11 @@
 	jobs  map[string]int
 	tasks map[worker.Attempt]*task
 	stops []worker.Attempt
-	acks  []worker.Attempt
-	wake  chan struct{}
+	// checkpoints and throttles go out once; a lost one is not repeated.
+	checkpoints []worker.Attempt
+	throttles   []worker.Attempt
+	acks        []worker.Attempt
+	wake        chan struct{}
 
 	// failed holds the jobs that failed here since the last success.
 	failed     []string
@@ -79,7 +82,7 @@
 		return
 	}
 	w.tasks[t.spec.Attempt] = t
-	w.used = w.used.Add(t.spec.Size)
+	w.used = w.used.Add(t.room())
 	w.jobs[t.spec.Attempt.Job]++
 }
 
@@ -89,7 +92,7 @@
 		return
 	}
 	delete(w.tasks, t.spec.Attempt)
-	w.used = w.used.Sub(t.spec.Size)
+	w.used = w.used.Sub(t.room())
 	if w.jobs[t.spec.Attempt.Job]--; w.jobs[t.spec.Attempt.Job] <= 0 {
 		delete(w.jobs, t.spec.Attempt.Job)
 	}
@@ -187,15 +190,16 @@
 		w.renewed = now
 		return c, w.host.Address, true
 	}
-	c.Stop, c.Ack = w.stops, w.acks
-	w.stops, w.acks = nil, nil
+	c.Stop, c.Ack, c.Checkpoint, c.Throttle = w.stops, w.acks, w.checkpoints, w.throttles
+	w.stops, w.acks, w.checkpoints, w.throttles = nil, nil, nil, nil
 	if w.silent {
 		return c, w.host.Address, true
 	}
 	c.Renew = true
 	if w.fenced && w.ticket != 0 {
 		for _, t := range w.tasks {
-			if t.state == starting && !t.stopping {
+			if t.state == starting && !t.stopping && (!t.afterRoom || w.hasRoomLocked(t)) {
+				t.afterRoom = false
 				c.Start = append(c.Start, t.spec)
 			}
 		}
@@ -277,6 +281,7 @@
 	for _, e := range rep.Ended {
 		p.endedLocked(w, e)
 	}
+	p.usageLocked(w, rep.Usage)
 	if c.Inventory {
 		p.inventoryLocked(w, rep)
 	}
@@ -334,7 +339,12 @@
 			p.log.Warn("worker set aside", events.WorkerSetAside, zap.String("worker", w.host.ID), zap.Duration("for", w.asideFor))
 		}
 	}
-	p.overLocked(t, peer.Event{Kind: peer.EventEnded, Result: e.Result, Reason: e.Reason})
+	why := e.Reason
+	if e.Result == worker.ResultStopped && t.why != "" {
+		why = t.why
+	}
+	p.overLocked(t, peer.Event{Kind: peer.EventEnded, Result: e.Result, Reason: why})
+	w.signal()
 }
 
 // inventoryLocked holds a worker's full list against what the pool knows.
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -48,6 +48,10 @@
 	Slots int `json:"slots,omitempty"`
 	// GraceMS is how long leases may be renewed without the store, in milliseconds.
 	GraceMS int64 `json:"grace_ms,omitempty"`
+	// Priority is that of the task's class.
+	Priority int `json:"priority,omitempty"`
+	// Preemptible tasks may be checkpointed and stopped for more urgent ones.
+	Preemptible bool `json:"preemptible,omitempty"`
 }
 
 // Contact is what a node sends to a worker.
@@ -62,11 +66,13 @@
 	Renew  bool      `json:"renew,omitempty"`
 	Except []Attempt `json:"except,omitempty"`
 	// Inventory asks for every task, not just what changed.
-	Inventory  bool      `json:"inventory,omitempty"`
-	Start      []Spec    `json:"start,omitempty"`
-	Stop       []Attempt `json:"stop,omitempty"`
+	Inventory bool   `json:"inventory,omitempty"`
+	Start     []Spec `json:"start,omitempty"`
+	// Checkpoint is carried out before Stop.
 	Checkpoint []Attempt `json:"checkpoint,omitempty"`
-	Throttle   []Attempt `json:"throttle,omitempty"`
+	Stop       []Attempt `json:"stop,omitempty"`
+	// Throttle names the tasks to be held to their declared size.
+	Throttle []Attempt `json:"throttle,omitempty"`
 	// Ack names ended tasks whose report is kept safe and may be forgotten.
 	Ack []Attempt `json:"ack,omitempty"`
 }
--- a/matrix/verdict_test.go
+++ b/matrix/verdict_test.go
@@ -84,7 +84,7 @@
 			s.judgeLeaving(e, add)
 		case standinworker.SawSlots:
 			add(promiseRoom, "instance %s was given a request beyond its slots", e.Attempt)
-		case standinworker.SawCheckpoint:
+		case standinworker.SawCheckpoint, standinworker.SawThrottle:
 		}
 	}
 }
--- a/standin/local/run.go
+++ b/standin/local/run.go
@@ -58,6 +58,22 @@
 	FailAll  bool
 }
 
+// RunWorkers serves a number of stand-in workers until ctx ends, eight to a rack.
+func RunWorkers(ctx context.Context, address string, count int, opts WorkerOptions, out io.Writer) error {
+	const perRack = 8
+	if count <= 1 {
+		return RunWorker(ctx, address, opts, out)
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	for i := range count {
+		one := opts
+		one.Host.ID = fmt.Sprintf("%s-%d", opts.Host.ID, i)
+		one.Host.Rack = fmt.Sprintf("%s-%d", opts.Host.Rack, i/perRack)
+		g.Go(func() error { return RunWorker(ctx, address, one, io.Discard) })
+	}
+	return g.Wait()
+}
+
 // RunWorker serves a stand-in worker until ctx ends.
 func RunWorker(ctx context.Context, address string, opts WorkerOptions, out io.Writer) error {
 	l, err := listen(ctx, address, out)
--- a/standin/worker/evidence.go
+++ b/standin/worker/evidence.go
@@ -25,6 +25,7 @@
 	SawOverload   Saw = "overload"
 	SawSlots      Saw = "slots"
 	SawCheckpoint Saw = "checkpoint"
+	SawThrottle   Saw = "throttle"
 	SawRequest    Saw = "request"
 )
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -18,6 +18,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -60,6 +61,7 @@
 	spec     worker.Spec
 	address  string
 	expires  time.Time
+	started  time.Time
 	lease    *time.Timer
 	done     *time.Timer
 	instance *instance
@@ -124,6 +126,12 @@
 	for _, a := range c.Ack {
 		delete(w.ended, a)
 	}
+	for _, a := range c.Checkpoint {
+		w.evidence.add(w.cfg.ID, SawCheckpoint, a)
+	}
+	for _, a := range c.Throttle {
+		w.evidence.add(w.cfg.ID, SawThrottle, a)
+	}
 	for _, a := range c.Stop {
 		w.stopLocked(a)
 	}
@@ -134,20 +142,35 @@
 	for _, spec := range c.Start {
 		rep.Started = append(rep.Started, w.startLocked(spec, c))
 	}
-	for _, a := range c.Checkpoint {
-		w.evidence.add(w.cfg.ID, SawCheckpoint, a)
-	}
 	if c.Inventory {
 		for _, t := range w.tasks {
 			rep.Running = append(rep.Running, worker.Running{Spec: t.spec, Address: t.address})
 		}
 	}
+	for _, t := range w.tasks {
+		if used, ok := t.usage(); ok {
+			rep.Usage = append(rep.Usage, worker.Usage{Attempt: t.spec.Attempt, Used: used})
+		}
+	}
 	for _, e := range w.ended {
 		rep.Ended = append(rep.Ended, e)
 	}
 	return rep, nil
 }
 
+// usageLag is how long it takes until usage is reported.
+const usageLag = 2 * time.Second
+
+// usage is what a task "sleep 1h use 3000" uses: so many thousandths of a core.
+func (t *task) usage() (resource.Amount, bool) {
+	const words = 4
+	if len(t.spec.Command) != words || time.Since(t.started) < usageLag {
+		return resource.Amount{}, false
+	}
+	milli, err := strconv.ParseInt(t.spec.Command[words-1], 10, 64)
+	return resource.Amount{CPUMilli: milli, MemoryMB: t.spec.Size.MemoryMB, Accelerators: t.spec.Size.Accelerators}, err == nil
+}
+
 // clock is the worker's own clock, in nanoseconds; it is never 0.
 func (w *Worker) clock() int64 { return int64(time.Since(w.born)) }
 
@@ -176,7 +199,7 @@
 	if refusal := w.refuseLocked(spec, c); refusal != "" {
 		return worker.Started{Attempt: a, Refused: refusal}
 	}
-	t := &task{spec: spec, expires: w.expiry(c)}
+	t := &task{spec: spec, expires: w.expiry(c), started: time.Now()}
 	if spec.Service != "" {
 		inst, err := newInstance(w, spec)
 		if err != nil {
