--- a/matrix/cell_test.go
+++ b/matrix/cell_test.go
@@ -204,6 +204,7 @@
 	w := standinworker.New(cfg)
 	c.mu.Lock()
 	if old := c.workers[id]; old != nil {
+		old.stop()
 		c.past = append(c.past, old.w.Evidence()...)
 	}
 	c.workers[id] = &cellWorker{host: h, w: w, stop: stop}
--- a/matrix/faults_test.go
+++ b/matrix/faults_test.go
@@ -39,8 +39,9 @@
 // heal runs fn after the outage.
 func heal(c *cell, fn func()) {
 	go func() {
-		sleep(c.ctx, outage)
-		fn()
+		if sleep(c.ctx, outage); c.ctx.Err() == nil {
+			fn()
+		}
 	}()
 }
 
@@ -143,7 +144,9 @@
 		{name: "all workers die in a rush", cutsAnswers: true, inject: func(c *cell, s *scenario, _, _ string) handling {
 			go func() {
 				s.rush()
-				sleep(c.ctx, rushing)
+				if sleep(c.ctx, rushing); c.ctx.Err() != nil {
+					return
+				}
 				for i := range cellWorkers {
 					c.killWorker(fmt.Sprintf("w%d", i), listLag)
 					c.startWorker(fmt.Sprintf("spare%d", i), rackIn(i%cellWorkerShards))
@@ -191,8 +194,11 @@
 			w := c.workerOf(to)
 			go func() {
 				c.mu.Lock()
-				h := c.workers[w].host
+				h, dead := c.workers[w].host, c.workers[w].dead
 				c.mu.Unlock()
+				if dead {
+					return
+				}
 				h.State = platform.HostLeaving
 				c.plat.SetHost(h)
 				s.leaves(w, time.Now())
@@ -208,7 +214,9 @@
 			go func() {
 				for i, n := range c.live() {
 					c.startNode(fmt.Sprintf("r%d", i))
-					sleep(c.ctx, 4*time.Second)
+					if sleep(c.ctx, 4*time.Second); c.ctx.Err() != nil {
+						return
+					}
 					c.kill(n.name)
 				}
 			}()
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -40,6 +40,35 @@
 	ownerOf string
 	guards  node.Guards
 	ignore  standinworker.Config
+	// then are further faults of the same cell, each at its own step.
+	then []spec
+}
+
+// arm makes the faults of sp come when its step is reached.
+func (sp spec) arm(c *cell, s *scenario) {
+	c.steps.arm(trigger{step: sp.step, phase: sp.phase, skip: sp.skip, node: ownerOf(sp.ownerOf), fire: func(node, to string) handling {
+		var how handling
+		for _, f := range sp.faults {
+			h := f.inject(c, s, node, to)
+			how = handling{max(how.delay, h.delay), max(how.late, h.late), how.twice || h.twice, how.loseReply || h.loseReply}
+		}
+		return how
+	}})
+}
+
+// cuts reports whether a fault of the cell may leave requests unknown.
+func (sp spec) cuts() bool {
+	for _, f := range sp.faults {
+		if f.cutsAnswers {
+			return true
+		}
+	}
+	for _, next := range sp.then {
+		if next.cuts() {
+			return true
+		}
+	}
+	return false
 }
 
 // run runs one cell in a bubble of virtual time.
@@ -55,23 +84,15 @@
 			t.Fatal(err)
 		}
 		sleep(ctx, 2*time.Second)
-		cuts := false
-		c.steps.arm(trigger{step: sp.step, phase: sp.phase, skip: sp.skip, node: ownerOf(sp.ownerOf), fire: func(node, to string) handling {
-			var how handling
-			for _, f := range sp.faults {
-				h := f.inject(c, s, node, to)
-				how = handling{max(how.delay, h.delay), max(how.late, h.late), how.twice || h.twice, how.loseReply || h.loseReply}
-			}
-			return how
-		}})
-		for _, f := range sp.faults {
-			cuts = cuts || f.cutsAnswers
+		sp.arm(c, s)
+		for _, next := range sp.then {
+			next.arm(c, s)
 		}
 		s.run()
 		out.reached = c.steps.pending() == 0
-		out.breaches = s.judge(cuts)
-		c.close()
+		out.breaches = s.judge(sp.cuts())
 		stop()
+		c.close()
 		// Every goroutine ends within the timeouts of the calls under way.
 		time.Sleep(wrapUp)
 	})
--- a/matrix/scenario_test.go
+++ b/matrix/scenario_test.go
@@ -76,6 +76,11 @@
 // any returns a node that serves, another one for each i.
 func (s *scenario) any(i int) *cellNode {
 	live := s.c.live()
+	for len(live) == 0 {
+		// All are down; one comes back after the outage.
+		sleep(s.c.ctx, 500*time.Millisecond)
+		live = s.c.live()
+	}
 	slices.SortFunc(live, func(a, b *cellNode) int { return len(a.name) - len(b.name) })
 	return live[i%len(live)]
 }
