--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 BIN := bin
 GO  := go
 LDFLAGS := -s -w
+FUZZTIME ?= 3s
 
 .PHONY: all build run test race e2e matrix lint bench slopes fuzz tools verify clean
 
@@ -41,11 +42,20 @@
 
 lint: tools
 	$(BIN)/golangci-lint run ./...
-	$(BIN)/golangci-lint run --build-tags e2e ./e2e/...
+	$(BIN)/golangci-lint run --build-tags e2e,slopes ./e2e/...
 
 verify:
 	$(GO) mod verify
 
+# fuzz runs each fuzz target for a short time.
+fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzUnmarshal -fuzztime $(FUZZTIME) ./internal/httpx
+	$(GO) test -run '^$$' -fuzz FuzzLoad -fuzztime $(FUZZTIME) ./internal/bundle
+	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/config
+	$(GO) test -run '^$$' -fuzz FuzzLoadState -fuzztime $(FUZZTIME) ./internal/jobs
+	$(GO) test -run '^$$' -fuzz FuzzReplay -fuzztime $(FUZZTIME) ./internal/journal
+	$(GO) test -run '^$$' -fuzz FuzzContact -fuzztime $(FUZZTIME) ./internal/worker
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
--- a/e2e/cell_test.go
+++ b/e2e/cell_test.go
@@ -56,6 +56,8 @@
 
 type workerProc struct {
 	proc
+	// dead workers have taken their evidence along.
+	dead    bool
 	address string
 }
 
@@ -133,7 +135,7 @@
 func (c *cell) startWorker(i int) {
 	h := local.ExampleHost(i, "kosice-1")
 	p, out := c.start("dev", "worker", "--platform", c.platform, "--id", h.ID, "--data-centre", h.DataCentre, "--rack", h.Rack)
-	c.workers = append(c.workers, &workerProc{*p, readListening(c.t, out)})
+	c.workers = append(c.workers, &workerProc{proc: *p, address: readListening(c.t, out)})
 }
 
 // fastSettings has short leases, so that takeovers are seen soon.
@@ -228,6 +230,9 @@
 	c.t.Helper()
 	var all []worker.Sight
 	for _, w := range c.workers {
+		if w.dead {
+			continue
+		}
 		reply, err := httpx.Call[httpx.None, worker.EvidenceReply](c.ctx, http.DefaultClient, "http://"+w.address+"/standin/v1/evidence", httpx.None{})
 		if err != nil {
 			c.t.Fatal(err)
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -36,6 +36,10 @@
 		wait(c, beyondLease)
 		c.nodes[1].signal(syscall.SIGCONT)
 	}},
+	{name: "worker SIGKILL", relayed: relayNone, inject: func(c *cell, _ *load) {
+		c.workers[0].kill()
+		c.workers[0].dead = true
+	}},
 	{name: "worker SIGSTOP beyond its lease", relayed: relayNone, inject: func(c *cell, _ *load) {
 		c.workers[0].signal(syscall.SIGSTOP)
 		wait(c, beyondLease+beyondLease)
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -328,3 +328,23 @@
 	n := c.Counts()
 	b.ReportMetric(float64(n.Records)/float64(n.Writes), "records/write")
 }
+
+func FuzzReplay(f *testing.F) {
+	f.Add([]byte(`{"epoch":1,"token":"x","records":["a"]}`), []byte(`{"next":1,"skip":1,"object":"o"}`))
+	f.Fuzz(func(t *testing.T, batch, snapshot []byte) {
+		if !json.Valid(batch) || !json.Valid(snapshot) {
+			return
+		}
+		p := standin.New()
+		c := journal.New(p, p, journal.Options{}, zap.NewNop())
+		_, err := p.Commit(t.Context(), platform.Txn{Put: []platform.Put{
+			{Table: journal.TableJournal, Key: shardKey + "/000000000001", Value: batch},
+			{Table: journal.TableSnapshots, Key: shardKey, Value: snapshot},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = p.PutObject(t.Context(), "o", []byte("{}"))
+		_, _, _ = c.Open(t.Context(), shardKey, 1, 1)
+	})
+}
--- a/internal/journal/recover.go
+++ b/internal/journal/recover.go
@@ -80,7 +80,7 @@
 		rec.Records = append(rec.Records, b.Records...)
 		s.next++
 	}
-	if skip > len(rec.Records) {
+	if skip < 0 || skip > len(rec.Records) {
 		return &Error{"open", KindCorrupt, errors.Errorf("%s: batch %d is shorter than its snapshot says", s.key, s.first)}
 	}
 	rec.Records = rec.Records[skip:]
--- /dev/null
+++ b/internal/node/added_test.go
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"switchbank.example/switchbank/internal/api"
+	"switchbank.example/switchbank/internal/resource"
+)
+
+// BenchmarkAddedTime sends the same request to an instance directly and through
+// a node, side by side: at rest by one caller, and by as many as there are slots.
+func BenchmarkAddedTime(b *testing.B) {
+	const slots = 32
+	r := start(b, nil)
+	c := r.client("inkasoft", "")
+	w := api.Workload{
+		ID: "svc", Team: "inkasoft", Kind: api.KindService, Class: "notice", Tasks: 1, Service: "svc", Slots: slots,
+		Size: resource.Amount{CPUMilli: 1000, MemoryMB: 1000}, Command: []string{"serve"},
+	}
+	if _, err := c.Create(b.Context(), w); err != nil {
+		b.Fatal(err)
+	}
+	st, err := c.Wait(b.Context(), "svc", func(s api.Status) bool { return s.Counts.Running == 1 })
+	if err == nil {
+		st, err = c.Get(b.Context(), "svc", 0, true)
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	direct := "http://" + st.Tasks[0].Address + "/"
+	through := "http://" + r.callers + "/v1/services/svc/requests"
+	for _, callers := range []int{1, slots} {
+		for name, url := range map[string]string{"direct": direct, "through": through} {
+			b.Run(fmt.Sprintf("callers=%d/%s", callers, name), func(b *testing.B) { hammer(b, url, callers) })
+		}
+	}
+}
+
+func hammer(b *testing.B, url string, callers int) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+	defer client.CloseIdleConnections()
+	took := make([][]time.Duration, callers)
+	var wg sync.WaitGroup
+	b.ResetTimer()
+	for i := range callers {
+		wg.Go(func() {
+			for range (b.N + callers - 1) / callers {
+				began := time.Now()
+				req, err := http.NewRequestWithContext(b.Context(), http.MethodPost, url, strings.NewReader("a balance check"))
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				req.Header.Set(api.HeaderTeam, "inkasoft")
+				resp, err := client.Do(req)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+				took[i] = append(took[i], time.Since(began))
+			}
+		})
+	}
+	wg.Wait()
+	b.StopTimer()
+	all := slices.Concat(took...)
+	slices.Sort(all)
+	b.ReportMetric(float64(all[len(all)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(all[len(all)*99/100].Microseconds()), "p99-us")
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -43,7 +43,7 @@
 	plat                      *standin.Platform
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	var lc net.ListenConfig
 	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -54,7 +54,7 @@
 }
 
 // start runs a node with one worker and a bundle in force; change alters its settings.
-func start(t *testing.T, change func(*config.Config)) *running {
+func start(t testing.TB, change func(*config.Config)) *running {
 	t.Helper()
 	cfg, err := config.Parse("node.yaml", examples.Node)
 	if err != nil {
@@ -80,7 +80,7 @@
 	return r
 }
 
-func (r *running) startWorker(t *testing.T, ctx context.Context, g *errgroup.Group) { //nolint:revive // The test comes first here.
+func (r *running) startWorker(t testing.TB, ctx context.Context, g *errgroup.Group) { //nolint:revive // The test comes first here.
 	l := listen(t)
 	h := local.ExampleHost(0, "kosice-1")
 	h.Address = l.Addr().String()
@@ -94,7 +94,7 @@
 }
 
 // putBundle puts a bundle in force: team inkasoft is open, team rival has a token and a limit.
-func (r *running) putBundle(t *testing.T) {
+func (r *running) putBundle(t testing.TB) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
--- a/internal/worker/contract_test.go
+++ b/internal/worker/contract_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"switchbank.example/switchbank/internal/httpx"
 	"switchbank.example/switchbank/internal/resource"
 	"switchbank.example/switchbank/internal/worker"
 	standin "switchbank.example/switchbank/standin/worker"
@@ -194,3 +195,17 @@
 		}
 	})
 }
+
+func FuzzContact(f *testing.F) {
+	f.Add([]byte(`{"shard":"s","owner":"o","epoch":1,"ticket":1,"lease_ms":1000,"renew":true,"start":[{"attempt":{"job":"j","task":0,"n":1}}]}`))
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		var c worker.Contact
+		if httpx.Unmarshal(body, &c) != nil {
+			return
+		}
+		c.WaitMS = 0
+		w := standin.New(standin.Config{ID: "w", Capacity: size, Listen: func() (net.Listener, error) { return nil, net.ErrClosed }})
+		_, _ = w.Contact(context.Background(), c)
+		w.Close()
+	})
+}
