--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 LDFLAGS := -s -w
 FUZZTIME ?= 3s
 
-.PHONY: all build run test race e2e matrix lint bench slopes fuzz tools verify clean
+.PHONY: all build run test race e2e matrix lint bench slopes measure fuzz fuzz tools verify clean
 
 all: build
 
@@ -64,5 +64,11 @@
 	SWITCHBANK_BIN=$(CURDIR)/$(BIN) SLOPES_OUT=$(CURDIR)/$(BIN)/slopes.txt $(GO) test -count=1 -timeout 20m -tags slopes -run TestSlopes ./e2e/...
 	cat $(BIN)/slopes.txt
 
+# measure holds the policy against two baselines in virtual time.
+measure:
+	mkdir -p $(BIN)
+	MEASURE_OUT=$(CURDIR)/$(BIN)/measure.txt $(GO) test -count=1 -run TestMeasure ./measure
+	cat $(BIN)/measure.txt
+
 clean:
 	rm -rf $(BIN)
--- a/e2e/cell_test.go
+++ b/e2e/cell_test.go
@@ -152,7 +152,7 @@
 review: {required: 1, reviewers: [{name: "%s", key: "%s"}]}
 `
 
-func (c *cell) startNode(i int) *nodeProc {
+func (c *cell) startNode(i int) {
 	c.t.Helper()
 	platform := c.platform
 	if i == c.relayed {
@@ -188,7 +188,6 @@
 	if err := local.WaitReady(c.ctx, c.client(len(c.nodes)-1, "")); err != nil {
 		c.t.Fatalf("node %d is not ready: %v", i, err)
 	}
-	return n
 }
 
 // logDir is where the nodes' logs are kept when SWITCHBANK_LOGS names a directory.
