--- a/internal/jobs/schedule.go
+++ b/internal/jobs/schedule.go
@@ -9,6 +9,9 @@
 	"slices"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -92,7 +95,10 @@
 	g.SetLimit(poolsAtOnce)
 	for _, b := range batch {
 		g.Go(func() error {
-			if s.opts.StartUnkept || b.kept.Wait(wait) == nil {
+			_, span := tracer().Start(wait, "journal")
+			kept := s.opts.StartUnkept || b.kept.Wait(wait) == nil
+			span.End()
+			if kept {
 				s.confirm(ctx, b.shard, b.places)
 			}
 			return nil
@@ -326,9 +332,12 @@
 			left := len(order) - n
 			ask = rest[:(len(rest)+left-1)/left]
 		}
-		reply, err := s.deps.Pools.Reserve(ctx, peer.ReserveRequest{
+		rctx, span := tracer().Start(ctx, "reserve", trace.WithAttributes(
+			attribute.String("job", w.job), attribute.String("shard", r.pools[i].Shard), attribute.Int("tasks", len(ask))))
+		reply, err := s.deps.Pools.Reserve(rctx, peer.ReserveRequest{
 			Shard: r.pools[i].Shard, Specs: ask, Spread: w.spec.Kind == api.KindService, Preempt: preempt,
 		})
+		span.End()
 		if err != nil {
 			firstErr = cmp.Or(firstErr, err)
 			continue
@@ -451,6 +460,9 @@
 	places = sh.wanted(places)
 	sh.noteAsked(places, time.Now())
 	eachPool(places, func(shard string, places []peer.Placement) {
+		ctx, span := tracer().Start(ctx, "start", trace.WithAttributes(
+			attribute.String("shard", shard), attribute.Int("tasks", len(places))))
+		defer span.End()
 		reply, err := s.deps.Pools.Confirm(ctx, peer.ConfirmRequest{Shard: shard, Placements: places})
 		if err != nil {
 			// Asked again by reconcile.
@@ -488,3 +500,5 @@
 	}
 	s.Wake()
 }
+
+func tracer() trace.Tracer { return otel.Tracer("switchbank/jobs") }
--- a/internal/jobs/set.go
+++ b/internal/jobs/set.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"switchbank.example/switchbank/internal/api"
@@ -176,6 +178,8 @@
 	if err != nil {
 		return api.Status{}, err
 	}
+	ctx, span := tracer().Start(ctx, "admit", trace.WithAttributes(attribute.String("job", w.ID)))
+	defer span.End()
 	st, err := sh.create(ctx, w)
 	s.Wake()
 	return st, err
