--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -257,7 +257,9 @@
 	Revision  int64      `json:"revision"`
 	Counts    TaskCounts `json:"counts"`
 	// Waits says why tasks wait, as the scheduler last saw it.
-	Waits string       `json:"waits,omitempty"`
+	Waits string `json:"waits,omitempty"`
+	// Ahead are the first of the jobs that were placed or tried before this one.
+	Ahead []string     `json:"ahead,omitempty"`
 	Tasks []TaskStatus `json:"tasks,omitempty"`
 }
 
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -16,6 +16,8 @@
 	"io"
 	"os"
 	"os/signal"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -65,6 +67,7 @@
 	Submit  submitCmd  `cmd:"" help:"Declare a workload."`
 	Get     getCmd     `cmd:"" help:"Tell how a workload is."`
 	List    listCmd    `cmd:"" help:"List the team's workloads."`
+	Explain explainCmd `cmd:"" help:"Tell why a workload's tasks run where they run, or wait."`
 	Cancel  cancelCmd  `cmd:"" help:"Cancel a workload."`
 	Bundle  bundleCmd  `cmd:"" help:"Check, sign and roll out bundles."`
 	Version versionCmd `cmd:"" help:"Print the version."`
@@ -275,3 +278,55 @@
 	}
 	return env.printStatus(st)
 }
+
+type explainCmd struct {
+	ID string `arg:"" name:"id" help:"The workload, or one of its tasks as JOB/TASK."`
+}
+
+// Run tells why tasks run where they run, or wait, in the words of the log and the API.
+func (c explainCmd) Run(env *Env) error {
+	id, number, one := strings.Cut(c.ID, "/")
+	task := -1
+	if one {
+		n, err := strconv.Atoi(number)
+		if err != nil {
+			return httpx.FieldProblem("id", "want JOB or JOB/TASK, with a number for the task")
+		}
+		task = n
+	}
+	st, err := env.client().Get(env.ctx, id, 0, true)
+	if err != nil {
+		return err
+	}
+	if one && (task < 0 || task >= len(st.Tasks)) {
+		return httpx.FieldProblem("id", fmt.Sprintf("the workload has tasks 0 to %d", len(st.Tasks)-1))
+	}
+	return env.print(st, func(w io.Writer) { explain(w, st, task) })
+}
+
+// explain writes what is known of a workload; task is one of its tasks, or -1 for all.
+func explain(w io.Writer, st api.Status, task int) {
+	say(w, "%s is %s, class %s, team %s. %s", st.Workload.ID, st.State, st.Workload.Class, st.Workload.Team, st.Reason)
+	for _, t := range st.Tasks {
+		if task >= 0 && t.Task != task {
+			continue
+		}
+		switch {
+		case t.State.Active():
+			say(w, "task %d: attempt %d is %s on %s", t.Task, t.Attempt, t.State, t.Worker)
+		case t.State == api.TaskWaiting && t.Reason != "":
+			say(w, "task %d: waits after attempt %d: %s", t.Task, t.Attempt, t.Reason)
+		default:
+			say(w, "task %d: %s %s", t.Task, t.State, t.Reason)
+		}
+	}
+	if st.Waits == "" {
+		return
+	}
+	say(w, "tasks wait: %s", st.Waits)
+	if len(st.Ahead) > 0 {
+		say(w, "these go first: %s", strings.Join(st.Ahead, ", "))
+	}
+	say(w, "they start once a worker has %d thousandths of a core, %d MB and %d accelerators free for each",
+		st.Workload.Size.CPUMilli, st.Workload.Size.MemoryMB, st.Workload.Size.Accelerators)
+}
--- a/internal/jobs/schedule.go
+++ b/internal/jobs/schedule.go
@@ -30,6 +30,8 @@
 	maxPerRound = 512
 	// poolsAtOnce bounds the calls of one step that are under way together.
 	poolsAtOnce = 8
+	// aheadKept is how many of the jobs that go first are told of.
+	aheadKept = 5
 	// keepTimeout bounds a round's wait for the journal.
 	keepTimeout = 2 * time.Second
 )
@@ -64,6 +66,7 @@
 		return
 	}
 	items := r.items()
+	var ahead []string
 	for _, i := range policy.Order(time.Now(), items, r.teams, r.total) {
 		if ctx.Err() != nil {
 			return
@@ -74,7 +77,10 @@
 			why = err.Error()
 			s.log.Warn("tasks not placed", events.TaskNotPlaced, zap.String("job", w.job), zap.Error(err))
 		}
-		w.shard.setWaits(w.job, why)
+		w.shard.setWaits(w.job, waitNote{why, slices.Clone(ahead)})
+		if len(ahead) < aheadKept {
+			ahead = append(ahead, w.job)
+		}
 	}
 	s.startPlaced(ctx, r.placed)
 }
@@ -204,14 +210,14 @@
 	return specs
 }
 
-func (sh *Shard) setWaits(job, why string) {
+func (sh *Shard) setWaits(job string, note waitNote) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	if why == "" {
+	if note.why == "" {
 		delete(sh.waits, job)
 		return
 	}
-	sh.waits[job] = why
+	sh.waits[job] = note
 }
 
 // place reserves room for a job's tasks and journals the places; the starts follow.
--- a/internal/jobs/shard.go
+++ b/internal/jobs/shard.go
@@ -61,6 +61,12 @@
 	return ""
 }
 
+// waitNote is why a job's tasks wait, and which jobs go first.
+type waitNote struct {
+	why   string
+	ahead []string
+}
+
 // Shard is one job shard under one epoch.
 type Shard struct {
 	grant   shard.Grant
@@ -76,7 +82,7 @@
 	// changed is closed and replaced at each change of the state.
 	changed chan struct{}
 	// waits holds, by job, why its tasks wait as the scheduler last saw it.
-	waits map[string]string
+	waits map[string]waitNote
 	// snapping is set while a snapshot is being stored.
 	snapping bool
 }
@@ -94,7 +100,7 @@
 		grant: g, journal: c, stream: stream, opts: opts, state: st,
 		log:     log.With(zap.String("shard", string(g.Key)), zap.Int64("epoch", g.Epoch)),
 		changed: make(chan struct{}),
-		waits:   make(map[string]string),
+		waits:   make(map[string]waitNote),
 	}, nil
 }
 
@@ -191,7 +197,7 @@
 			return api.Status{}, &Error{"get", KindNotFound, errors.New(id)}
 		}
 		st := j.Status(tasks)
-		st.Waits = sh.waits[id]
+		st.Waits, st.Ahead = sh.waits[id].why, sh.waits[id].ahead
 		sh.mu.Unlock()
 		if st.Revision > since || ctx.Err() != nil {
 			return st, waitBriefly(ctx, last)
@@ -223,7 +229,7 @@
 	for id, j := range sh.state.Jobs {
 		if team == "" || j.Spec.Team == team {
 			st := j.Status(false)
-			st.Waits = sh.waits[id]
+			st.Waits = sh.waits[id].why
 			list = append(list, st)
 		}
 	}
