--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -104,6 +104,9 @@
 	Connections int `yaml:"connections"`
 	// InFlight is how many requests of callers the node works on at once.
 	InFlight int `yaml:"in_flight"`
+	// Keys and Workloads are how many of each a job shard keeps.
+	Keys      int `yaml:"keys"`
+	Workloads int `yaml:"workloads"`
 	// MemoryMB is the soft limit of the node's memory, in megabytes.
 	MemoryMB int64 `yaml:"memory_mb"`
 }
@@ -154,7 +157,7 @@
 			Load: time.Second, DrainDelay: 3 * time.Second, DrainTimeout: 30 * time.Second,
 		},
 		Journal: Journal{Spacing: 25 * time.Millisecond, DownAfter: time.Second, SnapshotEvery: 256},
-		Limits:  Limits{HeaderBytes: 16 << 10, Connections: 4096, InFlight: 4096, MemoryMB: 256},
+		Limits:  Limits{HeaderBytes: 16 << 10, Connections: 4096, InFlight: 4096, Keys: 50_000, Workloads: 20_000, MemoryMB: 256},
 		Log:     Log{Level: "info"},
 		Trace:   TraceOff,
 	}
@@ -209,6 +212,8 @@
 		{"limits.header_bytes", c.Limits.HeaderBytes >= 1024, "want 1024 bytes or more"},
 		{"limits.connections", c.Limits.Connections > 0, "want 1 or more"},
 		{"limits.in_flight", c.Limits.InFlight > 0, "want 1 or more"},
+		{"limits.keys", c.Limits.Keys > 0, "want 1 or more"},
+		{"limits.workloads", c.Limits.Workloads > 0, "want 1 or more"},
 		{"limits.memory_mb", c.Limits.MemoryMB >= 16, "want 16 MB or more"},
 		{"requests.key_answer_bytes", c.Requests.KeyAnswerBytes >= 0, "want 0 or more"},
 		{"journal.snapshot_every", c.Journal.SnapshotEvery > 0, "want 1 or more"},
--- a/internal/jobs/keys.go
+++ b/internal/jobs/keys.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"switchbank.example/switchbank/internal/api"
 	"switchbank.example/switchbank/internal/peer"
 )
@@ -91,6 +93,10 @@
 		sh.mu.Unlock()
 		return peer.KeyReply{}, changed, nil
 	}
+	if !ok && len(sh.state.Keys) >= sh.opts.MaxKeys {
+		sh.mu.Unlock()
+		return peer.KeyReply{}, nil, &Error{"begin key", KindTooManyKeys, errors.Errorf("the shard keeps %d", sh.opts.MaxKeys)}
+	}
 	state, answer, rec := decideKey(k, req, now, sh.opts)
 	err := sh.writeLocked(rec...)
 	last := sh.last
--- a/internal/jobs/set.go
+++ b/internal/jobs/set.go
@@ -34,6 +34,9 @@
 	KeyMargin time.Duration
 	// KeyAnswerBytes is the largest answer that is kept with a key.
 	KeyAnswerBytes int
+	// MaxKeys and MaxJobs bound what callers can make a shard keep.
+	MaxKeys int
+	MaxJobs int
 	// SnapshotEvery is how many batches a journal holds before a snapshot is taken.
 	SnapshotEvery int64
 	// WorkerShards is the number of worker shards of the cell.
--- a/internal/jobs/shard.go
+++ b/internal/jobs/shard.go
@@ -35,6 +35,9 @@
 	KindConflict Kind = "conflict"
 	// KindCorrupt is a journal or snapshot that can't be read.
 	KindCorrupt Kind = "corrupt"
+	// KindTooManyKeys and KindTooManyJobs are shards that keep as many as they may.
+	KindTooManyKeys Kind = "too_many_keys"
+	KindTooManyJobs Kind = "too_many_workloads"
 	// KindUncertain is a change that may or may not have been kept.
 	KindUncertain Kind = "uncertain"
 )
@@ -167,6 +170,10 @@
 		}
 		return st, waitFor(ctx, last)
 	}
+	if len(sh.state.Jobs) >= sh.opts.MaxJobs {
+		sh.mu.Unlock()
+		return api.Status{}, &Error{"create", KindTooManyJobs, errors.Errorf("the shard keeps %d", sh.opts.MaxJobs)}
+	}
 	err := sh.writeLocked(Record{Admit: &Admit{Workload: w, At: time.Now().UTC()}})
 	var st api.Status
 	if err == nil {
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -161,7 +161,7 @@
 func resultProblem(res requests.Result) error {
 	status := http.StatusServiceUnavailable
 	switch {
-	case res.Reason == requests.KindTeamFull || res.Reason == requests.KindQueueFull:
+	case res.Reason == requests.KindTeamFull || res.Reason == requests.KindQueueFull || res.Reason == requests.KindTooManyKeys:
 		status = http.StatusTooManyRequests
 	case res.Reason == requests.KindKeyClash || res.Reason == requests.KindKeyUnknown || res.Reason == requests.KindKeyOld:
 		status = http.StatusConflict
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -208,6 +208,7 @@
 	n.jobs = jobs.NewSet(jobs.Deps{Journal: n.journal, Pools: poolRouter{n}, Room: n.load, Bundle: n.bundle}, jobs.Options{
 		Every: cfg.Tasks.Every, AskEvery: cfg.Tasks.Ask, Retention: cfg.Tasks.Retention,
 		KeyWindow: cfg.Requests.KeyWindow, KeyMargin: cfg.Requests.KeyMargin, KeyAnswerBytes: cfg.Requests.KeyAnswerBytes,
+		MaxKeys: cfg.Limits.Keys, MaxJobs: cfg.Limits.Workloads,
 		SnapshotEvery: cfg.Journal.SnapshotEvery, WorkerShards: workerShards(cfg), StartUnkept: n.deps.Guards.StartUnkept,
 	}, n.log)
 	n.shardKeys = shard.Layout(cfg.JobShards, cfg.DataCentres)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -302,6 +302,30 @@
 	}
 }
 
+// TestKeptIsBounded fills a node with workloads and keys.
+func TestKeptIsBounded(t *testing.T) {
+	t.Parallel()
+	r := start(t, func(c *config.Config) {
+		c.JobShards, c.Limits.Keys, c.Limits.Workloads = 1, 3, 2
+	})
+	c := r.client("inkasoft", "")
+	for i := range 4 {
+		_, err := c.Create(t.Context(), job(fmt.Sprintf("job-%d", i)))
+		p, _ := client.ProblemOf(err)
+		if full := p.Reason == "too_many_workloads" && p.RetryAfterMS > 0; full != (i >= 2) {
+			t.Errorf("workload %d: %v", i, err)
+		}
+	}
+	for i := range 5 {
+		status, p := r.post(t, "/v1/services/none/requests", "x", "inkasoft", map[string]string{
+			api.HeaderKey: fmt.Sprintf("key-%d", i), api.HeaderKeyCreated: time.Now().UTC().Format(time.RFC3339), api.HeaderTimeout: "200",
+		})
+		if full := status == http.StatusTooManyRequests && p.Reason == "too_many_keys"; full != (i >= 3) {
+			t.Errorf("key %d: %d %+v", i, status, p)
+		}
+	}
+}
+
 // TestBounds opens more connections and sends larger headers than are allowed.
 func TestBounds(t *testing.T) {
 	t.Parallel()
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -24,6 +24,8 @@
 	// callTimeout bounds the calls that a node makes on its own account.
 	callTimeout = 5 * time.Second
 	retryIn     = time.Second
+	// fullRetryIn is when something that was kept may have been forgotten.
+	fullRetryIn = time.Minute
 )
 
 // onOwner calls the owner of a shard: this node's own function, or a peer.
@@ -109,6 +111,9 @@
 	case jobs.KindUnavailable:
 		return httpx.NewProblem(http.StatusServiceUnavailable, "store_unavailable", "the store takes no writes now; nothing was kept").
 			RetryAfter(2 * retryIn).WithOutcome(string(api.OutcomeRefused))
+	case jobs.KindTooManyKeys, jobs.KindTooManyJobs:
+		return httpx.NewProblem(http.StatusTooManyRequests, string(jobs.KindOf(err)), err.Error()).
+			RetryAfter(fullRetryIn).WithOutcome(string(api.OutcomeRefused))
 	case jobs.KindUncertain:
 		return httpx.NewProblem(http.StatusGatewayTimeout, "not_known_whether_kept", "the store did not answer in time; sending the same again is safe").
 			RetryAfter(2 * retryIn).WithOutcome(string(api.OutcomeUnknown))
@@ -176,7 +181,8 @@
 func (r keyRouter) Begin(ctx context.Context, req peer.KeyBegin) (peer.KeyReply, error) {
 	key := r.n.jobKey(jobs.KeyName(req.Team, req.Key))
 	req.Shard = string(key)
-	return onOwnerSoon(ctx, r.n, key, peer.PathKeyBegin, req, r.n.jobs.KeyBegin)
+	reply, err := onOwnerSoon(ctx, r.n, key, peer.PathKeyBegin, req, r.n.jobs.KeyBegin)
+	return reply, problem(err)
 }
 
 // Finish journals how a request ended.
--- a/internal/requests/balancer.go
+++ b/internal/requests/balancer.go
@@ -49,6 +49,7 @@
 	KindQueueFull   Kind = "queue_full"
 	KindDeadline    Kind = "deadline"
 	KindKeys        Kind = "key_store_unavailable"
+	KindTooManyKeys Kind = "too_many_keys"
 	KindKeyClash    Kind = "key_used_for_another_request"
 	KindKeyUnknown  Kind = "key_outcome_unknown"
 	KindKeyOld      Kind = "key_older_than_window"
--- a/internal/requests/entry.go
+++ b/internal/requests/entry.go
@@ -116,6 +116,9 @@
 	if err != nil {
 		// Nothing was sent and nothing will be, whatever became of the intent.
 		go e.finish(ctx, r, notRun(KindKeys, ""))
+		if httpx.Reason(err) == string(KindTooManyKeys) {
+			return refused(KindTooManyKeys, err.Error(), time.Minute)
+		}
 		return refused(KindKeys, "the key could not be journalled: "+err.Error(), storeRetryIn)
 	}
 	switch reply.State {
