--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,8 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"net/netip"
 	"net/url"
 	"os"
@@ -41,8 +43,11 @@
 	Limits    Limits    `yaml:"limits"`
 	// Review says who signs off the first bundle.
 	Review bundle.Review `yaml:"review"`
-	Log    Log           `yaml:"log"`
-	Trace  string        `yaml:"trace"`
+	// Operators holds the hex digests of the operators' bearer tokens; without
+	// one the operators' listener is open to everyone who can reach it.
+	Operators Operators `yaml:"operators"`
+	Log       Log       `yaml:"log"`
+	Trace     string    `yaml:"trace"`
 }
 
 // Addresses are the three listeners of a node, each IP:port.
@@ -52,6 +57,11 @@
 	Operators string `yaml:"operators"`
 }
 
+// Operators says who may operate the node.
+type Operators struct {
+	TokenSHA256 []string `yaml:"token_sha256"`
+}
+
 // Platform says how the platform is reached.
 type Platform struct {
 	URL     string        `yaml:"url"`
@@ -209,6 +219,7 @@
 		{"platform.url", validURL(c.Platform.URL), "want http://IP:port"},
 		{"log.level", c.Log.Level == "debug" || c.Log.Level == "info" || c.Log.Level == "warn" || c.Log.Level == "error", "want debug, info, warn or error"},
 		{"trace", c.Trace == TraceOff || c.Trace == TraceStderr, "want off or stderr"},
+		{"operators.token_sha256", c.digestsOK(), "want 64 hex digits each"},
 		{"limits.header_bytes", c.Limits.HeaderBytes >= 1024, "want 1024 bytes or more"},
 		{"limits.connections", c.Limits.Connections > 0, "want 1 or more"},
 		{"limits.in_flight", c.Limits.InFlight > 0, "want 1 or more"},
@@ -275,6 +286,15 @@
 	return len(c.DataCentres) > 0
 }
 
+func (c *Config) digestsOK() bool {
+	for _, d := range c.Operators.TokenSHA256 {
+		if raw, err := hex.DecodeString(d); err != nil || len(raw) != sha256.Size {
+			return false
+		}
+	}
+	return true
+}
+
 func validAddress(s string) bool {
 	_, err := netip.ParseAddrPort(s)
 	return err == nil
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -58,7 +58,7 @@
 	Operators string        `env:"SWITCHBANK_OPERATORS" default:"127.0.0.1:8082" help:"A node's operators' listener."`
 	Callers   string        `env:"SWITCHBANK_CALLERS" default:"127.0.0.1:8080" help:"A node's callers' listener."`
 	Team      string        `env:"SWITCHBANK_TEAM" help:"The team to call as."`
-	Token     string        `env:"SWITCHBANK_TOKEN" help:"The team's bearer token."`
+	Token     string        `env:"SWITCHBANK_TOKEN" help:"The team's or operator's bearer token."`
 	Output    string        `short:"o" enum:"text,json" default:"text" help:"Output: text or json."`
 	Timeout   time.Duration `default:"30s" help:"How long a command may take."`
 
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -109,22 +109,23 @@
 		p.Problem.Field = api.HeaderTeam
 		return t, p.WithOutcome(string(api.OutcomeRefused))
 	}
-	if !tokenOK(t, r) {
+	if !tokenOK(t.TokenSHA256, r) {
 		p := httpx.NewProblem(http.StatusUnauthorized, "token_not_valid", "the bearer token is not one of the team's")
 		return t, p.WithOutcome(string(api.OutcomeRefused))
 	}
 	return t, nil
 }
 
-// tokenOK compares in constant time, and all digests, so that time tells nothing.
-func tokenOK(t bundle.Team, r *http.Request) bool {
-	if len(t.TokenSHA256) == 0 {
+// tokenOK reports whether the request's bearer token has one of the digests, if
+// there are any. It compares in constant time, and all, so that time tells nothing.
+func tokenOK(digests []string, r *http.Request) bool {
+	if len(digests) == 0 {
 		return true
 	}
 	sum := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
 	have := []byte(hex.EncodeToString(sum[:]))
 	ok := 0
-	for _, want := range t.TokenSHA256 {
+	for _, want := range digests {
 		ok |= subtle.ConstantTimeCompare(have, []byte(strings.ToLower(want)))
 	}
 	return ok == 1
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -100,11 +100,14 @@
 // apply puts a bundle in force unless a higher one is.
 func (f *follower) apply(head bundle.Head, b *bundle.Bundle) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	if head.Version <= f.head.Version {
+		f.mu.Unlock()
 		return
 	}
 	f.head, f.bundle = head, b
+	staged := f.staged
+	f.mu.Unlock()
+	f.n.lease.SetBundles(staged, head.Version)
 	f.n.log.Info("bundle in force", events.BundleInForce, zap.Int64("version", head.Version), zap.String("digest", head.Digest))
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -281,6 +281,37 @@
 	}
 }
 
+// TestOperatorsToken asks the operators' listener with and without a token.
+func TestOperatorsToken(t *testing.T) {
+	t.Parallel()
+	const token = "an operator's token"
+	sum := sha256.Sum256([]byte(token))
+	cfg, err := config.Parse("node.yaml", examples.Node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Operators.TokenSHA256 = []string{hex.EncodeToString(sum[:])}
+	cfg.Requests.DrainDelay = time.Millisecond
+	deps := node.Deps{Platform: standin.New(), Log: zap.NewNop(), Callers: listen(t), Peers: listen(t), Operators: listen(t)}
+	r := &running{callers: deps.Callers.Addr().String(), operators: deps.Operators.Addr().String()}
+	ctx, stop := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return node.New(cfg, deps).Run(ctx) })
+	t.Cleanup(func() { stop(); _ = g.Wait() })
+	if err := local.WaitReady(t.Context(), r.client("", "")); err != nil {
+		t.Fatal(err)
+	}
+	for _, wrong := range []string{"", "another"} {
+		_, err := r.client("", wrong).Drain(t.Context())
+		if p, ok := client.ProblemOf(err); !ok || p.Status != http.StatusUnauthorized {
+			t.Errorf("token %q: %v", wrong, err)
+		}
+	}
+	if _, err := r.client("", token).Status(t.Context()); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestSameWorkloadAgain sends a workload twice, and then another of the same id.
 func TestSameWorkloadAgain(t *testing.T) {
 	t.Parallel()
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -89,6 +89,13 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", n.serveReady)
+	mux.Handle("/", n.operatorsOnly(n.guardedRoutes()))
+	return mux
+}
+
+// guardedRoutes are those that ask for an operator's token.
+func (n *Node) guardedRoutes() http.Handler {
+	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		n.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
@@ -105,6 +112,18 @@
 	return mux
 }
 
+// operatorsOnly turns away who has no operator's token, where the settings ask for one.
+func (n *Node) operatorsOnly(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !tokenOK(n.cfg.Operators.TokenSHA256, r) {
+			n.counters.refused("operator_token_not_valid")
+			httpx.WriteError(w, httpx.NewProblem(http.StatusUnauthorized, "operator_token_not_valid", "the bearer token is not an operator's"))
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // operate serves a call of an operator.
 func operate[Req, Resp any](fn func(context.Context, Req) (Resp, error)) http.Handler {
 	return httpx.Handle(maxBundleBytes, func(ctx context.Context, req Req) (Resp, error) {
