--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -274,6 +274,12 @@
 	got := peek(t, p, cs[owner])
 	at := 0
 	for i, ap := range pending {
+		select {
+		case <-ap.Done():
+		default:
+			t.Logf("%s has no end", names[i])
+			return false
+		}
 		if ap.Err() != nil {
 			continue
 		}
--- a/matrix/cell_test.go
+++ b/matrix/cell_test.go
@@ -10,9 +10,11 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -173,18 +175,23 @@
 func (c *cell) kill(name string) {
 	c.mu.Lock()
 	n := c.nodes[name]
+	gone := n == nil || n.killed
+	if !gone {
+		n.killed = true
+	}
 	c.mu.Unlock()
-	if n == nil || n.killed {
+	if gone {
 		return
 	}
-	n.killed = true
 	c.net.setCut(name, "*", true)
 	c.net.reset(name)
 }
 
 // drain begins a planned stop of a node.
 func (c *cell) drain(n *cellNode) {
+	c.mu.Lock()
 	n.drained = time.Now()
+	c.mu.Unlock()
 	n.stop()
 }
 
@@ -218,11 +225,14 @@
 func (c *cell) killWorker(id string, lag time.Duration) {
 	c.mu.Lock()
 	w := c.workers[id]
+	gone := w == nil || w.dead
+	if !gone {
+		w.dead = true
+	}
 	c.mu.Unlock()
-	if w == nil || w.dead {
+	if gone {
 		return
 	}
-	w.dead = true
 	c.net.setCut(id, "*", true)
 	w.stop()
 	go func() {
@@ -246,16 +256,19 @@
 func (c *cell) close() {
 	c.plat.SetFaults(standin.Faults{})
 	c.steps.disarm()
-	for _, n := range c.nodes {
+	c.mu.Lock()
+	nodes, workers := slices.Collect(maps.Values(c.nodes)), slices.Collect(maps.Values(c.workers))
+	c.mu.Unlock()
+	for _, n := range nodes {
 		c.net.resume(n.name)
 		n.stop()
 	}
-	for _, n := range c.nodes {
+	for _, n := range nodes {
 		<-n.ended
 		n.http.CloseIdleConnections()
 		c.net.reset(n.name)
 	}
-	for _, w := range c.workers {
+	for _, w := range workers {
 		w.stop()
 	}
 	c.wire.CloseIdleConnections()
--- a/matrix/faults_test.go
+++ b/matrix/faults_test.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"switchbank.example/switchbank/internal/platform"
@@ -48,6 +50,10 @@
 func (c *cell) workerOf(to string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.workerOfLocked(to)
+}
+
+func (c *cell) workerOfLocked(to string) string {
 	if _, ok := c.workers[to]; ok {
 		return to
 	}
@@ -129,9 +135,9 @@
 		}},
 		{name: "answers swapped", cutsAnswers: true, inject: func(c *cell, _ *scenario, _, to string) handling {
 			c.mu.Lock()
-			w := c.workers
+			all := slices.Collect(maps.Values(c.workers))
 			c.mu.Unlock()
-			for _, cw := range w {
+			for _, cw := range all {
 				cw.w.SetSwapAnswers(true)
 				heal(c, func() { cw.w.SetSwapAnswers(false) })
 			}
@@ -159,11 +165,11 @@
 			return handling{}
 		}},
 		{name: "worker fails all", inject: func(c *cell, s *scenario, _, to string) handling {
-			w := c.workerOf(to)
 			c.mu.Lock()
-			c.workers[w].w.SetFailAll(true)
+			w := c.workers[c.workerOfLocked(to)].w
 			c.mu.Unlock()
-			heal(c, func() { c.workers[w].w.SetFailAll(false) })
+			w.SetFailAll(true)
+			heal(c, func() { w.SetFailAll(false) })
 			s.mayFail()
 			return handling{}
 		}},
@@ -180,12 +186,14 @@
 			return handling{}
 		}},
 		{name: "planned stop", inject: func(c *cell, _ *scenario, node, _ string) handling {
-			c.mu.Lock()
-			n := c.nodes[node]
-			c.mu.Unlock()
 			go func() {
-				if len(c.live()) > 2 && n.drained.IsZero() {
-					c.drain(n)
+				// Another stop of the same node, or the last two, is left alone.
+				if live := c.live(); len(live) > 2 {
+					for _, n := range live {
+						if n.name == node {
+							c.drain(n)
+						}
+					}
 				}
 			}()
 			return handling{}
--- a/matrix/verdict_test.go
+++ b/matrix/verdict_test.go
@@ -38,6 +38,8 @@
 
 // judge holds what was seen from outside against the promises.
 func (s *scenario) judge(cutsAnswers bool) []breach {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var b []breach
 	add := func(promise, format string, args ...any) {
 		b = append(b, breach{promise, fmt.Sprintf(format, args...)})
