A worker that answers a held contact at once is not asked without end

Found in reading: a worker that does not hold its report back would have been polled in a loop. The new test hung without the mend, and counts at most 40 contacts a minute with it.

--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -37,8 +37,11 @@
 	hosts   []platform.Host
 	workers map[string]*standin.Worker
 	cut     map[string]bool
-	events  []peer.Event
-	open    map[worker.Attempt]bool
+	// noWait makes the workers answer at once, whatever wait was asked for.
+	noWait   bool
+	contacts int
+	events   []peer.Event
+	open     map[worker.Attempt]bool
 }
 
 func (f *fakes) Hosts(context.Context, string) ([]platform.Host, error) {
@@ -50,6 +53,10 @@
 func (f *fakes) Contact(ctx context.Context, address string, c worker.Contact) (worker.Report, error) {
 	f.mu.Lock()
 	w, cut := f.workers[address], f.cut[address]
+	f.contacts++
+	if f.noWait {
+		c.WaitMS = 0
+	}
 	f.mu.Unlock()
 	if cut || w == nil {
 		return worker.Report{}, errors.New("cut")
@@ -348,6 +355,25 @@
 	})
 }
 
+// TestWorkerThatDoesNotWait answers every contact at once: it is not asked without end.
+func TestWorkerThatDoesNotWait(t *testing.T) {
+	inBubble(t, 1, func(b *bench) {
+		b.f.mu.Lock()
+		b.f.noWait = true
+		b.f.mu.Unlock()
+		b.run(task("a", 1, "sleep", "1h"))
+		b.f.mu.Lock()
+		before := b.f.contacts
+		b.f.mu.Unlock()
+		time.Sleep(time.Minute)
+		b.f.mu.Lock()
+		defer b.f.mu.Unlock()
+		if n := b.f.contacts - before; n > 40 {
+			t.Errorf("%d contacts in a minute, at a renewal each 2 s", n)
+		}
+	})
+}
+
 func benchmarkReserve(b *testing.B, workers int) {
 	f := &fakes{workers: make(map[string]*standin.Worker), cut: make(map[string]bool), open: make(map[worker.Attempt]bool)}
 	for i := range workers {
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -170,13 +170,18 @@
 }
 
 // pollLoop renews a worker's leases with a contact that the worker holds back
-// until a task ends, so that the end is heard of at once.
+// until a task ends, so that the end is heard of at once. A worker that does not
+// hold it back is asked once an interval.
 func (p *Pool) pollLoop(w *workerState) {
 	for p.ctx.Err() == nil {
-		if p.answers(w) && p.contact(p.ctx, w, p.opts.renewEvery()) {
-			continue
+		began := time.Now()
+		seen, answers := p.heard(w)
+		if answers && p.contact(p.ctx, w, p.opts.renewEvery()) {
+			if now, _ := p.heard(w); now > seen || time.Since(began) >= p.opts.renewEvery() {
+				continue
+			}
 		}
-		t := time.NewTimer(p.opts.renewEvery())
+		t := time.NewTimer(p.opts.renewEvery() - time.Since(began))
 		select {
 		case <-p.ctx.Done():
 		case <-t.C:
@@ -185,11 +190,12 @@
 	}
 }
 
-// answers reports whether the worker has answered under the pool's epoch and is not silent.
-func (p *Pool) answers(w *workerState) bool {
+// heard returns how many ends the worker has told of, and whether it answers
+// under the pool's epoch.
+func (p *Pool) heard(w *workerState) (seen int64, answers bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return w.fenced && !w.silent && !w.refused
+	return w.seen, w.fenced && !w.silent && !w.refused
 }
 
 func (p *Pool) renewedLately(w *workerState) bool {
