--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -116,6 +116,7 @@
 			}
 		}
 	}
+	specs = append(specs, twice(full)...)
 	for p, pair := range pairs {
 		for i, step := range allSteps {
 			if !full && i != p*3 {
@@ -129,6 +130,26 @@
 	return specs
 }
 
+// twice returns cells in which a fault comes twice, the second time at a later
+// occurrence of the same step.
+func twice(full bool) []spec {
+	const every = 4
+	var specs []spec
+	for r, f := range faults {
+		for i, step := range allSteps {
+			if f.needsMessage || i%every != r%every || (!full && i != r%every) {
+				continue
+			}
+			sp := spec{row: f.name + ", twice", faults: []fault{f}, step: step, phase: after}
+			again := sp
+			again.skip = 2
+			sp.then = []spec{again}
+			specs = append(specs, sp)
+		}
+	}
+	return specs
+}
+
 // TestMatrix runs every fault at every step when MATRIX is "full", else a sample.
 func TestMatrix(t *testing.T) {
 	specs := cells(os.Getenv("MATRIX") == "full")
--- a/standin/worker/evidence.go
+++ b/standin/worker/evidence.go
@@ -27,6 +27,8 @@
 	SawCheckpoint Saw = "checkpoint"
 	SawThrottle   Saw = "throttle"
 	SawRequest    Saw = "request"
+	// SawOwner is the first contact of an owner under an epoch.
+	SawOwner Saw = "owner"
 )
 
 // Sight is one thing that a worker saw, at a time of this machine's clock.
@@ -35,9 +37,13 @@
 	Saw     Saw            `json:"saw"`
 	Attempt worker.Attempt `json:"attempt"`
 	// Request is the id of the request, and Body its body, for SawRequest.
-	Request string    `json:"request,omitempty"`
-	Body    string    `json:"body,omitempty"`
-	At      time.Time `json:"at"`
+	Request string `json:"request,omitempty"`
+	Body    string `json:"body,omitempty"`
+	// Shard, Owner and Epoch are those of a contact, for SawOwner.
+	Shard string    `json:"shard,omitempty"`
+	Owner string    `json:"owner,omitempty"`
+	Epoch int64     `json:"epoch,omitempty"`
+	At    time.Time `json:"at"`
 }
 
 // Evidence is an append-only list of sights.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -51,6 +51,7 @@
 
 	mu      sync.Mutex
 	epoch   int64
+	owner   string
 	leaving bool
 	tasks   map[worker.Attempt]*task
 	ended   map[worker.Attempt]worker.Ended
@@ -152,6 +153,10 @@
 	if c.Epoch < w.epoch && !w.cfg.IgnoreEpochs {
 		return worker.Report{Worker: w.cfg.ID, Incarnation: w.incarnation, Epoch: w.epoch, Refused: worker.RefusedStaleEpoch}
 	}
+	if c.Owner != "" && (c.Epoch != w.epoch || c.Owner != w.owner) {
+		w.evidence.append(Sight{Worker: w.cfg.ID, Saw: SawOwner, Shard: c.Shard, Owner: c.Owner, Epoch: c.Epoch, At: time.Now()})
+		w.owner = c.Owner
+	}
 	w.epoch = max(w.epoch, c.Epoch)
 	for _, a := range c.Ack {
 		delete(w.ended, a)
