--- /dev/null
+++ b/internal/node/contract_test.go
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"switchbank.example/switchbank/internal/api"
+	"switchbank.example/switchbank/internal/bundle"
+	"switchbank.example/switchbank/internal/client"
+	"switchbank.example/switchbank/internal/httpx"
+	"switchbank.example/switchbank/internal/node"
+	"switchbank.example/switchbank/internal/peer"
+	"switchbank.example/switchbank/internal/requests"
+	"switchbank.example/switchbank/internal/worker"
+)
+
+// tell sends a message to the peers' listener and returns the reason of its problem.
+func tell[Req, Resp any](t *testing.T, r *running, path string, req Req) (Resp, string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	resp, err := httpx.Call[Req, Resp](ctx, http.DefaultClient, "http://"+r.peers+path, req)
+	if err != nil && httpx.Reason(err) == "" {
+		t.Fatal(err)
+	}
+	return resp, httpx.Reason(err)
+}
+
+// TestPeerContract sends a node what a peer may send it, and what it must turn away.
+func TestPeerContract(t *testing.T) {
+	t.Parallel()
+	r := start(t, nil)
+	const elsewhere = "worker/nowhere/000"
+	a := worker.Attempt{Job: "j", N: 1}
+	places := []peer.Placement{{Attempt: a, Shard: elsewhere, Worker: "w", Reservation: "r"}}
+	if _, why := tell[peer.ReserveRequest, peer.ReserveReply](t, r, peer.PathReserve, peer.ReserveRequest{Shard: elsewhere}); why != peer.ReasonNotOwner {
+		t.Errorf("reserve elsewhere: %q", why)
+	}
+	if _, why := tell[peer.ConfirmRequest, peer.ConfirmReply](t, r, peer.PathConfirm, peer.ConfirmRequest{Shard: elsewhere, Placements: places}); why != peer.ReasonNotOwner {
+		t.Errorf("confirm elsewhere: %q", why)
+	}
+	if _, why := tell[peer.EventsRequest, httpx.None](t, r, peer.PathEvents, peer.EventsRequest{Shard: "job/999"}); why != peer.ReasonNotOwner {
+		t.Errorf("events elsewhere: %q", why)
+	}
+	if _, why := tell[peer.KeyBegin, peer.KeyReply](t, r, peer.PathKeyBegin, peer.KeyBegin{Shard: "job/999"}); why != peer.ReasonNotOwner {
+		t.Errorf("key elsewhere: %q", why)
+	}
+	const here = "worker/kosice-1/000"
+	known, why := tell[peer.ConfirmRequest, peer.ConfirmReply](t, r, peer.PathConfirm, peer.ConfirmRequest{Shard: here, Placements: places})
+	if why != "" || len(known.Items) != 1 || known.Items[0].State == peer.ConfirmAccepted {
+		t.Errorf("a task that nobody placed: %+v %s", known, why)
+	}
+	// An event of a job that is not there is taken, so that its sender forgets it.
+	ev := peer.EventsRequest{Shard: "job/000", Events: []peer.Event{{Kind: peer.EventLost, Attempt: a}}}
+	if _, why := tell[peer.EventsRequest, httpx.None](t, r, peer.PathEvents, ev); why != "" {
+		t.Errorf("an event of nobody's job: %q", why)
+	}
+	req := requests.Request{ID: "once", Service: "none", Team: "inkasoft", TimeoutMS: 100}
+	res, why := tell[requests.Request, requests.Result](t, r, peer.PathRequest, req)
+	if why != "" || res.Outcome != api.OutcomeRefused {
+		t.Errorf("a request to a service that is not here: %+v %s", res, why)
+	}
+	if _, why := tell[requests.Request, requests.Result](t, r, peer.PathRequest, req); why != "handed_over_before" {
+		t.Errorf("the same request again: %q", why)
+	}
+	if sum, why := tell[httpx.None, peer.Summary](t, r, peer.PathSummary, httpx.None{}); why != "" || sum.Node != "entry-1" || sum.Head != 1 {
+		t.Errorf("the summary: %+v %s", sum, why)
+	}
+	if head, why := tell[httpx.None, node.HeadReply](t, r, peer.PathHead, httpx.None{}); why != "" || head.Bundle.Digest() != head.Head.Digest {
+		t.Errorf("the head: %+v %s", head.Head, why)
+	}
+}
+
+// TestOperatorContract makes an operator's calls, right and wrong, in the order of a roll-out.
+func TestOperatorContract(t *testing.T) {
+	t.Parallel()
+	r := start(t, nil)
+	op := r.client("", "")
+	next := bundle.Default()
+	next.Limits.TimeoutMS = 12_345
+	conflict, invalid := http.StatusConflict, http.StatusUnprocessableEntity
+	tests := []struct {
+		name   string
+		call   func(ctx context.Context) error
+		status int
+	}{
+		{"no bundle", func(ctx context.Context) error {
+			return proposed(op.Propose(ctx, nil, bundle.Proposal{Change: "x", Operator: "o"}))
+		}, invalid},
+		{"no change id", func(ctx context.Context) error {
+			return proposed(op.Propose(ctx, next, bundle.Proposal{Base: 1, Operator: "o"}))
+		}, invalid},
+		{"an old base", func(ctx context.Context) error {
+			return proposed(op.Propose(ctx, next, bundle.Proposal{Base: 0, Change: "old", Operator: "o"}))
+		}, conflict},
+		{"a change that nobody proposed", func(ctx context.Context) error { return accepted(op.Accept(ctx, "none")) }, conflict},
+		{"a good proposal", func(ctx context.Context) error {
+			return proposed(op.Propose(ctx, next, bundle.Proposal{Base: 1, Change: "good", Operator: "o"}))
+		}, 0},
+		{"accepted", func(ctx context.Context) error { return accepted(op.AcceptSoon(ctx, "good")) }, 0},
+		{"accepted again", func(ctx context.Context) error { return accepted(op.Accept(ctx, "good")) }, 0},
+	}
+	for _, tt := range tests {
+		err := tt.call(t.Context())
+		p, _ := client.ProblemOf(err)
+		if p.Status != tt.status || (err != nil && p.Reason == "") {
+			t.Errorf("%s: %v", tt.name, err)
+		}
+	}
+	st, err := op.Bundle(t.Context())
+	if err != nil || st.Head.Version != 2 || st.Bundle.Limits.TimeoutMS != 12_345 || st.Proposal != nil {
+		t.Errorf("after it: %+v, %v", st.Head, err)
+	}
+	h, err := op.History(t.Context())
+	if err != nil || len(h.Heads) != 2 {
+		t.Errorf("the history: %+v, %v", h, err)
+	}
+}
+
+func proposed(_ bundle.Proposal, err error) error { return err }
+
+func accepted(_ bundle.Head, err error) error { return err }
--- /dev/null
+++ b/internal/requests/instance_test.go
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package requests_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"switchbank.example/switchbank/internal/api"
+	"switchbank.example/switchbank/internal/resource"
+	"switchbank.example/switchbank/internal/worker"
+	standin "switchbank.example/switchbank/standin/worker"
+)
+
+// startInstance has a stand-in worker start an instance with two slots; another
+// implementation of an instance is put under the contract in its place.
+func startInstance(t *testing.T) (address string, stop func()) {
+	t.Helper()
+	size := resource.Amount{CPUMilli: 1, MemoryMB: 1}
+	w := standin.New(standin.Config{ID: "w", Capacity: size, Listen: func() (net.Listener, error) {
+		var lc net.ListenConfig
+		return lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	}})
+	t.Cleanup(w.Close)
+	rep, err := w.Contact(t.Context(), worker.Contact{Epoch: 1, Inventory: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const leaseMS = 60_000
+	rep, err = w.Contact(t.Context(), worker.Contact{Epoch: 1, Ticket: rep.Ticket, LeaseMS: leaseMS, Start: []worker.Spec{{
+		Attempt: worker.Attempt{Job: "j", N: 1}, Size: size, Command: []string{"serve"}, Service: svc, Slots: 2,
+	}}})
+	if err != nil || rep.Started[0].Refused != "" {
+		t.Fatal(rep, err)
+	}
+	return rep.Started[0].Address, w.Close
+}
+
+func ask(ctx context.Context, t *testing.T, address, id, body string) (*http.Response, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(api.HeaderRequestID, id)
+	resp, err := http.DefaultClient.Do(req)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	return resp, err
+}
+
+// TestInstanceContract holds what a node relies on of an instance: it keeps the
+// request's id on its answer, says so when it did not run, and runs no more than
+// its slots.
+func TestInstanceContract(t *testing.T) {
+	address, stop := startInstance(t)
+	resp, err := ask(t.Context(), t, address, "id-1", "hello")
+	if err != nil || resp.StatusCode != http.StatusOK || resp.Header.Get(api.HeaderRequestID) != "id-1" {
+		t.Fatal(resp, err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() {
+			// A probe below may hold the slot for a moment; then it is asked again.
+			for ctx.Err() == nil {
+				_, _ = ask(ctx, t, address, "busy", "sleep 1h")
+			}
+		})
+	}
+	for refused := false; !refused; {
+		resp, err := ask(t.Context(), t, address, "id-2", "beyond")
+		if err != nil {
+			t.Fatal(err)
+		}
+		refused = resp.StatusCode == http.StatusServiceUnavailable
+		if refused && resp.Header.Get(api.HeaderNotRun) == "" {
+			t.Error("a request beyond the slots is refused without saying that it did not run")
+		}
+	}
+	cancel()
+	wg.Wait()
+	stop()
+	if _, err := ask(t.Context(), t, address, "id-3", "late"); err == nil {
+		t.Error("an instance that was stopped answers")
+	}
+}
