--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # SPDX-License-Identifier: Apache-2.0
 
-# The tools have a module of their own, outside the workspace, so that what they
-# need stays out of the product's go.mod.
+# The tools have modules of their own, outside the workspace, so that what they need
+# stays out of the product's go.mod. There are two, since what the linter and
+# benchstat need can't be resolved together.
 BIN := bin
 GO  := go
 LDFLAGS := -s -w
@@ -38,12 +39,15 @@
 	MATRIX=full MATRIX_OUT=$(CURDIR)/$(BIN)/matrix.txt $(GO) test -count=1 -timeout 20m ./matrix; \
 	status=$$?; cat $(BIN)/matrix.txt; exit $$status
 
-tools: $(BIN)/golangci-lint
+tools: $(BIN)/golangci-lint $(BIN)/benchstat
+
+$(BIN)/benchstat: tools/benchstat/go.mod tools/benchstat/go.sum
+	cd tools/benchstat && GOWORK=off $(GO) build -o ../../$(BIN)/benchstat golang.org/x/perf/cmd/benchstat
 
 $(BIN)/golangci-lint: tools/go.mod tools/go.sum
 	cd tools && GOWORK=off $(GO) build -o ../$(BIN)/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
 
-lint: tools
+lint: $(BIN)/golangci-lint
 	$(BIN)/golangci-lint run ./...
 	$(BIN)/golangci-lint run --build-tags e2e,slopes ./e2e/...
 
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -151,3 +151,26 @@
 		t.Errorf("of %d plain requests in the outage %d were answered", during.sent, during.done)
 	}
 }
+
+// TestPlatformKilled kills the platform for good: plain requests go on, keyed ones
+// are refused, and nothing runs twice. The stand-in keeps nothing, so that the cell
+// can't come back from it.
+func TestPlatformKilled(t *testing.T) {
+	c := newCell(t, 3, 8, relayNone)
+	c.acceptBundle()
+	service := c.startService()
+	l := startLoad(c, service.Service)
+	wait(c, 2*time.Second)
+	killed := time.Now()
+	c.store.kill()
+	wait(c, beyondLease)
+	l.stop()
+	v := judge(c.evidence(), service.ID)
+	v.mustBeClean(t)
+	l.count(v.runs).mustBeClean(t)
+	after := l.figures(killed.Add(time.Second), time.Now(), false)
+	t.Logf("plain requests after the kill: %+v", after)
+	if after.done < after.sent || after.sent == 0 {
+		t.Errorf("of %d plain requests after the kill %d were answered", after.sent, after.done)
+	}
+}
