--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -6,6 +6,7 @@
 	"crypto/ed25519"
 	"encoding/base64"
 	"errors"
+	"fmt"
 	"io/fs"
 	"strings"
 	"testing"
@@ -174,6 +175,22 @@
 	}
 }
 
+// TestHistoryIsBounded accepts more bundles than the history names.
+func TestHistoryIsBounded(t *testing.T) {
+	p := standin.New()
+	s := bundle.NewStore(p, p, bundle.Review{})
+	const more = 5
+	for v := range int64(bundle.HistoryKept + more) {
+		if err := rollOut(t, s, bundle.Default(), v, fmt.Sprintf("change-%d", v)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	heads, err := s.History(t.Context())
+	if err != nil || len(heads) != bundle.HistoryKept || heads[0].Version != more+1 {
+		t.Errorf("%d heads, the first %+v, %v", len(heads), heads[0], err)
+	}
+}
+
 func TestDiff(t *testing.T) {
 	a, b := bundle.Default(), bundle.Default()
 	a.Teams = []bundle.Team{{Name: "x", Weight: 1}, {Name: "y", Weight: 1}}
--- a/internal/bundle/store.go
+++ b/internal/bundle/store.go
@@ -19,6 +19,8 @@
 	headKey      = "head"
 	proposalKey  = "proposal"
 	historyKey   = "history/"
+	// HistoryKept is how many accepted bundles the history names.
+	HistoryKept = 1000
 )
 
 // Table is what the package uses of the table service.
@@ -228,9 +230,11 @@
 		},
 		Put: []platform.Put{
 			{Table: TableBundles, Key: headKey, Value: value},
-			{Table: TableBundles, Key: fmt.Sprintf("%s%012d", historyKey, next.Version), Value: value},
+			{Table: TableBundles, Key: historyRow(next.Version), Value: value},
+		},
+		Delete: []platform.Delete{
+			{Table: TableBundles, Key: proposalKey}, {Table: TableBundles, Key: historyRow(next.Version - HistoryKept)},
 		},
-		Delete: []platform.Delete{{Table: TableBundles, Key: proposalKey}},
 	})
 	if err != nil {
 		return old, &Error{"accept", KindStore, err}
@@ -248,7 +252,9 @@
 	return now, conflict("accept", now)
 }
 
-// History returns the accepted bundles, oldest first.
+func historyRow(version int64) string { return fmt.Sprintf("%s%012d", historyKey, version) }
+
+// History returns the newest accepted bundles, oldest first.
 func (s *Store) History(ctx context.Context) ([]Head, error) {
 	rows, err := s.table.List(ctx, TableBundles, historyKey)
 	if err != nil {
