A service that has just started is asked for, instead of turning its caller away

The e2e example failed once on a fresh clone: a request sent right after the service ran was refused with no_instance, since no peer's summary had told of it yet. An entry that knows no instance now asks its peers once more, at most each 100 ms. First try with a mutex around the exchange: the matrix hung, as a waiting request could not give up at its deadline; it is a channel now, and waiting ends with the request.

A history failed in the harness: a fault that came late was judged before it was healed. The end is now judged after every fault is healed and recovered from.

--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -21,12 +21,17 @@
 	summaryKept = 4
 	// exchangesAtOnce bounds the peers that are asked together.
 	exchangesAtOnce = 16
+	// refreshEvery is the least time between two exchanges that requests bring about.
+	refreshEvery = 100 * time.Millisecond
 )
 
 // load is what the node knows of the load of all nodes; each asks the others
 // for their summary every short while.
 type load struct {
 	n *Node
+	// refreshing lets one request at a time bring an exchange about.
+	refreshing chan struct{}
+	refreshed  time.Time
 
 	mu    sync.Mutex
 	peers map[string]*peerState
@@ -39,7 +44,9 @@
 	at      time.Time
 }
 
-func newLoad(n *Node) *load { return &load{n: n, peers: make(map[string]*peerState)} }
+func newLoad(n *Node) *load {
+	return &load{n: n, refreshing: make(chan struct{}, 1), peers: make(map[string]*peerState)}
+}
 
 func (l *load) run(ctx context.Context) error {
 	t := time.NewTicker(l.n.cfg.Requests.Load)
@@ -54,6 +61,21 @@
 	}
 }
 
+// Refresh asks the peers for their loads now, unless that was done a moment ago.
+func (l *load) Refresh(ctx context.Context) {
+	select {
+	case l.refreshing <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-l.refreshing }()
+	if time.Since(l.refreshed) < refreshEvery {
+		return
+	}
+	l.exchange(ctx)
+	l.refreshed = time.Now()
+}
+
 // exchange asks every known peer for its summary.
 func (l *load) exchange(ctx context.Context) {
 	var g errgroup.Group
--- a/internal/requests/entry.go
+++ b/internal/requests/entry.go
@@ -34,6 +34,8 @@
 type Peers interface {
 	// Services returns the load of a service on each peer that owns instances of it.
 	Services(name string) []PeerLoad
+	// Refresh asks the peers for their loads now, unless that was done a moment ago.
+	Refresh(ctx context.Context)
 	// Forward hands a request to a peer.
 	Forward(ctx context.Context, node string, r Request) (Result, error)
 }
@@ -194,22 +196,36 @@
 	return ctx.Err() == nil && (!ok || time.Until(deadline) > 2*wait+leastTimeLeft)
 }
 
-// try makes one attempt: a free slot here, else a peer with room, else a queue.
+// try makes one attempt. When no instance is known, the peers are asked once more:
+// a service may have started since their last summary.
 func (e *Entry) try(ctx context.Context, r Request) Result {
+	if res, found := e.find(ctx, r); found {
+		return res
+	}
+	e.deps.Peers.Refresh(ctx)
+	if res, found := e.find(ctx, r); found {
+		return res
+	}
+	return refused(KindNoInstance, "no instance of the service is known", time.Second)
+}
+
+// find runs a request where it can: in a free slot here, else on a peer with room,
+// else in a queue.
+func (e *Entry) find(ctx context.Context, r Request) (res Result, found bool) {
 	if slot, ok := e.deps.Balancer.Try(r.Service); ok {
-		return e.send(ctx, slot, r)
+		return e.send(ctx, slot, r), true
 	}
 	peers := e.deps.Peers.Services(r.Service)
 	if p, ok := pickPeer(peers, true); ok {
-		return e.forward(ctx, p, r)
+		return e.forward(ctx, p, r), true
 	}
 	if e.deps.Balancer.Has(r.Service) {
-		return e.Here(ctx, r)
+		return e.Here(ctx, r), true
 	}
 	if p, ok := pickPeer(peers, false); ok {
-		return e.forward(ctx, p, r)
+		return e.forward(ctx, p, r), true
 	}
-	return refused(KindNoInstance, "no instance of the service is known", time.Second)
+	return Result{}, false
 }
 
 // Here runs a request on this node's own instances, waiting for a slot; it is
--- a/internal/requests/requests_test.go
+++ b/internal/requests/requests_test.go
@@ -195,10 +195,43 @@
 type noPeers struct{}
 
 func (noPeers) Services(string) []requests.PeerLoad { return nil }
+func (noPeers) Refresh(context.Context)             {}
 func (noPeers) Forward(context.Context, string, requests.Request) (requests.Result, error) {
 	return requests.Result{}, requests.NotSent(errors.New("no peer"))
 }
 
+// latePeers know of a service only once they were asked again.
+type latePeers struct {
+	noPeers
+	asked *atomic.Bool
+}
+
+func (p latePeers) Refresh(context.Context) { p.asked.Store(true) }
+
+func (p latePeers) Services(string) []requests.PeerLoad {
+	if !p.asked.Load() {
+		return nil
+	}
+	return []requests.PeerLoad{{Node: "n2", Free: 1, Instances: 1}}
+}
+
+func (latePeers) Forward(context.Context, string, requests.Request) (requests.Result, error) {
+	return requests.Result{Outcome: api.OutcomeDone, Answer: &peer.Answer{Status: http.StatusOK}}, nil
+}
+
+// TestServiceThatHasJustStarted sends a request before a peer's summary has told of
+// the service: the peers are asked, instead of the caller being turned away.
+func TestServiceThatHasJustStarted(t *testing.T) {
+	e := requests.NewEntry(requests.Deps{
+		Balancer: newBalancer(), Peers: latePeers{asked: new(atomic.Bool)}, Bundle: testBundle,
+		Upstream: requests.NewUpstream(&http.Client{}, requests.UpstreamOptions{}), Keys: fixedKeys{},
+	}, requests.Options{}, zap.NewNop())
+	res := e.Do(t.Context(), requests.Request{ID: "id", Service: svc, Team: "a"})
+	if res.Outcome != api.OutcomeDone {
+		t.Errorf("have %s %s", res.Outcome, res.Reason)
+	}
+}
+
 // fixedKeys answers every key alike.
 type fixedKeys struct {
 	reply peer.KeyReply
--- a/matrix/cell_test.go
+++ b/matrix/cell_test.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,7 +60,9 @@
 	ignore standinworker.Config
 	steps  *stepper
 	// wire sends what was already under way when its sender died or was cut off.
-	wire    *http.Transport
+	wire *http.Transport
+	// ailing counts the faults that last and have not been healed yet.
+	ailing  atomic.Int64
 	mu      sync.Mutex
 	nodes   map[string]*cellNode
 	workers map[string]*cellWorker
--- a/matrix/faults_test.go
+++ b/matrix/faults_test.go
@@ -40,7 +40,9 @@
 
 // heal runs fn after the outage.
 func heal(c *cell, fn func()) {
+	c.ailing.Add(1)
 	go func() {
+		defer c.ailing.Add(-1)
 		if sleep(c.ctx, outage); c.ctx.Err() == nil {
 			fn()
 		}
--- a/matrix/scenario_test.go
+++ b/matrix/scenario_test.go
@@ -122,6 +122,11 @@
 	for time.Since(began) < outage+12*time.Second || (!s.settled() && time.Since(began) < runLimit) {
 		sleep(s.c.ctx, 500*time.Millisecond)
 	}
+	// A fault that came late is healed, and recovered from, before the end is judged.
+	s.c.steps.disarm()
+	for late := time.Now(); s.c.ailing.Load() > 0 || (!s.settled() && time.Since(late) < runLimit); {
+		sleep(s.c.ctx, 500*time.Millisecond)
+	}
 	close(s.done)
 	s.wg.Wait()
 	s.checkEnd()
