--- a/internal/requests/requests_test.go
+++ b/internal/requests/requests_test.go
@@ -201,10 +201,7 @@
 }
 
 // latePeers know of a service only once they were asked again.
-type latePeers struct {
-	noPeers
-	asked *atomic.Bool
-}
+type latePeers struct{ asked *atomic.Bool }
 
 func (p latePeers) Refresh(context.Context) { p.asked.Store(true) }
 
