Matrix: a node started for a killed one has a name of its own

Found by the full matrix: where hosts were replaced twice, the second new host bore the name of the first, which stays cut off, and the harness lost sight of it.

--- a/matrix/cell_test.go
+++ b/matrix/cell_test.go
@@ -63,9 +63,12 @@
 	wire *http.Transport
 	// ailing counts the faults that last and have not been healed yet.
 	ailing  atomic.Int64
+	names   atomic.Int64
 	mu      sync.Mutex
 	nodes   map[string]*cellNode
 	workers map[string]*cellWorker
+	// started are all nodes that were ever started, also those whose name was taken.
+	started []*cellNode
 	// sights of workers that were replaced.
 	past []standinworker.Sight
 }
@@ -144,6 +147,7 @@
 	cn.client = client.New(client.Config{Callers: name + ":1", Operators: name + ":3", Team: "inkasoft", Transport: cn.http})
 	c.mu.Lock()
 	c.nodes[name] = cn
+	c.started = append(c.started, cn)
 	c.mu.Unlock()
 	go func() {
 		defer close(cn.ended)
@@ -161,6 +165,11 @@
 	return log
 }
 
+// freshName returns a name that no node of the cell has had: a killed node's stays cut off.
+func (c *cell) freshName(prefix string) string {
+	return fmt.Sprintf("%s-%d", prefix, c.names.Add(1))
+}
+
 // live returns the nodes that were not killed or stopped.
 func (c *cell) live() []*cellNode {
 	c.mu.Lock()
@@ -260,7 +269,7 @@
 	c.plat.SetFaults(standin.Faults{})
 	c.steps.disarm()
 	c.mu.Lock()
-	nodes, workers := slices.Collect(maps.Values(c.nodes)), slices.Collect(maps.Values(c.workers))
+	nodes, workers := slices.Clone(c.started), slices.Collect(maps.Values(c.workers))
 	c.mu.Unlock()
 	for _, n := range nodes {
 		c.net.resume(n.name)
--- a/matrix/faults_test.go
+++ b/matrix/faults_test.go
@@ -70,7 +70,7 @@
 	return []fault{
 		{name: "node killed", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, _ string) handling {
 			c.kill(node)
-			heal(c, func() { c.startNode(node + "b") })
+			heal(c, func() { c.startNode(c.freshName(node)) })
 			return handling{}
 		}},
 		{name: "node paused past its lease", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, _ string) handling {
@@ -222,8 +222,8 @@
 		}},
 		{name: "all hosts replaced", cutsAnswers: true, inject: func(c *cell, _ *scenario, _, _ string) handling {
 			go func() {
-				for i, n := range c.live() {
-					c.startNode(fmt.Sprintf("r%d", i))
+				for _, n := range c.live() {
+					c.startNode(c.freshName("new"))
 					if sleep(c.ctx, 4*time.Second); c.ctx.Err() != nil {
 						return
 					}
