Progress has a part of its own; an acceptance is tried until the caller's deadline

Ruled out: the rate limits (no 429 was seen). Change: progress and a fence row in one part, rows of finished jobs swept later; an acceptance without an answer is repeated until the caller's deadline; hand-overs are bounded together.

--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -30,10 +30,12 @@
 )
 
 const (
-	// submitTries and submitTimeout bound an acceptance: a write takes 4 ms, and
-	// 240 ms when the store is slow.
-	submitTries   = 2
-	submitTimeout = 700 * time.Millisecond
+	// submitTimeout bounds one try: a write takes 4 ms, and a few times 240 ms
+	// behind others when the store is slow. A try without an answer is repeated
+	// while the caller's deadline allows, since its outcome has to be found out.
+	submitTimeout = 1200 * time.Millisecond
+	// answerMargin is left of the caller's deadline for the answer.
+	answerMargin = 150 * time.Millisecond
 	// RetryAfter is when a refused caller should come back: by then another node
 	// or the next second's share of the store may take the job.
 	RetryAfter = time.Second
@@ -51,9 +53,9 @@
 	}
 	absent := row
 	absent.Value = nil
-	txn := tables.Txn{If: []tables.Row{absent, owner.ProgressKey(job.Service, job.ID)}, Put: []tables.Row{row}}
+	txn := tables.Txn{If: []tables.Row{absent}, Put: []tables.Row{row}}
 	unknown := false
-	for range submitTries {
+	for n.timeLeft(ctx) {
 		c, cancel := context.WithTimeout(ctx, submitTimeout)
 		res, err := storeSeen{n, n.relay}.Commit(c, txn)
 		cancel()
@@ -72,6 +74,12 @@
 	return AnswerUnknown
 }
 
+// timeLeft reports whether another try may be answered before the caller's deadline.
+func (n *Node) timeLeft(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() == nil && (!ok || time.Until(deadline) > answerMargin)
+}
+
 func (n *Node) refuse(id, cause string) Answer {
 	n.Log.Info("job refused", events.JobRefused, zap.String("job", id), zap.String("answer", string(AnswerRefused)), zap.String("cause", cause))
 	return AnswerRefused
@@ -112,7 +120,7 @@
 	if n.storeDown() {
 		return "", AnswerRefused
 	}
-	progress, found, err := tables.Get(ctx, storeSeen{n, n.relay}, owner.TableProgress, owner.PartOf(service, id), id)
+	progress, found, err := tables.Get(ctx, storeSeen{n, n.relay}, owner.TableProgress, owner.ProgressPart(service), id)
 	if err != nil {
 		return "", AnswerRefused
 	}
@@ -151,7 +159,7 @@
 		return AnswerOK
 	}
 	txn := tables.Txn{Put: []tables.Row{owner.CancelRow(service, id)}}
-	for range submitTries {
+	for n.timeLeft(ctx) {
 		c, cancel := context.WithTimeout(ctx, submitTimeout)
 		_, err := storeSeen{n, n.relay}.Commit(c, txn)
 		cancel()
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -313,7 +313,7 @@
 	row := tables.Row{Table: TableCell, Key: ownerPrefix + service, Value: value}
 	seen := row
 	seen.Version = version
-	res, err := n.relay.Commit(ctx, tables.Txn{If: []tables.Row{seen}, Put: []tables.Row{row}})
+	res, err := n.relay.Commit(ctx, tables.Txn{If: []tables.Row{seen}, Put: []tables.Row{row, owner.FenceRow(service)}, Across: true})
 	if err != nil {
 		n.Log.Warn("shard not taken", events.StoreFailed, zap.String("service", service), zap.String("cause", cause), zap.Error(err))
 		n.rereadOwner(ctx, service)
@@ -349,7 +349,7 @@
 // own runs a shard that this node has taken.
 func (n *Node) own(service string, row tables.Row, epoch int64) {
 	o := owner.New(owner.Config{
-		Service: service, OwnerRow: row, Params: n.params(epoch),
+		Service: service, Fence: row.Version, Params: n.params(epoch),
 	}, owner.Deps{
 		Tables: storeSeen{n, n.relay}, Workers: n.Workers, Advisers: n.peers, Machines: n.Machines, Directory: n.Directory, Log: n.Log,
 	})
@@ -390,12 +390,17 @@
 		owned[s] = o
 	}
 	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(n.ctx, handOverMost)
+	defer cancel()
 	for service, o := range owned {
-		n.handOverOne(service, o)
+		n.handOverOne(ctx, service, o)
 	}
 }
 
-func (n *Node) handOverOne(service string, o *owner.Owner) {
+// handOverMost bounds all hand-overs together: the grace period is for callers too.
+const handOverMost = 2 * time.Second
+
+func (n *Node) handOverOne(ctx context.Context, service string, o *owner.Owner) {
 	_, version := n.owner(service)
 	now := time.Now()
 	var names []string
@@ -409,7 +414,7 @@
 	}
 	n.peers.mu.Unlock()
 	for _, name := range successors(service, names) {
-		_, err := call[takeRequest, done](n.ctx, n.peers, addresses[name], pathTake, takeRequest{service, version}, handOverTimeout)
+		_, err := call[takeRequest, done](ctx, n.peers, addresses[name], pathTake, takeRequest{service, version}, handOverTimeout)
 		if err == nil {
 			n.Log.Info("shard handed over", events.OwnerEnded, zap.String("service", service), zap.String("to", name))
 			o.Lost("handed over to " + name)
@@ -417,14 +422,14 @@
 		}
 		n.Log.Warn("shard not handed over", events.PeerLost, zap.String("service", service), zap.String("to", name), zap.Error(err))
 	}
-	n.release(service)
+	n.release(ctx, service)
 }
 
 // handOverTimeout bounds one hand-over, which is one write to the store.
 const handOverTimeout = 800 * time.Millisecond
 
 // release leaves the shard without an owner, for whichever node comes first.
-func (n *Node) release(service string) {
+func (n *Node) release(ctx context.Context, service string) {
 	rec, version := n.owner(service)
 	value, err := json.Marshal(ownerRecord{Epoch: rec.Epoch})
 	if err != nil {
@@ -433,7 +438,7 @@
 	row := tables.Row{Table: TableCell, Key: ownerPrefix + service, Value: value}
 	seen := row
 	seen.Version = version
-	if _, err := n.relay.Commit(n.ctx, tables.Txn{If: []tables.Row{seen}, Put: []tables.Row{row}}); err != nil {
+	if _, err := n.relay.Commit(ctx, tables.Txn{If: []tables.Row{seen}, Put: []tables.Row{row}}); err != nil {
 		n.Log.Warn("shard not released", events.StoreFailed, zap.String("service", service), zap.Error(err))
 	}
 }
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -38,10 +38,9 @@
 	g, gctx := errgroup.WithContext(ctx)
 	g.SetLimit(loadParallel)
 	for _, part := range PartsOf(o.cfg.Service) {
-		// Progress is listed after the job rows: a row that ends between the two
-		// lists then shows as progress at least.
 		g.Go(func() error { return o.loadPart(gctx, part, rows) })
 	}
+	g.Go(func() error { return o.loadProgress(gctx, rows) })
 	if err := g.Wait(); err != nil {
 		return &Error{"load", KindLoad, err}
 	}
@@ -59,18 +58,26 @@
 	if err != nil {
 		return err
 	}
-	progress, _, err := o.listUntilRead(ctx, TableProgress, part)
+	to.mu.Lock()
+	defer to.mu.Unlock()
+	to.jobs = append(to.jobs, jobs...)
+	if to.version == 0 || version < to.version {
+		to.version = version
+	}
+	return nil
+}
+
+func (o *Owner) loadProgress(ctx context.Context, to *loadedRows) error {
+	progress, _, err := o.listUntilRead(ctx, TableProgress, ProgressPart(o.cfg.Service))
 	if err != nil {
 		return err
 	}
 	to.mu.Lock()
 	defer to.mu.Unlock()
-	to.jobs = append(to.jobs, jobs...)
 	for _, r := range progress {
-		to.progress[r.Key] = r
-	}
-	if to.version == 0 || version < to.version {
-		to.version = version
+		if r.Key != fenceKey {
+			to.progress[r.Key] = r
+		}
 	}
 	return nil
 }
@@ -104,6 +111,9 @@
 		if pr, found := rows.progress[r.Key]; found {
 			p = o.decodeProgress(pr)
 		}
+		if p != nil && p.State.Finished() {
+			o.litter.add(o.cfg.Service, r.Key)
+		}
 		o.shard.AddJob(now, job, p, true)
 		n++
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -84,9 +84,9 @@
 type Config struct {
 	// Service is the pool of workers that the shard consists of.
 	Service string
-	// OwnerRow is the row that names the owner, with the version of this ownership.
-	OwnerRow tables.Row
-	Params   scheduler.Params
+	// Fence is the version of the fence row that was written with this ownership.
+	Fence  int64
+	Params scheduler.Params
 }
 
 // Deps are what an owner needs.
@@ -113,6 +113,7 @@
 	feedFrom int64
 
 	advice  *adviceQueue
+	litter  litter
 	wake    chan struct{}
 	persist chan struct{}
 	lose    context.CancelCauseFunc
@@ -147,6 +148,7 @@
 	o.group.Go(func() error { return o.followJobs(o.ctx) })
 	o.group.Go(func() error { return o.followWorkers(o.ctx) })
 	o.group.Go(func() error { return o.watchMachines(o.ctx) })
+	o.group.Go(func() error { return o.sweepLoop(o.ctx) })
 	err := o.group.Wait()
 	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
 		return cause
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// batchJobs is the most jobs in one write: each may need a condition, a put
-	// and two removals, beside the condition on the owner's row.
-	batchJobs = (tables.MaxEntries - 1) / 4
+	// batchJobs is the most jobs in one write: each needs a condition and a put,
+	// beside the condition on the owner's row.
+	batchJobs = (tables.MaxEntries - 1) / 2
 	// persistGap is the least pause between two writes: ends that come together
 	// are written together, and callers see a job's end this much later at most.
 	persistGap = 25 * time.Millisecond
@@ -54,7 +54,9 @@
 		o.do(func(s *scheduler.Shard, now time.Time) { s.Persisted(now, batch, 0) })
 		return true
 	}
+	began := time.Now()
 	res, err := o.Tables.Commit(ctx, o.txn(batch))
+	o.litter.took(time.Since(began))
 	switch {
 	case err != nil:
 		if ctx.Err() == nil {
@@ -66,23 +68,24 @@
 		return false
 	}
 	o.do(func(s *scheduler.Shard, now time.Time) { s.Persisted(now, batch, res.Version) })
+	for _, r := range batch.Records {
+		if r.Final {
+			o.litter.add(o.cfg.Service, r.Job)
+		}
+	}
 	return true
 }
 
 func (o *Owner) txn(batch scheduler.Batch) tables.Txn {
-	owner := o.cfg.OwnerRow
-	txn := tables.Txn{Across: true, If: []tables.Row{{Table: owner.Table, Part: owner.Part, Key: owner.Key, Version: owner.Version}}}
+	fence := FenceRow(o.cfg.Service)
+	fence.Version = o.cfg.Fence
+	txn := tables.Txn{If: []tables.Row{fence}}
 	for _, r := range batch.Records {
 		row := ProgressKey(o.cfg.Service, r.Job)
 		row.Version = r.Version
 		txn.If = append(txn.If, row)
 		row.Value = r.Value
 		txn.Put = append(txn.Put, row)
-		if r.Final {
-			txn.Remove = append(txn.Remove,
-				tables.Row{Table: TableJobs, Part: row.Part, Key: r.Job},
-				tables.Row{Table: TableJobs, Part: row.Part, Key: r.Job + cancelSuffix})
-		}
 	}
 	return txn
 }
@@ -92,9 +95,9 @@
 func (o *Owner) settle(batch scheduler.Batch, current []tables.Row) {
 	versions := make(map[string]tables.Row, len(current))
 	for _, r := range current {
-		if r.Table == o.cfg.OwnerRow.Table && r.Key == o.cfg.OwnerRow.Key {
-			if r.Version != o.cfg.OwnerRow.Version {
-				o.Lost("the owner's row has changed")
+		if r.Key == fenceKey {
+			if r.Version != o.cfg.Fence {
+				o.Lost("another owner writes progress")
 				return
 			}
 			continue
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -15,16 +15,17 @@
 )
 
 // The tables of jobs. A job's row in TableJobs is written once, by the node that
-// accepts it, and removed with its end; its row in TableProgress is written by the
-// shard's owner only. Both lie in the same part.
+// accepts it, and removed some time after its end; its row in TableProgress is
+// written by the shard's owner only, and kept for as long as callers may ask.
 const (
 	TableJobs     = "jobs"
 	TableProgress = "progress"
 )
 
-// Parts is over how many parts the jobs of a service are spread. A part takes
-// its writes one after another: while the store answers 60 times slower (180 ms
-// a write), eight parts take 44 writes a second, above the rate at which jobs come.
+// Parts is over how many parts the accepted jobs of a service are spread. A part
+// takes its writes one after another: while the store answers 60 times slower
+// (180 ms a write), eight parts take 44 writes a second, above the rate at which
+// jobs come. Progress is written in batches, and has one part.
 const Parts = 8
 
 // cancelSuffix marks the row of a job's cancel; job IDs hold only hex digits.
@@ -53,9 +54,22 @@
 	return tables.Row{Table: TableJobs, Part: PartOf(job.Service, job.ID), Key: job.ID, Value: value}, nil
 }
 
+// ProgressPart returns the part of a service's progress.
+func ProgressPart(service string) string { return service + "-progress" }
+
 // ProgressKey returns the empty row that names a job's progress.
 func ProgressKey(service, id string) tables.Row {
-	return tables.Row{Table: TableProgress, Part: PartOf(service, id), Key: id}
+	return tables.Row{Table: TableProgress, Part: ProgressPart(service), Key: id}
+}
+
+// fenceKey is the key of the row that every write of progress depends on; job
+// IDs hold only hex digits.
+const fenceKey = "!owner"
+
+// FenceRow returns the row that a new owner writes beside the owner's row: it
+// lies with the progress, so that progress is written within one part.
+func FenceRow(service string) tables.Row {
+	return tables.Row{Table: TableProgress, Part: ProgressPart(service), Key: fenceKey, Value: []byte("{}")}
 }
 
 // CancelRow returns the row that records a job's cancel.
