The store is found down and back sooner; silent owners are replaced sooner

Change: a call without an answer for 0.7 s while no other is answered means down, and a short probe looks for the return; the second ping and the opinions go out together; orders, holds and stalled runs have shorter limits.

--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return n.refuse(job.ID, err.Error())
 	}
-	if n.storeDown() {
+	if n.store.down() {
 		return n.refuse(job.ID, "the store does not answer")
 	}
 	absent := row
@@ -57,7 +57,7 @@
 	unknown := false
 	for n.timeLeft(ctx) {
 		c, cancel := context.WithTimeout(ctx, submitTimeout)
-		res, err := storeSeen{n, n.relay}.Commit(c, txn)
+		res, err := n.store.Commit(c, txn)
 		cancel()
 		switch {
 		case err == nil && res.Committed:
@@ -69,6 +69,9 @@
 			return n.refuse(job.ID, err.Error())
 		}
 		unknown = true
+		if n.store.down() {
+			break
+		}
 	}
 	n.Log.Warn("acceptance not known", events.JobRefused, zap.String("job", job.ID), zap.String("answer", string(AnswerUnknown)))
 	return AnswerUnknown
@@ -117,17 +120,17 @@
 	if state, ok := n.ownersState(ctx, service, id); ok {
 		return state, AnswerOK
 	}
-	if n.storeDown() {
+	if n.store.down() {
 		return "", AnswerRefused
 	}
-	progress, found, err := tables.Get(ctx, storeSeen{n, n.relay}, owner.TableProgress, owner.ProgressPart(service), id)
+	progress, found, err := tables.Get(ctx, n.store, owner.TableProgress, owner.ProgressPart(service), id)
 	if err != nil {
 		return "", AnswerRefused
 	}
 	if found {
 		return owner.StateOf(progress), AnswerOK
 	}
-	_, found, err = tables.Get(ctx, storeSeen{n, n.relay}, owner.TableJobs, owner.PartOf(service, id), id)
+	_, found, err = tables.Get(ctx, n.store, owner.TableJobs, owner.PartOf(service, id), id)
 	switch {
 	case err != nil:
 		return "", AnswerRefused
@@ -161,7 +164,7 @@
 	txn := tables.Txn{Put: []tables.Row{owner.CancelRow(service, id)}}
 	for n.timeLeft(ctx) {
 		c, cancel := context.WithTimeout(ctx, submitTimeout)
-		_, err := storeSeen{n, n.relay}.Commit(c, txn)
+		_, err := n.store.Commit(c, txn)
 		cancel()
 		if err == nil {
 			n.Log.Info("cancel accepted", events.CancelAccepted, zap.String("job", id), zap.String("state", string(state)))
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -13,53 +13,6 @@
 	"switchbank.example/switchbank/internal/tables"
 )
 
-// storeSeen is the table service as this node reaches it, with a note of each answer.
-type storeSeen struct {
-	n *Node
-	tables.Service
-}
-
-func (s storeSeen) seen(err error) {
-	if err != nil && tables.KindOf(err) != tables.KindHistoryGone {
-		return
-	}
-	now := time.Now()
-	before := s.n.storeSeen.Swap(now.UnixNano())
-	if away := now.Sub(time.Unix(0, before)); before > 0 && away > storeDownAfter {
-		s.n.Log.Info("store answers again", events.StoreBack, zap.Duration("away", away))
-	}
-}
-
-// Commit commits txn.
-func (s storeSeen) Commit(ctx context.Context, txn tables.Txn) (tables.TxnResult, error) {
-	res, err := s.Service.Commit(ctx, txn)
-	s.seen(err)
-	return res, err
-}
-
-// List reads rows.
-func (s storeSeen) List(ctx context.Context, req tables.ListRequest) (tables.ListResult, error) {
-	res, err := s.Service.List(ctx, req)
-	s.seen(err)
-	return res, err
-}
-
-// Feed waits for changes.
-func (s storeSeen) Feed(ctx context.Context, req tables.FeedRequest) (tables.FeedResult, error) {
-	res, err := s.Service.Feed(ctx, req)
-	s.seen(err)
-	return res, err
-}
-
-// storeDown reports whether the store has answered by no way for a while.
-func (n *Node) storeDown() bool {
-	return time.Since(time.Unix(0, n.storeSeen.Load())) > storeDownAfter
-}
-
-// storeDownAfter is longer than the follower's calls of one second and their
-// retry, of which one in any two seconds is answered while the store is well.
-const storeDownAfter = 2200 * time.Millisecond
-
 func (n *Node) storeFailed(table string) func(error) {
 	return func(err error) {
 		n.Log.Info("table not read", events.StoreFailed, zap.String("table", table), zap.Error(err))
@@ -69,7 +22,7 @@
 // followConfig keeps the operators' configuration current.
 func (n *Node) followConfig(ctx context.Context) {
 	f := tables.Follower{
-		Service: storeSeen{n, n.relay}, Table: n.Configs.Table(), Parts: []string{""}, Silence: time.Second,
+		Service: n.store, Table: n.Configs.Table(), Parts: []string{""}, Silence: time.Second,
 		Apply: func(rows []tables.Row, _ bool) {
 			for _, r := range rows {
 				n.applyConfigRow(r)
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -20,7 +20,7 @@
 		return float64(len(n.owned))
 	})
 	n.metrics.NewGauge("switchbank_store_silent_seconds", func() float64 {
-		return time.Since(time.Unix(0, n.storeSeen.Load())).Seconds()
+		return n.store.silent().Seconds()
 	})
 	n.metrics.NewGauge("switchbank_config_version", func() float64 {
 		if cfg := n.Config(); cfg != nil {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -92,12 +92,11 @@
 	Deps
 	me       member
 	relay    *tables.Relay
+	store    *watchedStore
 	peers    *peers
 	metrics  *metrics.Set
 	config   atomic.Pointer[cluster.Config]
 	draining atomic.Bool
-	// storeSeen is when the store last answered by any way, in Unix nanoseconds.
-	storeSeen atomic.Int64
 
 	mu sync.Mutex
 	// owned are the shards that run on this node, by service.
@@ -123,6 +122,7 @@
 	}
 	n.peers = newPeers(n)
 	n.relay = tables.NewRelay(deps.Store, n.peers)
+	n.store = newWatchedStore(n.relay, deps.Log)
 	n.registerMetrics()
 	return n
 }
@@ -164,6 +164,7 @@
 	n.group.Go(func() error { n.followCell(n.ctx); return nil })
 	n.group.Go(func() error { n.peers.pingLoop(n.ctx); return nil })
 	n.group.Go(func() error { n.announce(n.ctx); return nil })
+	n.group.Go(func() error { n.store.probe(n.ctx); return nil })
 	select {
 	case <-ctx.Done():
 	case <-n.ctx.Done():
@@ -257,6 +258,5 @@
 const isolatedAfter = 2 * time.Second
 
 func (n *Node) isolated() bool {
-	seen := time.Unix(0, n.storeSeen.Load())
-	return time.Since(seen) > isolatedAfter && !n.peers.anyUp()
+	return n.store.silent() > isolatedAfter && !n.peers.anyUp()
 }
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -34,8 +34,9 @@
 	// others do it watchSlower times as rarely.
 	watchers    = 2
 	watchSlower = 4
-	// silentAfter is how long an owner may be silent: two lost pings of 0.3 s.
-	silentAfter = 750 * time.Millisecond
+	// watchPing bounds one ping of an owner: nodes are a few milliseconds apart,
+	// and one that has used up its processor quota answers within 0.1 s.
+	watchPing = 200 * time.Millisecond
 	// refusedPings is how many refused connections show that its process is gone.
 	refusedPings = 2
 	// rankDelay keeps the successors from trying all at once.
@@ -54,7 +55,7 @@
 // followCell keeps the members' and the owners' rows current.
 func (n *Node) followCell(ctx context.Context) {
 	f := tables.Follower{
-		Service: storeSeen{n, n.relay}, Table: TableCell, Parts: []string{""}, Silence: time.Second, Pause: 20 * time.Millisecond,
+		Service: n.store, Table: TableCell, Parts: []string{""}, Silence: time.Second, Pause: 20 * time.Millisecond,
 		Apply:  func(rows []tables.Row, _ bool) { n.applyCell(rows) },
 		Failed: n.storeFailed(TableCell),
 	}
@@ -139,7 +140,7 @@
 	}
 	row := tables.Row{Table: TableCell, Key: nodePrefix + n.me.Name, Value: value}
 	for ctx.Err() == nil {
-		if _, err := n.relay.Commit(ctx, tables.Txn{Put: []tables.Row{row}}); err == nil {
+		if _, err := n.store.Commit(ctx, tables.Txn{Put: []tables.Row{row}}); err == nil {
 			return
 		}
 		tables.Sleep(ctx, watchEvery)
@@ -198,7 +199,6 @@
 // suspicion is the evidence against an owner.
 type suspicion struct {
 	life    string
-	since   time.Time
 	refused int
 }
 
@@ -213,27 +213,23 @@
 	if s.life != rec.Owner.Life {
 		*s = suspicion{life: rec.Owner.Life}
 	}
-	reply, err := n.peers.ping(ctx, rec.Owner, "")
+	c, cancel := context.WithTimeout(ctx, watchPing)
+	reply, err := n.peers.ping(c, rec.Owner, "")
+	cancel()
 	if err == nil {
-		s.since, s.refused = time.Time{}, 0
+		s.refused = 0
 		if reply.Me.Life != rec.Owner.Life {
 			return "owner has started anew"
 		}
 		return ""
 	}
-	if s.since.IsZero() {
-		s.since = time.Now()
-	}
 	if isRefused(err) {
-		s.refused++
-	}
-	if s.refused >= refusedPings {
-		return "owner refuses connections"
-	}
-	if time.Since(s.since) < silentAfter-askPeer {
+		if s.refused++; s.refused >= refusedPings {
+			return "owner refuses connections"
+		}
 		return ""
 	}
-	if who := n.answersOthers(ctx, rec.Owner.Name); who != "" {
+	if who := n.answersOthers(ctx, rec.Owner); who != "" {
 		n.Log.Info("owner answers others", events.OwnerSuspected, zap.String("owner", rec.Owner.Name), zap.String("peer", who))
 		return ""
 	}
@@ -243,13 +239,16 @@
 // secondOpinions is how many peers are asked before a silent owner is replaced.
 const secondOpinions = 2
 
-// answersOthers returns a peer whom a node answers that is silent to this one,
-// or "". A node that reaches no peer at all is itself cut off, and waits.
-func (n *Node) answersOthers(ctx context.Context, name string) string {
+// opinionTimeout is longer than the ping that a peer makes before it answers.
+const opinionTimeout = watchPing + 100*time.Millisecond
+
+// answersOthers returns who gets an answer from a node that was silent to this
+// one: a peer that is asked to try, or this node itself at a second try; "" if nobody.
+func (n *Node) answersOthers(ctx context.Context, m member) string {
 	var asked []member
 	n.peers.mu.Lock()
 	for _, q := range n.peers.sorted() {
-		if q.Name != name && q.up(time.Now()) && len(asked) < secondOpinions {
+		if q.Name != m.Name && q.up(time.Now()) && len(asked) < secondOpinions {
 			asked = append(asked, q.member)
 		}
 	}
@@ -257,18 +256,24 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	who := ""
-	for _, m := range asked {
+	answers := func(name string) {
+		mu.Lock()
+		who = name
+		mu.Unlock()
+	}
+	for _, p := range asked {
 		wg.Go(func() {
-			c, cancel := context.WithTimeout(ctx, 2*askPeer)
-			defer cancel()
-			reply, err := call[pingRequest, pingReply](c, n.peers, m.Address, pathPing, pingRequest{From: n.me, About: name}, 2*askPeer)
+			reply, err := call[pingRequest, pingReply](ctx, n.peers, p.Address, pathPing, pingRequest{From: n.me, About: m.Name}, opinionTimeout)
 			if err == nil && reply.AboutAnswers {
-				mu.Lock()
-				who = m.Name
-				mu.Unlock()
+				answers(p.Name)
 			}
 		})
 	}
+	wg.Go(func() {
+		if _, err := n.peers.ping(ctx, m, ""); err == nil {
+			answers(n.me.Name)
+		}
+	})
 	wg.Wait()
 	return who
 }
@@ -313,7 +318,7 @@
 	row := tables.Row{Table: TableCell, Key: ownerPrefix + service, Value: value}
 	seen := row
 	seen.Version = version
-	res, err := n.relay.Commit(ctx, tables.Txn{If: []tables.Row{seen}, Put: []tables.Row{row, owner.FenceRow(service)}, Across: true})
+	res, err := n.store.Commit(ctx, tables.Txn{If: []tables.Row{seen}, Put: []tables.Row{row, owner.FenceRow(service)}, Across: true})
 	if err != nil {
 		n.Log.Warn("shard not taken", events.StoreFailed, zap.String("service", service), zap.String("cause", cause), zap.Error(err))
 		n.rereadOwner(ctx, service)
@@ -334,7 +339,7 @@
 
 // rereadOwner settles a write whose reply was lost.
 func (n *Node) rereadOwner(ctx context.Context, service string) {
-	r, ok, err := tables.Get(ctx, n.relay, TableCell, "", ownerPrefix+service)
+	r, ok, err := tables.Get(ctx, n.store, TableCell, "", ownerPrefix+service)
 	if err != nil || !ok {
 		return
 	}
@@ -351,7 +356,7 @@
 	o := owner.New(owner.Config{
 		Service: service, Fence: row.Version, Params: n.params(epoch),
 	}, owner.Deps{
-		Tables: storeSeen{n, n.relay}, Workers: n.Workers, Advisers: n.peers, Machines: n.Machines, Directory: n.Directory, Log: n.Log,
+		Tables: n.store, Workers: n.Workers, Advisers: n.peers, Machines: n.Machines, Directory: n.Directory, Log: n.Log,
 	})
 	n.mu.Lock()
 	if n.owned[service] != nil {
@@ -438,7 +443,7 @@
 	row := tables.Row{Table: TableCell, Key: ownerPrefix + service, Value: value}
 	seen := row
 	seen.Version = version
-	if _, err := n.relay.Commit(ctx, tables.Txn{If: []tables.Row{seen}, Put: []tables.Row{row}}); err != nil {
+	if _, err := n.store.Commit(ctx, tables.Txn{If: []tables.Row{seen}, Put: []tables.Row{row}}); err != nil {
 		n.Log.Warn("shard not released", events.StoreFailed, zap.String("service", service), zap.Error(err))
 	}
 }
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -52,7 +52,7 @@
 
 func (n *Node) pinged(ctx context.Context, req pingRequest) (pingReply, error) {
 	n.peers.learn(req.From)
-	reply := pingReply{Me: n.me, Draining: n.Draining(), StoreGood: n.relay.DirectGood() && !n.storeDown()}
+	reply := pingReply{Me: n.me, Draining: n.Draining(), StoreGood: n.relay.DirectGood() && !n.store.down()}
 	if cfg := n.Config(); cfg != nil {
 		reply.ConfigVersion = cfg.Version
 	}
@@ -70,7 +70,9 @@
 	n.peers.mu.Unlock()
 	if req.About != "" {
 		if q, ok := n.peers.get(req.About); ok {
-			_, err := n.peers.ping(ctx, q.member, "")
+			c, cancel := context.WithTimeout(ctx, watchPing)
+			defer cancel()
+			_, err := n.peers.ping(c, q.member, "")
 			reply.AboutAnswers = err == nil
 		}
 	}
--- /dev/null
+++ b/internal/cell/store.go
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/tables"
+)
+
+const (
+	// storeDownAfter is how long a call may go without an answer, while no other
+	// call gets one either, before the store counts as down. It answers in 4 ms,
+	// and in 240 ms when it is slow; behind other writes of a part, in twice that.
+	storeDownAfter = 700 * time.Millisecond
+	// probeEvery and probeTimeout bound the search for a store that is down.
+	probeEvery   = 100 * time.Millisecond
+	probeTimeout = 400 * time.Millisecond
+)
+
+// watchedStore is the table service as this node reaches it. It notes which
+// calls are answered, so that callers can be refused at once while none is.
+type watchedStore struct {
+	tables.Service
+	log *zap.Logger
+
+	mu sync.Mutex
+	// lastSeen is when a call was last answered.
+	lastSeen time.Time
+	// oldest is when the oldest call was sent that was open when lastSeen was set,
+	// or the first one after; zero: none.
+	pending map[int64]time.Time
+	next    int64
+	// failedAt is the first failure since a call was last answered.
+	failedAt time.Time
+}
+
+func newWatchedStore(svc tables.Service, log *zap.Logger) *watchedStore {
+	return &watchedStore{Service: svc, log: log, pending: make(map[int64]time.Time)}
+}
+
+func (s *watchedStore) begin() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	s.pending[s.next] = time.Now()
+	return s.next
+}
+
+func (s *watchedStore) end(id int64, err error) {
+	now := time.Now()
+	s.mu.Lock()
+	delete(s.pending, id)
+	answered := err == nil || tables.KindOf(err) == tables.KindHistoryGone || tables.KindOf(err) == tables.KindInvalid
+	away := now.Sub(s.failedAt)
+	wasAway := !s.failedAt.IsZero()
+	switch {
+	case answered:
+		s.lastSeen, s.failedAt = now, time.Time{}
+	case !wasAway:
+		s.failedAt = now
+	}
+	s.mu.Unlock()
+	if answered && wasAway && away > storeDownAfter {
+		s.log.Info("store answers again", events.StoreBack, zap.Duration("away", away))
+	}
+}
+
+// down reports whether the store answers by no way. After a call that failed by
+// every way it counts as down until another one, such as a probe, is answered.
+func (s *watchedStore) down() bool {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lastSeen.IsZero() || !s.failedAt.IsZero() {
+		return true
+	}
+	for _, sent := range s.pending {
+		if now.Sub(sent) > storeDownAfter && now.Sub(s.lastSeen) > storeDownAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// silent returns how long the store has not answered.
+func (s *watchedStore) silent() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.lastSeen)
+}
+
+// probe looks for the store while it is down.
+func (s *watchedStore) probe(ctx context.Context) {
+	for ctx.Err() == nil {
+		if s.down() {
+			c, cancel := context.WithTimeout(ctx, probeTimeout)
+			// The outcome is noted by List itself.
+			_, _ = s.List(c, tables.ListRequest{Table: TableCell, Limit: 1})
+			cancel()
+		}
+		tables.Sleep(ctx, probeEvery)
+	}
+}
+
+// Commit commits txn.
+func (s *watchedStore) Commit(ctx context.Context, txn tables.Txn) (tables.TxnResult, error) {
+	id := s.begin()
+	res, err := s.Service.Commit(ctx, txn)
+	s.end(id, err)
+	return res, err
+}
+
+// List reads rows.
+func (s *watchedStore) List(ctx context.Context, req tables.ListRequest) (tables.ListResult, error) {
+	id := s.begin()
+	res, err := s.Service.List(ctx, req)
+	s.end(id, err)
+	return res, err
+}
+
+// Feed waits for changes; it may be silent for as long as nothing changes.
+func (s *watchedStore) Feed(ctx context.Context, req tables.FeedRequest) (tables.FeedResult, error) {
+	res, err := s.Service.Feed(ctx, req)
+	if err == nil {
+		s.mu.Lock()
+		s.lastSeen, s.failedAt = time.Now(), time.Time{}
+		s.mu.Unlock()
+	}
+	return res, err
+}
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -19,7 +19,7 @@
 	// the progress of its runs be.
 	holdWait = 500 * time.Millisecond
 	// holdSlack is how much longer an answer may take.
-	holdSlack = 400 * time.Millisecond
+	holdSlack = 300 * time.Millisecond
 	// holdGap is the least pause between two holds: ends that come together are
 	// reported together. A worker doesn't wait while it has ends that are not
 	// confirmed, so holdUnconfirmed keeps from asking until they are persisted.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -207,9 +207,10 @@
 	}
 }
 
-// orderTimeout bounds an order: an answer takes a few milliseconds, and an order
-// without one is followed by a stop that makes sure it isn't carried out.
-const orderTimeout = 500 * time.Millisecond
+// orderTimeout bounds an order: an answer takes a few milliseconds, 0.1 s when
+// many orders go out after a takeover, and an order without one is followed by a
+// stop that makes sure it isn't carried out.
+const orderTimeout = 300 * time.Millisecond
 
 func (o *Owner) carryOut(ctx context.Context, c scheduler.Command) {
 	switch c := c.(type) {
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -126,8 +126,9 @@
 
 const (
 	// stalledAfter is how long a run may show no progress at all; a worker
-	// reports every half second, and restoring a checkpoint takes up to 0.6 s.
-	stalledAfter = 2 * time.Second
+	// reports every half second, restoring a checkpoint takes up to 0.6 s, and a
+	// percent of the longest task 0.25 s.
+	stalledAfter = 1300 * time.Millisecond
 	// slowFactor is how many times as long as its siblings a run may look to need
 	// before it is moved or copied: on sound workers the longest of a step takes
 	// 1.9 times as long as the median (4,083 tasks of a calm day), and slow workers
@@ -150,6 +151,9 @@
 // if they have one.
 func (s *Shard) watchProgress(now time.Time) {
 	for _, w := range s.order {
+		if w.silent && now.Sub(w.silentSince) > silentCopy {
+			s.copySilent(now, w)
+		}
 		if w.silent || !w.answered {
 			continue
 		}
@@ -180,6 +184,19 @@
 	}
 }
 
+// silentCopy is how long a worker is silent before its speculative runs are copied.
+const silentCopy = 200 * time.Millisecond
+
+// copySilent starts copies of the speculative runs on a silent worker, whose
+// other runs have to wait until its life or lease is over.
+func (s *Shard) copySilent(now time.Time, w *worker) {
+	for _, r := range sortedRuns(w.runs) {
+		if spec := r.task.step.spec; spec.Speculative && !spec.LongRunning && !r.task.done && len(r.task.runs) == 1 {
+			s.copyRun(now, r.task, r)
+		}
+	}
+}
+
 // watched reports whether a run's progress says something of its worker.
 func watched(r *run) bool {
 	spec := r.task.step.spec
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -112,7 +112,7 @@
 }
 
 // stopRetry is when an unanswered stop is sent again.
-const stopRetry = 600 * time.Millisecond
+const stopRetry = 350 * time.Millisecond
 
 // stop orders a run to stop. The room stays taken until its end is listed.
 func (s *Shard) stop(now time.Time, r *run, cause string) {
