--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -83,7 +83,10 @@
 	Configs   Configs
 	// Callers returns the handler of callers' requests over the node.
 	Callers func(n *Node) http.Handler
-	Log     *zap.Logger
+	// Dial and Listen make the connections between nodes; nil: over TCP.
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Listen func(ctx context.Context, network, address string) (net.Listener, error)
+	Log    *zap.Logger
 }
 
 // Node is one node.
@@ -114,6 +117,12 @@
 
 // New returns a node that has not been started.
 func New(cfg settings.Settings, deps Deps) *Node {
+	if deps.Dial == nil {
+		deps.Dial = (&net.Dialer{Timeout: dialPeer}).DialContext
+	}
+	if deps.Listen == nil {
+		deps.Listen = (&net.ListenConfig{}).Listen
+	}
 	n := &Node{
 		cfg: cfg, Deps: deps, metrics: metrics.NewSet(),
 		me:    member{Name: cfg.Node, Address: cfg.Listen.Peers, Life: newLife(), DataCentre: cfg.DataCentre},
@@ -205,13 +214,12 @@
 		{n.cfg.Listen.Peers, mux},
 		{n.cfg.Listen.Metrics, http.HandlerFunc(n.serveMetrics)},
 	}
-	var lc net.ListenConfig
 	var servers []*http.Server
 	for _, p := range parts {
 		if p.address == "" {
 			continue
 		}
-		l, err := lc.Listen(ctx, "tcp", p.address)
+		l, err := n.Listen(ctx, "tcp", p.address)
 		if err != nil {
 			return nil, &Error{"run", KindListen, err}
 		}
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -214,7 +214,7 @@
 		*s = suspicion{life: rec.Owner.Life}
 	}
 	c, cancel := context.WithTimeout(ctx, watchPing)
-	reply, err := n.peers.ping(c, rec.Owner, "")
+	reply, err := n.peers.ping(c, rec.Owner)
 	cancel()
 	if err == nil {
 		s.refused = 0
@@ -270,7 +270,7 @@
 		})
 	}
 	wg.Go(func() {
-		if _, err := n.peers.ping(ctx, m, ""); err == nil {
+		if _, err := n.peers.ping(ctx, m); err == nil {
 			answers(n.me.Name)
 		}
 	})
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -72,7 +72,7 @@
 		if q, ok := n.peers.get(req.About); ok {
 			c, cancel := context.WithTimeout(ctx, watchPing)
 			defer cancel()
-			_, err := n.peers.ping(c, q.member, "")
+			_, err := n.peers.ping(c, q.member)
 			reply.AboutAnswers = err == nil
 		}
 	}
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -59,7 +59,7 @@
 
 func newPeers(n *Node) *peers {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialPeer}).DialContext,
+		DialContext:         n.Dial,
 		MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: idleTimeout,
 	}
 	return &peers{n: n, client: &http.Client{Transport: t}, list: make(map[string]*peer)}
@@ -123,7 +123,7 @@
 func (p *peers) pingLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, m := range p.round() {
-			go func() { _, _ = p.ping(ctx, m, "") }()
+			go func() { _, _ = p.ping(ctx, m) }()
 		}
 		tables.Sleep(ctx, pingEvery)
 	}
@@ -156,8 +156,8 @@
 }
 
 // ping asks a node for a sign of life and notes what it says.
-func (p *peers) ping(ctx context.Context, m member, about string) (pingReply, error) {
-	reply, err := call[pingRequest, pingReply](ctx, p, m.Address, pathPing, pingRequest{From: p.n.me, About: about}, askPeer)
+func (p *peers) ping(ctx context.Context, m member) (pingReply, error) {
+	reply, err := call[pingRequest, pingReply](ctx, p, m.Address, pathPing, pingRequest{From: p.n.me}, askPeer)
 	if err != nil {
 		p.failed(m, err)
 		return reply, err
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -52,8 +52,8 @@
 	defer signal.Stop(hup)
 	go c.reload(ctx, hup, level, log)
 	return cell.New(cfg, cell.Deps{
-		Store: platform.NewStore(cfg.Store), Workers: platform.NewWorkers(), Advice: platform.NewAdvice(cfg.Advice),
-		Machines: platform.NewMachines(cfg.Machines), Directory: platform.Directory{}, Configs: platform.Configs{},
+		Store: platform.NewStore(cfg.Store, platform.DialTCP), Workers: platform.NewWorkers(platform.DialTCP), Advice: platform.NewAdvice(cfg.Advice, platform.DialTCP),
+		Machines: platform.NewMachines(cfg.Machines, platform.DialTCP), Directory: platform.Directory{}, Configs: platform.Configs{},
 		Callers: platform.NewCallers, Log: log,
 	}).Run(ctx)
 }
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -191,7 +191,7 @@
 // other runs have to wait until its life or lease is over.
 func (s *Shard) copySilent(now time.Time, w *worker) {
 	for _, r := range sortedRuns(w.runs) {
-		if spec := r.task.step.spec; spec.Speculative && !spec.LongRunning && !r.task.done && len(r.task.runs) == 1 {
+		if spec := r.task.step.spec; spec.Speculative && !spec.LongRunning && len(r.task.runs) == 1 {
 			s.copyRun(now, r.task, r)
 		}
 	}
@@ -274,7 +274,7 @@
 
 // copyRun starts a second run of a speculative task on another worker.
 func (s *Shard) copyRun(now time.Time, t *task, slow *run) {
-	if t.copied {
+	if t.copied || t.done || t.step.job.state.Finished() {
 		return
 	}
 	w := s.bestWorkerBut(now, t.step, slow.worker)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -288,3 +288,27 @@
 		t.Errorf("%d tasks run again after the lease, want %d", got, len(lost))
 	}
 }
+
+// TestNoCopyOfCancelled checks that a run on a silent worker is not copied once
+// its job has been cancelled.
+func TestNoCopyOfCancelled(t *testing.T) {
+	r := newRig(t, 2)
+	r.announce()
+	step := tasks(2, 1500)
+	step.Speculative = true
+	r.s.AddJob(r.now, batch("j", step), nil, false)
+	r.pass(300 * time.Millisecond)
+	for _, id := range r.names() {
+		r.workers[id].mute = len(r.workers[id].running) > 0
+	}
+	r.s.CancelJob(r.now, "j")
+	for range 20 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.hold()
+		for _, c := range r.round() {
+			if start, ok := c.(scheduler.Start); ok {
+				t.Fatalf("%s starts after its job was cancelled", start.Task)
+			}
+		}
+	}
+}
--- a/matrix/cell_test.go
+++ b/matrix/cell_test.go
@@ -35,6 +35,7 @@
 	"switchbank.example/switchbank/internal/resource"
 	"switchbank.example/switchbank/internal/shard"
 	"switchbank.example/switchbank/internal/worker"
+	"switchbank.example/switchbank/standin/network"
 	standin "switchbank.example/switchbank/standin/platform"
 	standinworker "switchbank.example/switchbank/standin/worker"
 )
@@ -54,7 +55,7 @@
 type cell struct {
 	t      *testing.T
 	ctx    context.Context
-	net    *network
+	net    *network.Network
 	plat   *standin.Platform
 	guards node.Guards
 	ignore standinworker.Config
@@ -94,10 +95,10 @@
 
 func newCell(t *testing.T, guards node.Guards, ignore standinworker.Config) *cell {
 	c := &cell{
-		t: t, ctx: t.Context(), net: newNetwork(), plat: standin.New(), guards: guards, ignore: ignore,
+		t: t, ctx: t.Context(), net: network.New(), plat: standin.New(), guards: guards, ignore: ignore,
 		steps: newStepper(), nodes: make(map[string]*cellNode), workers: make(map[string]*cellWorker),
 	}
-	c.wire = &http.Transport{DialContext: c.net.dial("wire")}
+	c.wire = &http.Transport{DialContext: c.net.Dial("wire")}
 	for i := range cellWorkers {
 		c.startWorker(fmt.Sprintf("w%d", i), rackIn(i%cellWorkerShards))
 	}
@@ -139,11 +140,11 @@
 	cn := &cellNode{name: name, stop: stop, ended: make(chan struct{})}
 	cn.n = node.New(c.config(name), node.Deps{
 		Platform: &nodePlatform{c: c, node: name},
-		Callers:  c.net.listen(name + ":1"), Peers: c.net.listen(name + ":2"), Operators: c.net.listen(name + ":3"),
-		Dial: c.net.dial(name), Log: testLog(), Guards: c.guards,
+		Callers:  c.net.Listen(name + ":1"), Peers: c.net.Listen(name + ":2"), Operators: c.net.Listen(name + ":3"),
+		Dial: c.net.Dial(name), Log: testLog(), Guards: c.guards,
 		Wrap: func(rt http.RoundTripper) http.RoundTripper { return &tap{c: c, node: name, next: rt} },
 	})
-	cn.http = &http.Transport{DialContext: c.net.dial("caller"), MaxIdleConnsPerHost: 64}
+	cn.http = &http.Transport{DialContext: c.net.Dial("caller"), MaxIdleConnsPerHost: 64}
 	cn.client = client.New(client.Config{Callers: name + ":1", Operators: name + ":3", Team: "inkasoft", Transport: cn.http})
 	c.mu.Lock()
 	c.nodes[name] = cn
@@ -195,8 +196,8 @@
 	if gone {
 		return
 	}
-	c.net.setCut(name, "*", true)
-	c.net.reset(name)
+	c.net.SetCut(name, "*", true)
+	c.net.Reset(name)
 }
 
 // drain begins a planned stop of a node.
@@ -218,7 +219,7 @@
 	var next int
 	cfg.Listen = func() (net.Listener, error) {
 		next++
-		return c.net.listen(fmt.Sprintf("%s:%d", id, 10+next)), nil
+		return c.net.Listen(fmt.Sprintf("%s:%d", id, 10+next)), nil
 	}
 	w := standinworker.New(cfg)
 	c.mu.Lock()
@@ -229,7 +230,7 @@
 	c.workers[id] = &cellWorker{host: h, w: w, stop: stop}
 	c.mu.Unlock()
 	c.plat.SetHost(h)
-	l := c.net.listen(h.Address)
+	l := c.net.Listen(h.Address)
 	go func() { _ = w.Serve(ctx, l) }()
 }
 
@@ -245,7 +246,7 @@
 	if gone {
 		return
 	}
-	c.net.setCut(id, "*", true)
+	c.net.SetCut(id, "*", true)
 	w.stop()
 	go func() {
 		sleep(c.ctx, lag)
@@ -272,20 +273,20 @@
 	nodes, workers := slices.Clone(c.started), slices.Collect(maps.Values(c.workers))
 	c.mu.Unlock()
 	for _, n := range nodes {
-		c.net.resume(n.name)
+		c.net.Resume(n.name)
 		n.stop()
 	}
 	for _, n := range nodes {
 		<-n.ended
 		n.http.CloseIdleConnections()
-		c.net.reset(n.name)
+		c.net.Reset(n.name)
 	}
 	for _, w := range workers {
 		w.stop()
 	}
 	c.wire.CloseIdleConnections()
-	c.net.reset("wire")
-	c.net.reset("caller")
+	c.net.Reset("wire")
+	c.net.Reset("caller")
 }
 
 // bundle returns the example's bundle with a mark that tells versions apart.
@@ -339,10 +340,10 @@
 
 // reach waits as a call over the network would, and fails when it does not get through.
 func (p *nodePlatform) reach(ctx context.Context) error {
-	if err := p.c.net.wait(p.node, ctx.Done()); err != nil {
+	if err := p.c.net.Wait(p.node, ctx.Done()); err != nil {
 		return err
 	}
-	if p.c.net.isCut(p.node, platformHost) {
+	if p.c.net.IsCut(p.node, platformHost) {
 		sleep(ctx, platformTimeout)
 		return errNoReply
 	}
@@ -467,7 +468,7 @@
 		_ = r.Body.Close()
 		r.Body = io.NopCloser(bytes.NewReader(body))
 	}
-	step, to := stepOfMessage(r, body), hostOf(r.URL.Host)
+	step, to := stepOfMessage(r, body), network.HostOf(r.URL.Host)
 	how := tp.c.steps.hit(step, before, tp.node, to)
 	if how.delay > 0 {
 		sleep(r.Context(), how.delay)
--- a/matrix/faults_test.go
+++ b/matrix/faults_test.go
@@ -74,8 +74,8 @@
 			return handling{}
 		}},
 		{name: "node paused past its lease", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, _ string) handling {
-			c.net.pause(node)
-			heal(c, func() { c.net.resume(node) })
+			c.net.Pause(node)
+			heal(c, func() { c.net.Resume(node) })
 			return handling{}
 		}},
 		{name: "worker dead", cutsAnswers: true, inject: func(c *cell, _ *scenario, _, to string) handling {
@@ -84,20 +84,20 @@
 		}},
 		{name: "worker cut from its owner only", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, to string) handling {
 			w := c.workerOf(to)
-			c.net.setCut(node, w, true)
-			heal(c, func() { c.net.setCut(node, w, false) })
+			c.net.SetCut(node, w, true)
+			heal(c, func() { c.net.SetCut(node, w, false) })
 			return handling{}
 		}},
 		{name: "node cut from the store only", inject: func(c *cell, _ *scenario, node, _ string) handling {
-			c.net.setCut(node, platformHost, true)
-			heal(c, func() { c.net.setCut(node, platformHost, false) })
+			c.net.SetCut(node, platformHost, true)
+			heal(c, func() { c.net.SetCut(node, platformHost, false) })
 			return handling{}
 		}},
 		{name: "node cut from its peers only", cutsAnswers: true, inject: func(c *cell, _ *scenario, node, _ string) handling {
 			for _, n := range c.live() {
 				if n.name != node {
-					c.net.setCut(node, n.name, true)
-					heal(c, func() { c.net.setCut(node, n.name, false) })
+					c.net.SetCut(node, n.name, true)
+					heal(c, func() { c.net.SetCut(node, n.name, false) })
 				}
 			}
 			return handling{}
--- /dev/null
+++ b/matrix/site/cell_test.go
@@ -0,0 +1,272 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package site_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/cell"
+	"switchbank.example/switchbank/internal/settings"
+	"switchbank.example/switchbank/internal/telemetry"
+	"switchbank.example/switchbank/platform"
+	"switchbank.example/switchbank/standin/network"
+	"switchbank.example/switchbank/standin/site"
+)
+
+const (
+	service      = "billing"
+	storeHost    = "store"
+	callerHost   = "caller"
+	cellNodes    = 3
+	cellWorkers  = 6
+	workerCores  = 4000
+	callDeadline = 3 * time.Second
+)
+
+// world is a site, nodes and a caller on an in-memory network.
+type world struct {
+	t      *testing.T
+	net    *network.Network
+	site   *site.Site
+	client *http.Client
+	log    *zap.Logger
+
+	mu      sync.Mutex
+	nodes   map[string]*liveNode
+	workers []*site.Worker
+	jobs    int
+	// accepted are the jobs that a node answered with success, cancelled those whose cancel was.
+	accepted  []string
+	cancelled map[string]time.Time
+	refused   map[string]bool
+	// lasting is the job whose tasks run until the end.
+	lasting string
+	// drainedAt is when a worker began to drain.
+	drainedAt map[string]time.Time
+}
+
+type liveNode struct {
+	name string
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func newWorld(t *testing.T) *world {
+	log := zap.NewNop()
+	if os.Getenv("SITE_LOG") != "" {
+		var err error
+		if log, err = telemetry.NewLogger("info", os.Stderr); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w := &world{
+		t: t, net: network.New(), nodes: make(map[string]*liveNode), log: log,
+		cancelled: make(map[string]time.Time), refused: make(map[string]bool),
+		drainedAt: make(map[string]time.Time),
+	}
+	w.site = site.New(site.Config{
+		Service: service, Serve: w.serve, StoreAddress: storeHost + ":1", AdviceAddress: "advice:1", MachinesAddress: "machines:1",
+		WorkerAddress: func(n int) string { return fmt.Sprintf("w%d:1", n) },
+	})
+	w.client = &http.Client{Transport: &http.Transport{DialContext: w.net.Dial(callerHost)}}
+	w.site.Configure(1, routes()...)
+	for i := range cellWorkers {
+		w.workers = append(w.workers, w.site.AddWorker(site.WorkerConfig{Rack: fmt.Sprintf("r1-%d", i/2), CPUMilli: workerCores, MemoryMB: 32000}))
+	}
+	for i := range cellNodes {
+		w.startNode(fmt.Sprintf("n%d", i))
+	}
+	return w
+}
+
+// routes are an urgent queue that needs tickets, and one of batches.
+func routes() []site.Route {
+	return []site.Route{
+		{Name: "urgent", Host: "h", PathPrefix: "/urgent/", MaxAttempts: 2, Stretch: 1.5, TargetMS: 250, Upstream: service,
+			Advice: &site.Advice{DecideMS: 20, EachMS: 0.1, ValidMS: 2500}},
+		{Name: "batch", Host: "h", PathPrefix: "/batch/", Priority: 2, MaxAttempts: 3, Stretch: 2, TargetMS: 1200, Upstream: service},
+	}
+}
+
+func (w *world) serve(address string, h http.Handler) func() {
+	l := w.net.Listen(address)
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	return func() {
+		_ = s.Close()
+		w.net.Reset(network.HostOf(address))
+	}
+}
+
+func (w *world) startNode(name string) {
+	cfg := settings.Settings{
+		Node: name, DataCentre: "dc", Store: storeHost + ":1", Advice: "advice:1", Machines: "machines:1",
+		Listen: settings.Listen{Callers: name + ":1", Ready: name + ":2", Peers: name + ":3"},
+		Seeds:  []string{"n0:3", "n1:3"},
+		Bounds: settings.Bounds{LeaseMostMS: 10_000, StopMS: 200, GraceMS: 6000, KeepStateMS: 120_000, FarFactor: 1.5},
+	}
+	dial := w.net.Dial(name)
+	n := cell.New(cfg, cell.Deps{
+		Store: platform.NewStore(cfg.Store, dial), Workers: platform.NewWorkers(dial), Advice: platform.NewAdvice(cfg.Advice, dial),
+		Machines: platform.NewMachines(cfg.Machines, dial), Directory: platform.Directory{}, Configs: platform.Configs{},
+		Callers: platform.NewCallers, Log: w.log.Named(name), Dial: dial,
+		Listen: func(_ context.Context, _, address string) (net.Listener, error) { return w.net.Listen(address), nil },
+	})
+	ctx, stop := context.WithCancel(w.t.Context())
+	live := &liveNode{name: name, stop: stop, done: make(chan struct{})}
+	w.mu.Lock()
+	w.nodes[name] = live
+	w.mu.Unlock()
+	go func() {
+		defer close(live.done)
+		if err := n.Run(ctx); err != nil && ctx.Err() == nil {
+			w.t.Errorf("node %s ended: %v", name, err)
+		}
+	}()
+}
+
+// kill cuts a node off for good, as the end of its process does: nothing that it
+// sends from now on arrives.
+func (w *world) kill(name string) {
+	w.mu.Lock()
+	live := w.nodes[name]
+	delete(w.nodes, name)
+	w.mu.Unlock()
+	w.net.SetCut(name, "*", true)
+	w.net.Reset(name)
+	live.stop()
+}
+
+// drain stops a node as planned, and waits for its end.
+func (w *world) drain(name string) {
+	w.mu.Lock()
+	live := w.nodes[name]
+	delete(w.nodes, name)
+	w.mu.Unlock()
+	live.stop()
+	<-live.done
+}
+
+// names returns the nodes that run, in order.
+func (w *world) names() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var names []string
+	for n := range w.nodes {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// call sends a caller's call to a node; status 0 means that there was no answer.
+func (w *world) call(node, method, path, body string) (int, []byte) {
+	ctx, cancel := context.WithTimeout(w.t.Context(), callDeadline)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+node+":1"+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("X-Switchbank-Deadline-Ms", "3000")
+	res, err := w.client.Do(r)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return res.StatusCode, data
+}
+
+type jobBody struct {
+	Spec  string     `json:"Spec"`
+	Steps []stepBody `json:"Steps"`
+}
+
+type stepBody struct {
+	Count      int   `json:"Count"`
+	CPU        int64 `json:"Cpu"`
+	MemoryMB   int64 `json:"MemMb"`
+	EstimateMS int64 `json:"EstimateMs"`
+	After      []int `json:"DependsOn,omitempty"`
+	Saves      bool  `json:"Checkpointing,omitempty"`
+	Gang       bool  `json:"Gang,omitempty"`
+	Lasts      bool  `json:"LongRunning,omitempty"`
+}
+
+// submit hands a job in until it is accepted or the tries are used up.
+func (w *world) submit(queue, spec string, steps ...stepBody) string {
+	w.mu.Lock()
+	w.jobs++
+	id := fmt.Sprintf("%016x", w.jobs)
+	w.mu.Unlock()
+	body, err := json.Marshal(jobBody{spec, steps})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	const tries = 5
+	rejected := true
+	for i := range tries {
+		names := w.names()
+		if len(names) == 0 {
+			time.Sleep(time.Second)
+			continue
+		}
+		status, _ := w.call(names[(len(id)+i)%len(names)], http.MethodPost, "/"+queue+"/"+id, string(body))
+		if status == http.StatusOK {
+			w.mu.Lock()
+			w.accepted = append(w.accepted, id)
+			w.mu.Unlock()
+			return id
+		}
+		rejected = rejected && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
+		time.Sleep(time.Second)
+	}
+	if rejected {
+		w.mu.Lock()
+		w.refused[id] = true
+		w.mu.Unlock()
+	}
+	return id
+}
+
+// state asks any node for a job's state.
+func (w *world) state(queue, id string) string {
+	for _, n := range w.names() {
+		status, data := w.call(n, http.MethodGet, "/"+queue+"/"+id, "")
+		if status == http.StatusGone {
+			return "unknown"
+		}
+		var s struct{ State string }
+		if status == http.StatusOK && json.Unmarshal(data, &s) == nil {
+			return s.State
+		}
+	}
+	return "no answer"
+}
+
+// close ends all nodes and workers, so that the bubble can end.
+func (w *world) close() {
+	for _, n := range w.names() {
+		w.kill(n)
+	}
+	w.client.CloseIdleConnections()
+	w.site.Close()
+	time.Sleep(time.Minute)
+}
--- /dev/null
+++ b/matrix/site/load_test.go
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package site_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// The jobs of the load. A task's room stands in its Spec too, for the workers to check.
+const (
+	urgentSpec  = "400 cpu=500"
+	batchSpec   = "1500 cpu=1000"
+	lastingSpec = "100 lasting cpu=500"
+)
+
+func urgentSteps() []stepBody {
+	return []stepBody{{Count: 2, CPU: 500, MemoryMB: 100, EstimateMS: 400}, {Count: 2, CPU: 500, MemoryMB: 100, EstimateMS: 400, After: []int{0}}}
+}
+
+// load hands jobs in for a time: urgent ones, batches, gangs, long-lived ones,
+// and some that are cancelled.
+func (w *world) load(d time.Duration) {
+	var wg sync.WaitGroup
+	w.lasting = w.submit("batch", lastingSpec, stepBody{Count: 2, CPU: 500, MemoryMB: 100, Lasts: true})
+	for i, end := 0, time.Now().Add(d); time.Now().Before(end); i++ {
+		wg.Go(func() { w.submit("urgent", urgentSpec, urgentSteps()...) })
+		if i%6 == 1 {
+			wg.Go(func() {
+				w.submit("batch", batchSpec, stepBody{Count: 3, CPU: 1000, MemoryMB: 500, EstimateMS: 1500, Saves: true})
+			})
+		}
+		if i%12 == 3 {
+			wg.Go(func() {
+				w.submit("batch", batchSpec, stepBody{Count: 3, CPU: 1000, MemoryMB: 500, EstimateMS: 1500, Gang: true})
+			})
+		}
+		if i%10 == 5 {
+			wg.Go(w.submitAndCancel)
+		}
+		time.Sleep(400 * time.Millisecond)
+	}
+	wg.Wait()
+}
+
+func (w *world) submitAndCancel() {
+	id := w.submit("batch", "60000 cpu=1000", stepBody{Count: 1, CPU: 1000, MemoryMB: 500, EstimateMS: 60_000})
+	time.Sleep(time.Second)
+	for range 20 {
+		for _, n := range w.names() {
+			status, _ := w.call(n, http.MethodDelete, "/batch/"+id, "")
+			if status == http.StatusOK || status == http.StatusGone {
+				w.mu.Lock()
+				w.cancelled[id] = time.Now()
+				w.mu.Unlock()
+				return
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	w.t.Errorf("cancel of %s was not taken", id)
+}
+
+// checkSettled waits until every accepted job has ended as it should.
+func (w *world) checkSettled() {
+	w.t.Helper()
+	open := fmt.Errorf("not looked")
+	for end := time.Now().Add(settled); open != nil && time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		open = w.openJob()
+	}
+	if open != nil {
+		w.t.Errorf("%s after the load: %v", settled, open)
+	}
+	running := 0
+	for _, k := range w.workers {
+		running += k.Running()
+	}
+	if running != 2 {
+		w.t.Errorf("%d tasks run at the end, want the 2 that last", running)
+	}
+}
+
+// openJob returns what is not as it should be at the end.
+func (w *world) openJob() error {
+	w.mu.Lock()
+	accepted := append([]string(nil), w.accepted...)
+	w.mu.Unlock()
+	for _, id := range accepted {
+		want := "succeeded"
+		if _, ok := w.cancelled[id]; ok {
+			want = "cancelled"
+		}
+		if id == w.lasting {
+			want = "running"
+		}
+		// Any queue of the service leads to the job.
+		if got := w.state("batch", id); got != want {
+			return fmt.Errorf("job %s is %q, want %q", id, got, want)
+		}
+	}
+	return nil
+}
--- a/matrix/steps_test.go
+++ b/matrix/steps_test.go
@@ -3,6 +3,7 @@
 package matrix_test
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -129,3 +130,11 @@
 	defer s.mu.Unlock()
 	return len(s.armed)
 }
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/matrix/net_test.go
+++ b/standin/network/network.go
@@ -1,6 +1,15 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package matrix_test
+// Package network is an in-memory network of hosts for tests in virtual time:
+// whole nodes and stand-ins talk over it, and it can be cut, paused and reset.
+//
+// # Usage
+//
+//	n := network.New()
+//	l := n.Listen("n0:1")
+//	client := &http.Transport{DialContext: n.Dial("n1")}
+//	n.SetCut("n0", "n1", true)
+package network
 
 import (
 	"context"
@@ -15,9 +24,9 @@
 
 var errClosed = errors.New("connection closed")
 
-// network is an in-memory network of hosts. An address is host:port; a node listens
+// Network is an in-memory network of hosts. An address is host:port; a node listens
 // for callers on port 1, for peers on 2 and for operators on 3.
-type network struct {
+type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     map[*conn]bool
@@ -29,8 +38,9 @@
 
 type link struct{ from, to string }
 
-func newNetwork() *network {
-	return &network{
+// New returns a network without hosts.
+func New() *Network {
+	return &Network{
 		listeners: make(map[string]*listener), conns: make(map[*conn]bool),
 		cut: make(map[link]bool), paused: make(map[string]chan struct{}),
 	}
@@ -41,13 +51,14 @@
 func (a addr) Network() string { return "mem" }
 func (a addr) String() string  { return string(a) }
 
-func hostOf(address string) string {
+// HostOf returns the host of an address.
+func HostOf(address string) string {
 	host, _, _ := strings.Cut(address, ":")
 	return host
 }
 
-// setCut cuts or mends everything between two hosts; "*" stands for all.
-func (n *network) setCut(a, b string, cut bool) {
+// SetCut cuts or mends everything between two hosts; "*" stands for all.
+func (n *Network) SetCut(a, b string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range []link{{a, b}, {b, a}} {
@@ -59,14 +70,15 @@
 	}
 }
 
-func (n *network) isCut(from, to string) bool {
+// IsCut reports whether nothing passes from one host to another.
+func (n *Network) IsCut(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.cut[link{from, to}] || n.cut[link{from, "*"}] || n.cut[link{"*", to}]
 }
 
-// pause holds a host's traffic back until resume.
-func (n *network) pause(host string) {
+// Pause holds a host's traffic back until Resume.
+func (n *Network) Pause(host string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.paused[host] == nil {
@@ -74,7 +86,8 @@
 	}
 }
 
-func (n *network) resume(host string) {
+// Resume lets a paused host go on.
+func (n *Network) Resume(host string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if ch := n.paused[host]; ch != nil {
@@ -83,8 +96,8 @@
 	}
 }
 
-// wait blocks while host is paused.
-func (n *network) wait(host string, closed <-chan struct{}) error {
+// Wait blocks while host is paused.
+func (n *Network) Wait(host string, closed <-chan struct{}) error {
 	n.mu.Lock()
 	ch := n.paused[host]
 	n.mu.Unlock()
@@ -99,8 +112,8 @@
 	}
 }
 
-// reset closes all connections of a host, as the end of its process does.
-func (n *network) reset(host string) {
+// Reset closes all connections of a host, as the end of its process does.
+func (n *Network) Reset(host string) {
 	n.mu.Lock()
 	var mine []*conn
 	for c := range n.conns {
@@ -115,14 +128,15 @@
 }
 
 type listener struct {
-	n       *network
+	n       *Network
 	address string
 	backlog chan net.Conn
 	closed  chan struct{}
 	once    sync.Once
 }
 
-func (n *network) listen(address string) net.Listener {
+// Listen opens an address, host:port; a later one under the same address replaces it.
+func (n *Network) Listen(address string) net.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := &listener{n: n, address: address, backlog: make(chan net.Conn), closed: make(chan struct{})}
@@ -146,15 +160,15 @@
 
 func (l *listener) Addr() net.Addr { return addr(l.address) }
 
-// dial returns the dial function of a host.
-func (n *network) dial(from string) func(context.Context, string, string) (net.Conn, error) {
+// Dial returns the dial function of a host.
+func (n *Network) Dial(from string) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, _, to string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
-		if err := n.wait(from, ctx.Done()); err != nil {
+		if err := n.Wait(from, ctx.Done()); err != nil {
 			return nil, err
 		}
-		if n.isCut(from, hostOf(to)) || n.isCut(hostOf(to), from) {
+		if n.IsCut(from, HostOf(to)) || n.IsCut(HostOf(to), from) {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
@@ -162,16 +176,16 @@
 		l := n.listeners[to]
 		n.mu.Unlock()
 		if l == nil {
-			return nil, errors.New("connection refused")
+			return nil, refused(to)
 		}
 		a, b := net.Pipe()
-		near := n.conn(a, from, hostOf(to))
-		far := n.conn(b, hostOf(to), from)
+		near := n.conn(a, from, HostOf(to))
+		far := n.conn(b, HostOf(to), from)
 		select {
 		case l.backlog <- far:
 			return near, nil
 		case <-l.closed:
-			return nil, errors.New("connection refused")
+			return nil, refused(to)
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -180,13 +194,13 @@
 
 type conn struct {
 	net.Conn
-	n             *network
+	n             *Network
 	local, remote string
 	closed        chan struct{}
 	once          sync.Once
 }
 
-func (n *network) conn(c net.Conn, local, remote string) *conn {
+func (n *Network) conn(c net.Conn, local, remote string) *conn {
 	mc := &conn{Conn: c, n: n, local: local, remote: remote, closed: make(chan struct{})}
 	n.mu.Lock()
 	n.conns[mc] = true
@@ -199,13 +213,13 @@
 
 // Write drops what a cut link would lose, and waits while the host is paused.
 func (c *conn) Write(b []byte) (int, error) {
-	if err := c.n.wait(c.local, c.closed); err != nil {
+	if err := c.n.Wait(c.local, c.closed); err != nil {
 		return 0, err
 	}
-	if err := c.n.wait(c.remote, c.closed); err != nil {
+	if err := c.n.Wait(c.remote, c.closed); err != nil {
 		return 0, err
 	}
-	if c.n.isCut(c.local, c.remote) {
+	if c.n.IsCut(c.local, c.remote) {
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
@@ -221,10 +235,7 @@
 	return c.Conn.Close()
 }
 
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+// refused is the error of a dial to an address on which nothing listens.
+func refused(to string) error {
+	return &net.OpError{Op: "dial", Net: "mem", Addr: addr(to), Err: errors.New("connection refused")}
 }
