A new owner waits for every worker that the machines show alive

A new owner took the workers that were listed for all there are, and started tasks again that ran or had ended on the others. Ruled out: late writes of progress (their conditions held them back). Change: the platform's list of machines says which lives must have answered; the owner also persists the workers' addresses, so that the next one need not wait for the directory. TestTakeoverWaitsForAllWorkers fails without the check.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -93,6 +93,7 @@
 	WorkerOver      = zap.String(Field, "SB1626")
 	WorkerDraining  = zap.String(Field, "SB1627")
 	WorkerAside     = zap.String(Field, "SB1628")
+	TakeoverDone    = zap.String(Field, "SB1629")
 )
 
 // The events of nodes on a platform.
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -28,6 +28,7 @@
 	mu       sync.Mutex
 	jobs     []tables.Row
 	progress map[string]tables.Row
+	roster   tables.Row
 	version  int64
 }
 
@@ -75,7 +76,11 @@
 	to.mu.Lock()
 	defer to.mu.Unlock()
 	for _, r := range progress {
-		if r.Key != fenceKey {
+		switch r.Key {
+		case fenceKey:
+		case rosterKey:
+			to.roster = r
+		default:
 			to.progress[r.Key] = r
 		}
 	}
@@ -99,6 +104,9 @@
 // take hands the rows to the scheduler and returns how many jobs there are.
 func (o *Owner) take(rows *loadedRows) int {
 	now, n := time.Now(), 0
+	if rows.roster.Version > 0 {
+		o.takeRoster(o.shard, now, rows.roster)
+	}
 	for _, r := range rows.jobs {
 		if _, ok := cancelled(r.Key); ok {
 			continue
--- a/internal/owner/machines.go
+++ b/internal/owner/machines.go
@@ -61,7 +61,14 @@
 			w.onMachine[m.Worker] = m.ID
 		}
 	}
+	var lives []string
+	for _, m := range list {
+		if m.Worker != "" && m.Service == w.o.cfg.Service {
+			lives = append(lives, m.Worker)
+		}
+	}
 	w.o.do(func(s *scheduler.Shard, now time.Time) {
+		s.ExpectWorkers(lives)
 		for _, id := range s.Workers() {
 			if evidence := w.over(s, id, current, alive); evidence != "" {
 				s.WorkerOver(now, id, evidence)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -149,6 +149,10 @@
 	o.group.Go(func() error { return o.followWorkers(o.ctx) })
 	o.group.Go(func() error { return o.watchMachines(o.ctx) })
 	o.group.Go(func() error { return o.sweepLoop(o.ctx) })
+	o.group.Go(func() error { return o.rosterLoop(o.ctx) })
+	for _, id := range o.knownWorkers() {
+		o.startHolding(o.ctx, id)
+	}
 	err := o.group.Wait()
 	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
 		return cause
@@ -279,6 +283,13 @@
 	return o.shard.Waiting(queue), o.loaded
 }
 
+// knownWorkers returns the workers that are known at the moment.
+func (o *Owner) knownWorkers() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.shard.Workers()
+}
+
 // Counts returns the totals of the scheduler's decisions.
 func (o *Owner) Counts() scheduler.Counts {
 	o.mu.Lock()
--- /dev/null
+++ b/internal/owner/roster.go
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/scheduler"
+	"switchbank.example/switchbank/internal/tables"
+)
+
+// rosterEvery is how often the roster is written if workers have come or gone.
+const rosterEvery = time.Second
+
+// roster is the row in which an owner leaves its workers to the next one.
+type roster struct {
+	Workers []cluster.Worker `json:"workers"`
+}
+
+// rosterLoop persists the workers and their addresses.
+func (o *Owner) rosterLoop(ctx context.Context) error {
+	written := make(map[string]bool)
+	for ctx.Err() == nil {
+		tables.Sleep(ctx, rosterEvery)
+		o.mu.Lock()
+		workers := o.shard.WorkerInfos()
+		o.mu.Unlock()
+		current := make(map[string]bool, len(workers))
+		for _, w := range workers {
+			current[w.ID] = true
+		}
+		if len(workers) == 0 || maps.Equal(current, written) {
+			continue
+		}
+		if err := o.writeRoster(ctx, workers); err != nil {
+			if ctx.Err() == nil {
+				o.Log.Info("workers not persisted", events.StoreFailed, zap.Error(err))
+			}
+			continue
+		}
+		written = current
+	}
+	return nil
+}
+
+func (o *Owner) writeRoster(ctx context.Context, workers []cluster.Worker) error {
+	value, err := json.Marshal(roster{workers})
+	if err != nil {
+		return &Error{"write roster", KindLoad, err}
+	}
+	fence := FenceRow(o.cfg.Service)
+	fence.Version = o.cfg.Fence
+	row := tables.Row{Table: TableProgress, Part: ProgressPart(o.cfg.Service), Key: rosterKey, Value: value}
+	_, err = o.Tables.Commit(ctx, tables.Txn{If: []tables.Row{fence}, Put: []tables.Row{row}})
+	return err
+}
+
+// takeRoster makes the workers of the last owner known; those whose lives are
+// over show in the list of machines.
+func (o *Owner) takeRoster(s *scheduler.Shard, now time.Time, row tables.Row) {
+	var r roster
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		o.Log.Warn("roster skipped", events.RowSkipped, zap.Error(err))
+		return
+	}
+	for _, w := range r.Workers {
+		s.UpsertWorker(now, w)
+		s.WorkerUnlisted(now, w.ID)
+	}
+}
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -66,6 +66,10 @@
 // IDs hold only hex digits.
 const fenceKey = "!owner"
 
+// rosterKey is the key of the row that lists the workers, for the next owner: the
+// directory's entries lapse while the store is away.
+const rosterKey = "!workers"
+
 // FenceRow returns the row that a new owner writes beside the owner's row: it
 // lies with the progress, so that progress is written within one part.
 func FenceRow(service string) tables.Row {
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -43,7 +43,6 @@
 	s.recount(w)
 	if first {
 		s.log.Info("worker taken over", events.WorkerTaken, zap.String("worker", id), zap.Int64("epoch", s.p.Epoch), zap.Int("runs", len(w.runs)))
-		s.settleUncertain(now)
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -117,9 +117,10 @@
 	jobs    map[string]*job
 	active  []*job // unfinished, sorted by rank
 	// runs are all that may take room somewhere, by task and number.
-	runs  map[runKey]*run
-	dirty map[string]*job
-	out   []Command
+	runs     map[runKey]*run
+	dirty    map[string]*job
+	takeover takeover
+	out      []Command
 	// goodShare is the share of asked workers that advice allows, by queue.
 	goodShare map[string]float64
 	// sizes are the learned ratios of run time to estimate, by image.
@@ -142,7 +143,7 @@
 	return &Shard{
 		p: p, log: log, began: now,
 		workers: make(map[string]*worker), jobs: make(map[string]*job), runs: make(map[runKey]*run),
-		dirty: make(map[string]*job), goodShare: make(map[string]float64), sizes: make(map[string]*ratio),
+		dirty: make(map[string]*job), takeover: takeover{open: true}, goodShare: make(map[string]float64), sizes: make(map[string]*ratio),
 	}
 }
 
@@ -152,6 +153,7 @@
 // Schedule takes all decisions that are open at now and returns what is to be done.
 func (s *Shard) Schedule(now time.Time) []Command {
 	s.expireLeases(now)
+	s.settle(now)
 	s.watchProgress(now)
 	s.evacuate(now)
 	s.paceFillers(now)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -54,6 +54,7 @@
 		Epoch: r.epoch, Lease: testLease, StopTime: 200 * time.Millisecond, Uncertain: 10 * time.Second,
 		KeepFinished: time.Minute, FarFactor: 1.5,
 	}, r.now, zap.NewNop())
+	r.s.ExpectWorkers(r.names())
 }
 
 func (r *rig) names() []string {
@@ -312,3 +313,38 @@
 		}
 	}
 }
+
+// TestTakeoverWaitsForAllWorkers checks that a new owner starts no task of an
+// earlier job while a worker that is alive has not answered, also when the
+// directory doesn't list that worker and others have room.
+func TestTakeoverWaitsForAllWorkers(t *testing.T) {
+	r := newRig(t, 3)
+	r.announce()
+	job := batch("j", tasks(2, 3000))
+	r.s.AddJob(r.now, job, nil, false)
+	r.pass(300 * time.Millisecond)
+	// The directory has lost one of the two when the next owner looks.
+	r.takeOver()
+	r.s.AddJob(r.now, job, nil, true)
+	lost := ""
+	for _, id := range r.names() {
+		if len(r.workers[id].running) > 0 {
+			lost = id
+		}
+	}
+	hidden := r.workers[lost]
+	delete(r.workers, lost)
+	r.announce()
+	r.pass(2 * time.Second)
+	if got := r.running(); len(got) != 1 {
+		t.Fatalf("%v run on the workers that are known, want the one task they had", got)
+	}
+	r.workers[lost] = hidden
+	r.announce()
+	r.pass(300 * time.Millisecond)
+	for task, n := range r.running() {
+		if n != 1 {
+			t.Errorf("%s runs %d times", task, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/takeover.go
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/events"
+)
+
+// takeover is what a new owner does not know yet. Tasks of the jobs that it has
+// loaded may run, or have ended, on any worker that has not answered; they wait
+// until every worker has, or can't have them any more.
+type takeover struct {
+	// open is set until everything is known.
+	open bool
+	// listed is set once the platform's machines have been listed, expected are the
+	// workers alive there. The directory alone is not enough: its entries lapse
+	// while the store is away.
+	listed   bool
+	expected map[string]bool
+}
+
+// unlistedFor is how long a new owner waits for the list of machines: after an
+// outage of the store the directory's entries are back within two seconds.
+const unlistedFor = 3 * time.Second
+
+// ExpectWorkers notes which workers are alive according to the platform's machines.
+func (s *Shard) ExpectWorkers(ids []string) {
+	if !s.takeover.open || s.takeover.listed {
+		return
+	}
+	s.takeover.listed = true
+	s.takeover.expected = make(map[string]bool, len(ids))
+	for _, id := range ids {
+		s.takeover.expected[id] = true
+	}
+}
+
+// settle ends the takeover once nothing is uncertain.
+func (s *Shard) settle(now time.Time) {
+	if !s.takeover.open || s.uncertain(now) {
+		return
+	}
+	s.takeover.open = false
+	s.log.Info("takeover complete", events.TakeoverDone, zap.Int64("epoch", s.p.Epoch), zap.Int("workers", len(s.order)),
+		zap.Bool("machines_listed", s.takeover.listed), zap.Duration("took", now.Sub(s.began)))
+	for _, j := range s.active {
+		for _, rep := range j.reps {
+			for _, st := range rep.steps {
+				for _, t := range st.tasks {
+					t.uncertain = false
+				}
+			}
+		}
+	}
+}
+
+// uncertain reports whether a worker may have what this owner doesn't know of.
+func (s *Shard) uncertain(now time.Time) bool {
+	if now.Sub(s.began) > s.p.Uncertain {
+		return false
+	}
+	if !s.takeover.listed && now.Sub(s.began) < unlistedFor {
+		return true
+	}
+	for id := range s.takeover.expected {
+		if w := s.workers[id]; w == nil || !w.answered {
+			return true
+		}
+	}
+	for _, w := range s.order {
+		if !w.answered {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -93,8 +93,8 @@
 		zap.Int("runs", len(w.runs)))
 	s.loseRuns(now, w, "worker's life is over")
 	delete(s.workers, id)
+	delete(s.takeover.expected, id)
 	s.order = sortedWorkers(s.workers)
-	s.settleUncertain(now)
 }
 
 // HoldSent numbers a hold that is about to be sent and returns the order for it.
@@ -147,45 +147,16 @@
 
 // expireLeases frees what ran on silent workers whose lease is surely over.
 func (s *Shard) expireLeases(now time.Time) {
-	settled := false
 	for _, w := range s.order {
 		if (w.silent || !w.answered) && len(w.runs) > 0 && now.After(s.leaseEnd(w)) {
 			s.log.Warn("worker's lease is over", events.WorkerLeaseOver, zap.String("worker", w.info.ID),
 				zap.Duration("silent", now.Sub(w.silentSince)), zap.Int("runs", len(w.runs)))
 			s.loseRuns(now, w, "lease over")
 		}
-		settled = settled || (!w.answered && now.After(s.leaseEnd(w)))
 		if w.unlisted && w.silent && now.After(s.leaseEnd(w)) {
 			s.WorkerOver(now, w.info.ID, "not listed, and its lease is over")
 		}
 	}
-	if settled {
-		s.settleUncertain(now)
-	}
-}
-
-// settleUncertain frees the tasks that waited for unanswering workers once all
-// workers have answered or can't run anything any more.
-func (s *Shard) settleUncertain(now time.Time) {
-	for _, w := range s.order {
-		if !w.answered && now.Before(s.leaseEnd(w)) {
-			return
-		}
-	}
-	s.EndUncertain(now)
-}
-
-// EndUncertain lets all tasks start that are not known to run.
-func (s *Shard) EndUncertain(time.Time) {
-	for _, j := range s.active {
-		for _, rep := range j.reps {
-			for _, st := range rep.steps {
-				for _, t := range st.tasks {
-					t.uncertain = false
-				}
-			}
-		}
-	}
 }
 
 // loseRuns takes all runs off a worker that can't have them any more.
@@ -257,6 +228,15 @@
 	return ids
 }
 
+// WorkerInfos returns what is known of the workers, in the order of their IDs.
+func (s *Shard) WorkerInfos() []cluster.Worker {
+	list := make([]cluster.Worker, 0, len(s.order))
+	for _, w := range s.order {
+		list = append(list, w.info)
+	}
+	return list
+}
+
 // Unconfirmed reports whether a worker has ends that are not persisted yet.
 func (s *Shard) Unconfirmed(id string) bool {
 	w := s.workers[id]
