A failed task is tried on another worker first

Change: a task that failed avoids its worker for a second; a worker is set aside after failures of two jobs without a success between them. TestFailedTaskGoesElsewhere failed before.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -24,9 +24,10 @@
 }
 
 const (
-	// failuresAside sets a worker aside: with one task in ten failing by its own
-	// fault, three in a row of two jobs are a matter of one in a thousand.
-	failuresAside = 3
+	// failuresAside sets a worker aside: with one job in fifty having a task that
+	// fails by its own fault, failures of two jobs without a success between them
+	// are a matter of one in two thousand.
+	failuresAside = 2
 	// asideFirst and asideMost bound how long a worker is set aside: troubles of
 	// workers last some seconds, and each probe costs one failed run.
 	asideFirst = 2 * time.Second
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -66,7 +66,11 @@
 	// uncertain tasks may run on a worker that has not answered since the takeover.
 	uncertain bool
 	notBefore time.Time
-	copied    bool
+	// failedOn is the worker on which the task failed last, and failedAt when: it
+	// may have been the worker's fault, so that another one comes first.
+	failedOn string
+	failedAt time.Time
+	copied   bool
 	// took is how long the run took that succeeded, if it began from the start.
 	took time.Duration
 }
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -180,6 +180,7 @@
 	if slices.Contains(t.failed, n) {
 		return
 	}
+	t.failedOn, t.failedAt = w.info.ID, now
 	s.counts.Failed++
 	s.workerFailed(now, w, t.id.Job)
 	if st.spec.LongRunning {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -56,8 +56,11 @@
 	}
 	placed := 0
 	for _, t := range waiting {
-		w := s.bestWorker(now, st, nil)
+		w := s.bestWorkerFor(now, t)
 		if w == nil {
+			if t.failedOn != "" {
+				continue
+			}
 			break
 		}
 		s.start(now, t, w)
@@ -106,6 +109,18 @@
 		w.info.Capacity.Fits(st.spec.Room())
 }
 
+// avoidFor is how long a task that failed waits for another worker than the one
+// on which it did.
+const avoidFor = time.Second
+
+// bestWorkerFor returns the worker on which a task should start.
+func (s *Shard) bestWorkerFor(now time.Time, t *task) *worker {
+	if w := s.workers[t.failedOn]; w != nil && now.Sub(t.failedAt) < avoidFor {
+		return s.bestWorkerBut(now, t.step, w)
+	}
+	return s.bestWorker(now, t.step, nil)
+}
+
 // bestWorker returns the worker on which the next task of the step should
 // start: near its data, then where the least room is left over. Extra is room
 // that this decision has already given away, by worker.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -348,3 +348,26 @@
 		}
 	}
 }
+
+// TestFailedTaskGoesElsewhere checks that a task which failed is tried on another
+// worker, so that one bad worker doesn't use up its attempts.
+func TestFailedTaskGoesElsewhere(t *testing.T) {
+	r := newRig(t, 2)
+	r.announce()
+	r.s.AddJob(r.now, batch("j", tasks(1, 1000)), nil, false)
+	r.pass(200 * time.Millisecond)
+	first := ""
+	for id, f := range r.workers {
+		if len(f.running) > 0 {
+			first = id
+		}
+	}
+	r.endAll(cluster.OutcomeFailed)
+	r.pass(300 * time.Millisecond)
+	if len(r.workers[first].running) > 0 {
+		t.Errorf("the task is tried again on %s, where it failed", first)
+	}
+	if len(r.running()) != 1 {
+		t.Error("the task is not tried again")
+	}
+}
