--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package settings_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"switchbank.example/switchbank/internal/settings"
+)
+
+const good = `
+node: n1
+listen: {callers: "127.0.0.1:1", ready: "127.0.0.1:2", peers: "127.0.0.1:3"}
+store: "127.0.0.1:4"
+`
+
+func TestDefaults(t *testing.T) {
+	s, err := settings.Parse("node.yaml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Bounds.LeaseMostMS != 10_000 || s.Bounds.GraceMS != 6000 || s.LogLevel != "info" || s.Bounds.FarFactor != 1.5 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// TestWrongFieldIsNamed checks that each wrong value is told by its field.
+func TestWrongFieldIsNamed(t *testing.T) {
+	for _, c := range []struct{ text, field string }{
+		{strings.Replace(good, "node: n1", "", 1), "node"},
+		{strings.Replace(good, `callers: "127.0.0.1:1"`, `callers: "nowhere"`, 1), "listen.callers"},
+		{strings.Replace(good, `store: "127.0.0.1:4"`, "", 1), "store"},
+		{good + "bounds: {stop_ms: -1}\n", "bounds.stop_ms"},
+		{good + "limits: {memory_mb: -5}\n", "limits.memory_mb"},
+	} {
+		_, err := settings.Parse("node.yaml", []byte(c.text))
+		var e *settings.Error
+		if !errors.As(err, &e) || e.Field != c.field || e.Kind != settings.KindInvalid {
+			t.Errorf("got %v, want the field %s", err, c.field)
+		}
+	}
+}
+
+func TestUnknownAndMistyped(t *testing.T) {
+	for _, text := range []string{good + "stor: x\n", good + "seeds: 5\n", good + "bounds: {stop_ms: fast}\n", "node: [\n"} {
+		if _, err := settings.Parse("node.yaml", []byte(text)); err == nil || !strings.Contains(err.Error(), "node.yaml") {
+			t.Errorf("%q: got %v, want an error that names the file", text, err)
+		}
+	}
+}
