--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -34,6 +34,9 @@
 	// behind others when the store is slow. A try without an answer is repeated
 	// while the caller's deadline allows, since its outcome has to be found out.
 	submitTimeout = 1200 * time.Millisecond
+	// submitPause is the pause between two tries, of which a reset connection ends
+	// one at once.
+	submitPause = 20 * time.Millisecond
 	// answerMargin is left of the caller's deadline for the answer.
 	answerMargin = 150 * time.Millisecond
 	// RetryAfter is when a refused caller should come back: by then another node
@@ -67,13 +70,18 @@
 			return n.accepted(job)
 		case !tables.IsUnknown(err) && !unknown:
 			return n.refuse(job.ID, err.Error())
+		case n.store.down():
+			return n.notKnown(job.ID)
 		}
 		unknown = true
-		if n.store.down() {
-			break
-		}
+		tables.Sleep(ctx, submitPause)
 	}
-	n.Log.Warn("acceptance not known", events.JobRefused, zap.String("job", job.ID), zap.String("answer", string(AnswerUnknown)))
+	return n.notKnown(job.ID)
+}
+
+// notKnown answers for a job whose acceptance got no answer from the store.
+func (n *Node) notKnown(id string) Answer {
+	n.Log.Warn("acceptance not known", events.JobRefused, zap.String("job", id), zap.String("answer", string(AnswerUnknown)))
 	return AnswerUnknown
 }
 
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -18,6 +18,9 @@
 	// call gets one either, before the store counts as down. It answers in 4 ms,
 	// and in 240 ms when it is slow; behind other writes of a part, in twice that.
 	storeDownAfter = 700 * time.Millisecond
+	// failingFor is how long every call must have failed before the store counts
+	// as down: a store that resets some connections still answers on others.
+	failingFor = 300 * time.Millisecond
 	// probeEvery and probeTimeout bound the search for a store that is down.
 	probeEvery   = 100 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
@@ -71,13 +74,14 @@
 	}
 }
 
-// down reports whether the store answers by no way. After a call that failed by
-// every way it counts as down until another one, such as a probe, is answered.
+// down reports whether the store answers by no way: every call has failed for a
+// while, or is without an answer. It is up again with the first call, such as a
+// probe, that is answered.
 func (s *watchedStore) down() bool {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lastSeen.IsZero() || !s.failedAt.IsZero() {
+	if s.lastSeen.IsZero() || (!s.failedAt.IsZero() && now.Sub(s.failedAt) > failingFor) {
 		return true
 	}
 	for _, sent := range s.pending {
@@ -88,6 +92,14 @@
 	return false
 }
 
+// failing reports whether the last call was not answered, or the store is down.
+func (s *watchedStore) failing() bool {
+	s.mu.Lock()
+	failed := !s.failedAt.IsZero()
+	s.mu.Unlock()
+	return failed || s.down()
+}
+
 // silent returns how long the store has not answered.
 func (s *watchedStore) silent() time.Duration {
 	s.mu.Lock()
@@ -98,7 +110,7 @@
 // probe looks for the store while it is down.
 func (s *watchedStore) probe(ctx context.Context) {
 	for ctx.Err() == nil {
-		if s.down() {
+		if s.failing() {
 			c, cancel := context.WithTimeout(ctx, probeTimeout)
 			// The outcome is noted by List itself.
 			_, _ = s.List(c, tables.ListRequest{Table: TableCell, Limit: 1})
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -22,7 +22,7 @@
 	// are written together, and callers see a job's end this much later at most.
 	persistGap = 25 * time.Millisecond
 	// persistRetry is the pause after a write that failed.
-	persistRetry = 150 * time.Millisecond
+	persistRetry = 50 * time.Millisecond
 )
 
 // persistLoop writes progress in batches, one at a time.
