--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -174,6 +174,7 @@
 	n.group.Go(func() error { n.peers.pingLoop(n.ctx); return nil })
 	n.group.Go(func() error { n.announce(n.ctx); return nil })
 	n.group.Go(func() error { n.store.probe(n.ctx); return nil })
+	n.group.Go(func() error { n.relay.Probe(n.ctx, tables.ListRequest{Table: TableCell, Limit: 1}); return nil })
 	select {
 	case <-ctx.Done():
 	case <-n.ctx.Done():
--- /dev/null
+++ b/internal/tables/relay_test.go
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package tables_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"switchbank.example/switchbank/internal/tables"
+)
+
+// fakeService answers, refuses or is silent.
+type fakeService struct {
+	silent, refuses bool
+	calls           int
+}
+
+func (f *fakeService) answer(ctx context.Context) error {
+	f.calls++
+	if f.refuses {
+		return &tables.Error{Op: "fake", Kind: tables.KindRefused, Err: errors.New("busy")}
+	}
+	if f.silent {
+		<-ctx.Done()
+		return &tables.Error{Op: "fake", Kind: tables.KindUnknown, Err: ctx.Err()}
+	}
+	return nil
+}
+
+func (f *fakeService) Commit(ctx context.Context, _ tables.Txn) (tables.TxnResult, error) {
+	err := f.answer(ctx)
+	return tables.TxnResult{Committed: err == nil}, err
+}
+
+func (f *fakeService) List(ctx context.Context, _ tables.ListRequest) (tables.ListResult, error) {
+	return tables.ListResult{}, f.answer(ctx)
+}
+
+func (f *fakeService) Feed(ctx context.Context, _ tables.FeedRequest) (tables.FeedResult, error) {
+	return tables.FeedResult{}, f.answer(ctx)
+}
+
+type peerList []tables.Service
+
+func (p peerList) Relays() []tables.Service { return p }
+
+// TestRelayWhileTurnedAway checks that a refused call goes through a peer, that
+// calls don't wait for a silent service again and again, and that its return is found.
+func TestRelayWhileTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		direct, peer := &fakeService{refuses: true}, &fakeService{}
+		r := tables.NewRelay(direct, peerList{peer})
+		go r.Probe(ctx, tables.ListRequest{Table: "t"})
+		if res, err := r.Commit(ctx, tables.Txn{}); err != nil || !res.Committed {
+			t.Fatalf("%+v, %v", res, err)
+		}
+		direct.refuses, direct.silent = false, true
+		began := time.Now()
+		for range 20 {
+			if _, err := r.Commit(ctx, tables.Txn{}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if took := time.Since(began); took != 2*time.Second {
+			t.Errorf("20 calls through a peer took %s, want only the pauses of 2s", took)
+		}
+		direct.silent = false
+		time.Sleep(time.Second)
+		before := peer.calls
+		if _, err := r.Commit(ctx, tables.Txn{}); err != nil || peer.calls != before {
+			t.Errorf("the service is back, and the call went through a peer (%v)", err)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestRelayDoesNotRepeatUnknownWrites checks that a write without an answer is
+// left to its caller, who knows its conditions.
+func TestRelayDoesNotRepeatUnknownWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct, peer := &fakeService{silent: true}, &fakeService{}
+		r := tables.NewRelay(direct, peerList{peer})
+		if _, err := r.Commit(t.Context(), tables.Txn{}); !tables.IsUnknown(err) || peer.calls != 0 {
+			t.Errorf("got %v after %d calls of the peer, want an unknown outcome", err, peer.calls)
+		}
+		if _, err := r.List(t.Context(), tables.ListRequest{}); err != nil || peer.calls != 1 {
+			t.Errorf("a read: %v after %d calls of the peer", err, peer.calls)
+		}
+	})
+}
