--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzLoadState -fuzztime $(FUZZTIME) ./internal/jobs
 	$(GO) test -run '^$$' -fuzz FuzzReplay -fuzztime $(FUZZTIME) ./internal/journal
 	$(GO) test -run '^$$' -fuzz FuzzContact -fuzztime $(FUZZTIME) ./internal/worker
+	$(GO) test -run '^$$' -fuzz FuzzRows -fuzztime $(FUZZTIME) ./platform
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -26,12 +26,17 @@
 	return slices.Compact(names)
 }
 
-// TestMetricsCatalogue holds docs/metrics.md against the code.
+// TestMetricsCatalogue holds docs/metrics.md against the code of both kinds of node.
 func TestMetricsCatalogue(t *testing.T) {
 	files, err := filepath.Glob("*.go")
 	if err != nil {
 		t.Fatal(err)
 	}
+	onPlatform, err := filepath.Glob("../cell/*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	files = append(files, onPlatform...)
 	files = slices.DeleteFunc(files, func(f string) bool { return f == "metrics_test.go" || f == "node_test.go" })
 	code, page := metricNames(t, files...), metricNames(t, "../../docs/metrics.md")
 	if !slices.Equal(code, page) {
--- a/internal/tables/follow.go
+++ b/internal/tables/follow.go
@@ -22,8 +22,10 @@
 	After int64
 	// Apply takes changed rows; whole is true for a full list of the parts.
 	Apply func(rows []Row, whole bool)
-	// Failed is told of each failed call.
+	// Failed is told of the first failed call after one that was answered.
 	Failed func(err error)
+
+	failing bool
 }
 
 // retryPause is the pause after a failed call: short beside the bounds on
@@ -43,6 +45,7 @@
 			f.Apply(rows, true)
 			after = version
 		}
+		f.failing = false
 		res, err := f.Service.Feed(ctx, FeedRequest{Table: f.Table, After: after, Wait: f.Silence})
 		if err != nil {
 			after = 0
@@ -76,7 +79,8 @@
 }
 
 func (f *Follower) fail(ctx context.Context, err error) {
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !f.failing {
+		f.failing = true
 		f.Failed(err)
 	}
 	Sleep(ctx, retryPause)
