--- a/matrix/site/cell_test.go
+++ b/matrix/site/cell_test.go
@@ -65,6 +65,11 @@
 }
 
 func newWorld(t *testing.T) *world {
+	return newWorldWith(t, func(w *world) { w.site.Configure(1, routes()...) })
+}
+
+// newWorldWith returns a world in which configure is all that the operators do.
+func newWorldWith(t *testing.T, configure func(w *world)) *world {
 	log := zap.NewNop()
 	if os.Getenv("SITE_LOG") != "" {
 		var err error
@@ -82,7 +87,7 @@
 		WorkerAddress: func(n int) string { return fmt.Sprintf("w%d:1", n) },
 	})
 	w.client = &http.Client{Transport: &http.Transport{DialContext: w.net.Dial(callerHost)}}
-	w.site.Configure(1, routes()...)
+	configure(w)
 	for i := range cellWorkers {
 		w.workers = append(w.workers, w.site.AddWorker(site.WorkerConfig{Rack: fmt.Sprintf("r1-%d", i/2), CPUMilli: workerCores, MemoryMB: 32000}))
 	}
@@ -172,16 +177,16 @@
 	return names
 }
 
-// call sends a caller's call to a node; status 0 means that there was no answer.
-func (w *world) call(node, method, path, body string) (int, []byte) {
-	ctx, cancel := context.WithTimeout(w.t.Context(), callDeadline)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+node+":1"+path, bytes.NewReader([]byte(body)))
+// get reads a page of a node's other listeners.
+func (w *world) get(address, path string) (int, []byte) {
+	r, err := http.NewRequestWithContext(w.t.Context(), http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	r.Host = "h"
-	r.Header.Set("X-Switchbank-Deadline-Ms", "3000")
+	return w.send(r)
+}
+
+func (w *world) send(r *http.Request) (int, []byte) {
 	res, err := w.client.Do(r)
 	if err != nil {
 		return 0, nil
@@ -194,6 +199,19 @@
 	return res.StatusCode, data
 }
 
+// call sends a caller's call to a node; status 0 means that there was no answer.
+func (w *world) call(node, method, path, body string) (int, []byte) {
+	ctx, cancel := context.WithTimeout(w.t.Context(), callDeadline)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+node+":1"+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("X-Switchbank-Deadline-Ms", "3000")
+	return w.send(r)
+}
+
 type jobBody struct {
 	Spec  string     `json:"Spec"`
 	Steps []stepBody `json:"Steps"`
--- a/matrix/site/faults_test.go
+++ b/matrix/site/faults_test.go
@@ -3,6 +3,7 @@
 package site_test
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -57,8 +58,14 @@
 func faults() []fault {
 	list := []fault{
 		{"nothing", func(*world) func() { return nil }},
-		{"owner killed", func(w *world) func() { w.kill(w.site.Owner()); return nil }},
-		{"owner drained", func(w *world) func() { w.drain(w.site.Owner()); return nil }},
+		{"owner killed", func(w *world) func() { return w.killOwner() }},
+		{"owner drained", func(w *world) func() {
+			if owner := w.liveOwner(); owner != "" {
+				w.drain(owner)
+				return func() { w.startNode(owner + "x") }
+			}
+			return nil
+		}},
 		{"all nodes killed", func(w *world) func() {
 			names := w.names()
 			for _, n := range names {
@@ -88,22 +95,29 @@
 		storeFault("store without history", site.StoreFaults{NoHistory: true}),
 		{"owner killed while the store is silent", func(w *world) func() {
 			w.site.Store.SetFaults(site.StoreFaults{Down: true})
-			w.kill(w.site.Owner())
-			return func() { w.site.Store.SetFaults(site.StoreFaults{}) }
+			restart := w.killOwner()
+			return func() {
+				w.site.Store.SetFaults(site.StoreFaults{})
+				restart()
+			}
 		}},
 		{"worker crashes", func(w *world) func() {
-			w.workers[0].Crash()
-			return func() { w.workers[0] = w.site.Restart(w.workers[0]) }
+			return w.crash()
 		}},
 		{"worker crashes with the owner", func(w *world) func() {
-			w.workers[0].Crash()
-			w.kill(w.site.Owner())
-			return func() { w.workers[0] = w.site.Restart(w.workers[0]) }
+			restartNode, restartWorker := w.killOwner(), w.crash()
+			return func() {
+				restartNode()
+				restartWorker()
+			}
 		}},
 		{"worker cut off, and the owner killed", func(w *world) func() {
 			w.net.SetCut("w0", "*", true)
-			w.kill(w.site.Owner())
-			return func() { w.net.SetCut("w0", "*", false) }
+			restart := w.killOwner()
+			return func() {
+				w.net.SetCut("w0", "*", false)
+				restart()
+			}
 		}},
 		{"worker drains", func(w *world) func() {
 			w.drainedAt[w.workers[0].ID] = time.Now()
@@ -111,18 +125,19 @@
 			return nil
 		}},
 	}
-	for name, f := range map[string]site.WorkerFaults{
-		"worker's tasks stand still":      {Stuck: true},
-		"worker fails everything":         {FailAll: true},
-		"worker carries starts out late":  {Late: 4, LateBy: 3 * time.Second},
-		"worker carries starts out later": {Late: 4, LateBy: 11 * time.Second},
-	} {
-		list = append(list, fault{name, func(w *world) func() {
-			w.workers[0].SetFaults(f)
-			return func() { w.workers[0].SetFaults(site.WorkerFaults{}) }
-		}})
-	}
-	return list
+	return append(list,
+		workerFault("worker's tasks stand still", site.WorkerFaults{Stuck: true}),
+		workerFault("worker fails everything", site.WorkerFaults{FailAll: true}),
+		workerFault("worker carries starts out late", site.WorkerFaults{Late: 4, LateBy: 3 * time.Second}),
+		workerFault("worker carries starts out later", site.WorkerFaults{Late: 4, LateBy: 11 * time.Second}),
+	)
+}
+
+func workerFault(name string, f site.WorkerFaults) fault {
+	return fault{name, func(w *world) func() {
+		w.workers[0].SetFaults(f)
+		return func() { w.workers[0].SetFaults(site.WorkerFaults{}) }
+	}}
 }
 
 const (
@@ -134,13 +149,36 @@
 	settled = 40 * time.Second
 )
 
-// TestFaults runs each fault once and twice over under load.
+// TestFaults runs each fault under load.
 func TestFaults(t *testing.T) {
 	for _, f := range faults() {
 		t.Run(f.name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { playFault(t, f, nil) }) })
 	}
 }
 
+// TestFaultPairs runs pairs of faults, the second of which begins in the middle of
+// the first: each fault with itself, and with one other of the list.
+func TestFaultPairs(t *testing.T) {
+	list := faults()
+	for i, first := range list {
+		for _, k := range []int{i, (i*pairStride + pairOffset) % len(list)} {
+			second := list[k]
+			if second.name == "nothing" || first.name == "nothing" {
+				continue
+			}
+			t.Run(first.name+" and "+second.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { playFault(t, first, &second) })
+			})
+		}
+	}
+}
+
+// pairStride and pairOffset pick another fault for each one.
+const (
+	pairStride = 7
+	pairOffset = 3
+)
+
 // playFault plays one load with a fault, and a second one that begins in its middle.
 func playFault(t *testing.T, first fault, second *fault) {
 	w := newWorld(t)
@@ -167,3 +205,33 @@
 		end()
 	}
 }
+
+// liveOwner returns the node that owns the shard, or "" if it is gone.
+func (w *world) liveOwner() string {
+	owner := w.site.Owner()
+	for _, n := range w.names() {
+		if n == owner {
+			return owner
+		}
+	}
+	return ""
+}
+
+// killOwner kills the owner, if there is one, and returns what starts its host again.
+func (w *world) killOwner() func() {
+	owner := w.liveOwner()
+	if owner == "" {
+		return func() {}
+	}
+	w.kill(owner)
+	return func() { w.startNode(owner + "x") }
+}
+
+// crash ends the life of the first worker that is alive, and returns what begins
+// the next one on its machine.
+func (w *world) crash() func() {
+	i := slices.IndexFunc(w.workers, func(k *site.Worker) bool { return !k.Crashed() })
+	old := w.workers[i]
+	old.Crash()
+	return func() { w.workers[i] = w.site.Restart(old) }
+}
--- /dev/null
+++ b/matrix/site/input_test.go
@@ -0,0 +1,147 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package site_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"switchbank.example/switchbank/internal/owner"
+)
+
+const goodID = "00000000000000aa"
+
+// TestBadInput checks what callers are told of calls that can't be taken.
+func TestBadInput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.close()
+		time.Sleep(2 * time.Second)
+		step := `{"Count":1,"Cpu":100,"MemMb":10}`
+		for _, c := range []struct {
+			name, method, path, body string
+			status                   int
+			says                     string
+		}{
+			{"not JSON", http.MethodPost, "/batch/" + goodID, "{", http.StatusBadRequest, ""},
+			{"a text for a number", http.MethodPost, "/batch/" + goodID, `{"Steps":[{"Count":"many"}]}`, http.StatusBadRequest, "Count"},
+			{"no steps", http.MethodPost, "/batch/" + goodID, `{"Spec":"x"}`, http.StatusBadRequest, "steps"},
+			{"no tasks", http.MethodPost, "/batch/" + goodID, `{"Steps":[{"Cpu":5}]}`, http.StatusBadRequest, "steps[0].count"},
+			{"a step after itself", http.MethodPost, "/batch/" + goodID, `{"Steps":[{"Count":1,"DependsOn":[0]}]}`, http.StatusBadRequest, "steps[0].after"},
+			{"negative room", http.MethodPost, "/batch/" + goodID, `{"Steps":[{"Count":1,"Cpu":-1}]}`, http.StatusBadRequest, "steps[0].need"},
+			{"too many tasks", http.MethodPost, "/batch/" + goodID, `{"RepeatCount":2000,"Steps":[{"Count":1000}]}`, http.StatusBadRequest, "steps"},
+			{"unknown queue", http.MethodPost, "/nowhere/" + goodID, `{"Steps":[` + step + `]}`, http.StatusNotFound, ""},
+			{"not an ID", http.MethodPost, "/batch/short", `{"Steps":[` + step + `]}`, http.StatusNotFound, ""},
+			{"unknown job", http.MethodGet, "/batch/" + goodID, "", http.StatusGone, ""},
+			{"cancel of an unknown job", http.MethodDelete, "/batch/" + goodID, "", http.StatusGone, ""},
+			{"unknown method", http.MethodPut, "/batch/" + goodID, "", http.StatusMethodNotAllowed, ""},
+			{"waiting of an unknown queue", http.MethodGet, "/nowhere/", "", http.StatusNotFound, ""},
+			{"waiting", http.MethodGet, "/batch/", "", http.StatusOK, `{"Waiting":0}`},
+		} {
+			status, body := w.call("n1", c.method, c.path, c.body)
+			if status != c.status || !strings.Contains(string(body), c.says) {
+				t.Errorf("%s: %d %s, want %d and %q", c.name, status, body, c.status, c.says)
+			}
+		}
+	})
+}
+
+// TestNoConfiguration checks that a node refuses calls until it knows a configuration.
+func TestNoConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldWith(t, func(*world) {})
+		defer w.close()
+		time.Sleep(2 * time.Second)
+		status, _ := w.call("n0", http.MethodPost, "/batch/"+goodID, "{}")
+		if status != http.StatusServiceUnavailable {
+			t.Errorf("status %d without a configuration", status)
+		}
+		if ready, _ := w.get("n0:2", "/api/ready"); ready != http.StatusServiceUnavailable {
+			t.Errorf("ready says %d without a configuration", ready)
+		}
+		w.site.Configure(3, routes()...)
+		time.Sleep(2 * time.Second)
+		if ready, _ := w.get("n0:2", "/api/ready"); ready != http.StatusOK {
+			t.Errorf("ready says %d with a configuration", ready)
+		}
+		if status, _ = w.call("n0", http.MethodGet, "/batch/", ""); status != http.StatusOK {
+			t.Errorf("status %d with a configuration", status)
+		}
+	})
+}
+
+// TestConfigurationNeverBack checks that an older version, wherever it comes
+// from, does not replace a newer one.
+func TestConfigurationNeverBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.close()
+		time.Sleep(time.Second)
+		w.site.Configure(9, routes()[1:]...)
+		time.Sleep(2 * time.Second)
+		w.site.Configure(5, routes()...)
+		time.Sleep(3 * time.Second)
+		for _, n := range w.names() {
+			if status, _ := w.call(n, http.MethodGet, "/urgent/", ""); status != http.StatusNotFound {
+				t.Errorf("%s serves a queue of an older version: %d", n, status)
+			}
+		}
+	})
+}
+
+// TestMalformedRows checks that rows which can't be read are skipped: nodes go on.
+func TestMalformedRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.close()
+		for i, bad := range []string{"", "nonsense", "[]", `{"id":5}`, `{"id":"x","steps":null}`} {
+			key := fmt.Sprintf("%016x", 0xbad0+i)
+			w.site.Store.PutRaw("servers", "", "i-bad"+key, []byte(bad))
+			w.site.Store.PutRaw("op", "", "wave/"+key, []byte(bad))
+			w.site.Store.PutRaw("cell", "", "node/"+key, []byte(bad))
+			w.site.Store.PutRaw(owner.TableJobs, owner.PartOf(service, key), key, []byte(bad))
+			w.site.Store.PutRaw(owner.TableProgress, owner.ProgressPart(service), key, []byte(bad))
+		}
+		time.Sleep(2 * time.Second)
+		id := w.submit("urgent", urgentSpec, urgentSteps()...)
+		time.Sleep(3 * time.Second)
+		w.kill(w.site.Owner())
+		time.Sleep(5 * time.Second)
+		if got := w.state("urgent", id); got != "succeeded" {
+			t.Errorf("job is %q beside malformed rows", got)
+		}
+	})
+}
+
+// TestSameJobTwice checks that a job which comes again, at any node and after its
+// end, remains one job.
+func TestSameJobTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.close()
+		time.Sleep(2 * time.Second)
+		body := `{"Spec":"300 cpu=500","Steps":[{"Count":2,"Cpu":500,"MemMb":10}]}`
+		for _, wait := range []time.Duration{0, 0, 100 * time.Millisecond, 3 * time.Second, 20 * time.Second} {
+			time.Sleep(wait)
+			for _, n := range w.names() {
+				if status, _ := w.call(n, http.MethodPost, "/batch/"+goodID, body); status != http.StatusOK {
+					t.Errorf("%s answers %d", n, status)
+				}
+			}
+		}
+		time.Sleep(3 * time.Second)
+		starts := 0
+		for _, e := range w.site.Sights() {
+			if e.What == "start" {
+				starts++
+			}
+		}
+		if starts != 2 {
+			t.Errorf("%d starts of a job of two tasks", starts)
+		}
+	})
+}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -174,7 +174,7 @@
 	list := machines{Machines: []machine{}}
 	for _, k := range workers {
 		m := machine{Machine: k.machine, Pool: s.cfg.Service, State: "up", ID: k.ID}
-		if k.crashed() {
+		if k.Crashed() {
 			m.State, m.ID = "down", ""
 		}
 		list.Machines = append(list.Machines, m)
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -143,7 +143,7 @@
 // live beats, and ends what is due.
 func (w *Worker) live() {
 	const tick = 20 * time.Millisecond
-	for next := time.Now().Add(beatEvery); !w.crashed(); {
+	for next := time.Now().Add(beatEvery); !w.Crashed(); {
 		time.Sleep(tick)
 		w.mu.Lock()
 		w.advance()
@@ -214,7 +214,8 @@
 	w.stop()
 }
 
-func (w *Worker) crashed() bool {
+// Crashed reports whether the life is over.
+func (w *Worker) Crashed() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.dead
