--- a/matrix/scenario_test.go
+++ b/matrix/scenario_test.go
@@ -124,7 +124,7 @@
 	}
 	// A fault that came late is healed, and recovered from, before the end is judged.
 	s.c.steps.disarm()
-	for late := time.Now(); s.c.ailing.Load() > 0 || (!s.settled() && time.Since(late) < runLimit); {
+	for late := time.Now(); s.c.ailing.Load() > 0 || (!s.staysSettled() && time.Since(late) < runLimit); {
 		sleep(s.c.ctx, 500*time.Millisecond)
 	}
 	close(s.done)
@@ -322,6 +322,22 @@
 // settled reports whether all workloads have come to where they must.
 func (s *scenario) settled() bool { return len(s.unsettled()) == 0 }
 
+// settledFor is how long all must stay settled before the end is judged: a task
+// that was lost in the fault shows once its worker's report has reached the next
+// owner, which takes a few tries of two seconds.
+const settledFor = 8 * time.Second
+
+// staysSettled reports whether all is settled, and still is after settledFor.
+func (s *scenario) staysSettled() bool {
+	for began := time.Now(); time.Since(began) < settledFor; {
+		if !s.settled() {
+			return false
+		}
+		sleep(s.c.ctx, 500*time.Millisecond)
+	}
+	return true
+}
+
 func (s *scenario) unsettled() []string {
 	var open []string
 	cl := s.any(0).client
