A cancel that the store refuses is tried again at a measured pace

Cause: the tries had no pause between them, so that a store which refuses at once was called without end until the caller's deadline; in virtual time a cell never ended (seen once in matrix/site). TestCancelWhileStoreBusy.

--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -183,6 +183,7 @@
 			})
 			return AnswerOK
 		}
+		tables.Sleep(ctx, submitPause)
 	}
 	return AnswerUnknown
 }
--- a/matrix/site/input_test.go
+++ b/matrix/site/input_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"switchbank.example/switchbank/internal/owner"
+	"switchbank.example/switchbank/standin/site"
 )
 
 const goodID = "00000000000000aa"
@@ -145,3 +146,32 @@
 		}
 	})
 }
+
+// TestCancelWhileStoreBusy checks that a cancel which the store refuses is tried
+// again at a measured pace.
+func TestCancelWhileStoreBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.close()
+		time.Sleep(2 * time.Second)
+		id := w.submit("batch", "60000 cpu=1000", stepBody{Count: 1, CPU: 1000, MemoryMB: 500, EstimateMS: 60_000})
+		time.Sleep(time.Second)
+		w.site.Store.SetFaults(site.StoreFaults{Down: true, Busy: true})
+		before := w.site.Store.Calls()
+		status, _ := w.call("n0", http.MethodDelete, "/batch/"+id, "")
+		if status == http.StatusOK {
+			t.Error("a cancel is taken without the store")
+		}
+		if calls := w.site.Store.Calls() - before; calls > mostCalls {
+			t.Errorf("%d calls of the store within a caller's deadline of 3 s", calls)
+		}
+		w.site.Store.SetFaults(site.StoreFaults{})
+		if status, _ = w.call("n0", http.MethodDelete, "/batch/"+id, ""); status != http.StatusOK {
+			t.Errorf("status %d once the store is back", status)
+		}
+	})
+}
+
+// mostCalls is what three nodes may send a store that refuses for 3 s: each a few
+// readers ten times a second, and the cancel's tries with their relays.
+const mostCalls = 1500
