--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// names returns the known nodes in the order of their names.
+// sorted returns the known nodes in the order of their names. The caller holds mu.
 func (p *peers) sorted() []*peer {
 	list := make([]*peer, 0, len(p.list))
 	for _, q := range p.list {
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -38,8 +38,8 @@
 	mu sync.Mutex
 	// lastSeen is when a call was last answered.
 	lastSeen time.Time
-	// oldest is when the oldest call was sent that was open when lastSeen was set,
-	// or the first one after; zero: none.
+	// pending holds when each open call was sent, by its number; next is the
+	// number last given.
 	pending map[int64]time.Time
 	next    int64
 	// slowLogged is when a slow call was last logged.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	o := owner.New(owner.Config{Shard: "billing", Epoch: 7, …}, deps)
+//	o := owner.New(owner.Config{Service: "billing", Fence: version, Params: params}, deps)
 //	err := o.Run(ctx) // until ctx ends, or KindLost when another node has taken over
 package owner
 
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -61,7 +61,7 @@
 }
 
 // ask asks for advice on workers for n tasks of a step, unless a call is open.
-// With room, only workers that have room for a task are named.
+// With mustFit, only workers that have room for a task are named.
 func (s *Shard) ask(now time.Time, st *step, n int, mustFit bool) bool {
 	if st.advice.asking || now.Before(st.advice.retryAt) {
 		return false
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -77,7 +77,7 @@
 	took time.Duration
 }
 
-// rank of a job: urgent queues first, and within one the earliest due.
+// rankOf returns the rank of a job: urgent queues first, and within one the earliest due.
 func rankOf(j *cluster.Job, now time.Time) Rank {
 	age := time.Duration(0)
 	if ms := now.UnixMilli() - j.AcceptedMS; ms > 0 {
@@ -255,7 +255,7 @@
 	}
 }
 
-// sortedWorkers returns ids in order; maps are ranged in no order, and decisions must repeat.
+// sortedWorkers returns the workers in the order of their IDs; maps are ranged in no order, and decisions must repeat.
 func sortedWorkers(m map[string]*worker) []*worker {
 	list := make([]*worker, 0, len(m))
 	for _, w := range m {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,10 +10,10 @@
 //
 // # Usage
 //
-//	s := scheduler.New(params, log)
+//	s := scheduler.New(params, now, log)
 //	s.AddJob(now, job, nil, false)
 //	s.UpsertWorker(now, worker)
-//	seq := s.HoldSent(now, worker.ID)
+//	seq, order, lastSeen, ok := s.HoldSent(now, worker.ID)
 //	s.Observe(now, worker.ID, seq, report)
 //	for _, c := range s.Schedule(now) { … } // carry out, and feed back the reply
 //	batch := s.Dirty(maxJobs)               // persist, then
@@ -166,7 +166,7 @@
 
 func (s *Shard) emit(c Command) { s.out = append(s.out, c) }
 
-// Waiting returns how many accepted jobs of a queue no task of which has begun.
+// Waiting returns how many accepted jobs of a queue have no task that has begun.
 func (s *Shard) Waiting(queue string) int {
 	n := 0
 	for _, j := range s.active {
