Leftovers of the takeover's first form are removed

The watch of an owner had a wake-up that nothing sends, two of the scheduler's methods took a time that they don't read, and the slack of a worker's clock stood in two packages.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -108,8 +108,6 @@
 	owners map[string]tables.Row
 	// watched are the services whose ownership is watched.
 	watched map[string]bool
-	// takeNow wakes the watch of a service whose owner hands over.
-	takeNow map[string]chan struct{}
 
 	group *errgroup.Group
 	ctx   context.Context
@@ -127,7 +125,7 @@
 		cfg: cfg, Deps: deps, metrics: metrics.NewSet(),
 		me:    member{Name: cfg.Node, Address: cfg.Listen.Peers, Life: newLife(), DataCentre: cfg.DataCentre},
 		owned: make(map[string]*owner.Owner), owners: make(map[string]tables.Row),
-		watched: make(map[string]bool), takeNow: make(map[string]chan struct{}),
+		watched: make(map[string]bool),
 	}
 	n.peers = newPeers(n)
 	n.relay = tables.NewRelay(deps.Store, n.peers)
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -48,8 +48,6 @@
 	// selfStop is how long a replaced owner may go on before a worker's answer
 	// stops it.
 	selfStop = 1500 * time.Millisecond
-	// clockSlack is how much slower than ours a worker's steady clock may run.
-	clockSlack = 1.02
 )
 
 // followCell keeps the members' and the owners' rows current.
@@ -156,7 +154,6 @@
 			continue
 		}
 		n.watched[s] = true
-		n.takeNow[s] = make(chan struct{}, 1)
 		n.group.Go(func() error { n.watchOwner(n.ctx, s); return nil })
 	}
 }
@@ -164,20 +161,15 @@
 // watchOwner takes the shard of a service over when its owner is lost.
 func (n *Node) watchOwner(ctx context.Context, service string) {
 	suspect := suspicion{}
-	for ctx.Err() == nil {
+	for {
 		rank := n.rank(service)
 		pause := watchEvery
 		if rank >= watchers {
 			pause *= watchSlower
 		}
-		n.mu.Lock()
-		wake := n.takeNow[service]
-		n.mu.Unlock()
-		select {
-		case <-ctx.Done():
+		tables.Sleep(ctx, pause)
+		if ctx.Err() != nil {
 			return
-		case <-wake:
-		case <-time.After(pause):
 		}
 		if n.Draining() || n.local(service) != nil {
 			suspect = suspicion{}
@@ -382,7 +374,7 @@
 	most := time.Duration(n.cfg.Bounds.LeaseMostMS) * time.Millisecond
 	return scheduler.Params{
 		Epoch: epoch, Lease: min(lease, most), StopTime: time.Duration(n.cfg.Bounds.StopMS) * time.Millisecond,
-		Uncertain:    time.Duration(float64(min(lease, most))*clockSlack) + selfStop,
+		Uncertain:    time.Duration(float64(min(lease, most))*scheduler.ClockSlack) + selfStop,
 		KeepFinished: time.Duration(n.cfg.Bounds.KeepStateMS) * time.Millisecond, FarFactor: n.cfg.Bounds.FarFactor,
 	}
 }
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -45,7 +45,7 @@
 	listed := make(map[string]bool, len(rows))
 	for _, r := range rows {
 		if r.Gone {
-			o.do(func(s *scheduler.Shard, now time.Time) { s.WorkerUnlisted(now, r.Key) })
+			o.do(func(s *scheduler.Shard, _ time.Time) { s.WorkerUnlisted(r.Key) })
 			continue
 		}
 		w, err := o.Directory.Worker(r)
@@ -63,7 +63,7 @@
 			s.UpsertWorker(now, w)
 		}
 		if whole {
-			s.ListedWorkers(now, listed)
+			s.ListedWorkers(listed)
 		}
 	})
 	for _, w := range found {
--- a/internal/owner/roster.go
+++ b/internal/owner/roster.go
@@ -72,6 +72,6 @@
 	}
 	for _, w := range r.Workers {
 		s.UpsertWorker(now, w)
-		s.WorkerUnlisted(now, w.ID)
+		s.WorkerUnlisted(w.ID)
 	}
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -52,8 +52,9 @@
 	until  time.Time
 }
 
-// clockSlack is how much slower a worker's steady clock may run than ours.
-const clockSlack = 1.02
+// ClockSlack is how many times as long as its own clock says a worker's lease
+// may last on ours: its steady clock may run slower by 2 %.
+const ClockSlack = 1.02
 
 // leaseMargin is added to a lease that is taken to be over: timers fire late.
 const leaseMargin = 150 * time.Millisecond
@@ -142,7 +143,7 @@
 		return s.began.Add(s.p.Uncertain)
 	}
 	left := time.Duration(w.deadline-w.clock) * time.Millisecond
-	return w.clockAt.Add(time.Duration(float64(left)*clockSlack) + leaseMargin)
+	return w.clockAt.Add(time.Duration(float64(left)*ClockSlack) + leaseMargin)
 }
 
 // expireLeases frees what ran on silent workers whose lease is surely over.
@@ -200,14 +201,14 @@
 
 // WorkerUnlisted notes that the directory has dropped a worker. That proves
 // nothing by itself: entries also go while the store is away.
-func (s *Shard) WorkerUnlisted(_ time.Time, id string) {
+func (s *Shard) WorkerUnlisted(id string) {
 	if w := s.workers[id]; w != nil {
 		w.unlisted = true
 	}
 }
 
 // ListedWorkers notes all workers that the directory lists.
-func (s *Shard) ListedWorkers(_ time.Time, listed map[string]bool) {
+func (s *Shard) ListedWorkers(listed map[string]bool) {
 	for id, w := range s.workers {
 		w.unlisted = !listed[id]
 	}
