Scheduler: the choice of whom to ask for advice is split, and its times have names

The function listed, sorted and counted in one piece; a second's lead stood in two files without a word on why, and three constants had no origin.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -42,6 +42,9 @@
 	adviceRetry = 60 * time.Millisecond
 	// prefetchSlack is how much earlier than needed the next step's advice is asked for.
 	prefetchSlack = 250 * time.Millisecond
+	// prefetchBefore is how long before a repeat is due its steps are looked at, so
+	// that the advice for its first ones is there in time.
+	prefetchBefore = time.Second
 )
 
 func (a *advice) discard(worker string) {
@@ -76,14 +79,41 @@
 	return true
 }
 
-// adviceCandidates picks the workers to ask about: good ones whose ticket has
-// run out first, then unknown ones, those with the most room first.
+// candidate is a worker that a call of the advice service may name.
+type candidate struct {
+	w *worker
+	// known workers are good for the step, but their ticket has run out.
+	known bool
+	// fits is how many tasks of the step have room there.
+	fits int64
+}
+
+// adviceCandidates picks the workers to ask about, until they are expected to
+// have room for n tasks.
 func (s *Shard) adviceCandidates(now time.Time, st *step, n int, mustFit bool) []string {
-	type candidate struct {
-		w     *worker
-		known bool
-		fits  int64
+	share := s.goodShare[st.job.spec.Queue]
+	if share == 0 {
+		share = firstGoodShare
 	}
+	var names []string
+	expect := 0.0
+	for _, c := range s.candidates(now, st, mustFit) {
+		if len(names) == maxAsked || (len(names) >= minAsked && expect >= float64(n)) {
+			break
+		}
+		gain := float64(max(c.fits, 0))
+		if !c.known {
+			gain *= share * adviceCaution
+		}
+		expect += gain
+		names = append(names, c.w.info.ID)
+	}
+	return names
+}
+
+// candidates returns the workers that may be asked about: good ones whose ticket
+// has run out first, then unknown ones, those with the most room first.
+func (s *Shard) candidates(now time.Time, st *step, mustFit bool) []candidate {
 	var list []candidate
 	for _, w := range s.order {
 		ans, known := st.advice.answers[w.info.ID]
@@ -105,24 +135,7 @@
 		}
 		return int(b.fits - a.fits)
 	})
-	share := s.goodShare[st.job.spec.Queue]
-	if share == 0 {
-		share = firstGoodShare
-	}
-	var names []string
-	expect := 0.0
-	for _, c := range list {
-		if len(names) == maxAsked || (len(names) >= minAsked && expect >= float64(n)) {
-			break
-		}
-		gain := float64(max(c.fits, 0))
-		if !c.known {
-			gain *= share * adviceCaution
-		}
-		expect += gain
-		names = append(names, c.w.info.ID)
-	}
-	return names
+	return list
 }
 
 // adviceCaution discounts the expected room of unknown workers: room that is
@@ -196,7 +209,7 @@
 
 // prefetch asks for the next step's advice shortly before its predecessors end.
 func (s *Shard) prefetch(now time.Time, st *step) {
-	if !st.needsTicket() || len(st.advice.answers) > 0 || st.advice.asking || now.Before(st.rep.due.Add(-time.Second)) {
+	if !st.needsTicket() || len(st.advice.answers) > 0 || st.advice.asking || now.Before(st.rep.due.Add(-prefetchBefore)) {
 		return
 	}
 	cost := st.job.spec.Policy.Advice.Duration(minAsked * 2)
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -104,7 +104,10 @@
 }
 
 const (
-	minLearned  = 5
+	// minLearned is how many run times of an image are learned before they count.
+	minLearned = 5
+	// minExpected is the least time that a task is expected to take, whatever its
+	// estimate says.
 	minExpected = 200 * time.Millisecond
 )
 
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -184,7 +184,7 @@
 	s.counts.Failed++
 	s.workerFailed(now, w, t.id.Job)
 	if st.spec.LongRunning {
-		if r != nil && now.Sub(r.startedAt) < time.Second {
+		if r != nil && now.Sub(r.startedAt) < failedSoon {
 			t.notBefore = now.Add(failedPause)
 		}
 		return
@@ -201,9 +201,14 @@
 	}
 }
 
-// failedPause keeps a long-lived task that fails right after its start from
-// taking a start for each round trip.
-const failedPause = 300 * time.Millisecond
+const (
+	// failedSoon is until when after its start a long-lived task's failure counts
+	// as one right after the start.
+	failedSoon = time.Second
+	// failedPause keeps a long-lived task that fails right after its start from
+	// taking a start for each round trip.
+	failedPause = 300 * time.Millisecond
+)
 
 func (s *Shard) breakGangRun(now time.Time, st *step, n int64, cause string) {
 	for _, t := range st.tasks {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -16,7 +16,7 @@
 func (s *Shard) placeAll(now time.Time) {
 	for _, j := range s.active {
 		for _, rep := range j.reps {
-			if now.Before(rep.due.Add(-time.Second)) {
+			if now.Before(rep.due.Add(-prefetchBefore)) {
 				break
 			}
 			for _, st := range rep.steps {
@@ -164,6 +164,8 @@
 }
 
 const (
+	// nearBonus prefers the rack of a step's data to any saving of room, which
+	// counts at most 1.
 	nearBonus = 10.0
 	// besideServing keeps what fills away from what serves, and the other way round.
 	besideServing = 5.0
