--- a/internal/owner/roster.go
+++ b/internal/owner/roster.go
@@ -19,9 +19,16 @@
 // rosterEvery is how often the roster is written if workers have come or gone.
 const rosterEvery = time.Second
 
-// roster is the row in which an owner leaves its workers to the next one.
+// roster is the row in which an owner leaves its workers to the next one: just
+// enough to ask them what they run, some 40 bytes each. A row holds 64 KB.
 type roster struct {
-	Workers []cluster.Worker `json:"workers"`
+	Workers []rosterEntry `json:"workers"`
+}
+
+// rosterEntry is one life of a worker. What it has is read from the directory.
+type rosterEntry struct {
+	ID      string `json:"id"`
+	Address string `json:"a"`
 }
 
 // rosterLoop persists the workers and their addresses.
@@ -51,14 +58,21 @@
 }
 
 func (o *Owner) writeRoster(ctx context.Context, workers []cluster.Worker) error {
-	value, err := json.Marshal(roster{workers})
+	var r roster
+	for _, w := range workers {
+		r.Workers = append(r.Workers, rosterEntry{w.ID, w.Address})
+	}
+	value, err := json.Marshal(r)
 	if err != nil {
 		return &Error{"write roster", KindLoad, err}
 	}
 	fence := FenceRow(o.cfg.Service)
 	fence.Version = o.cfg.Fence
 	row := tables.Row{Table: TableProgress, Part: ProgressPart(o.cfg.Service), Key: rosterKey, Value: value}
-	_, err = o.Tables.Commit(ctx, tables.Txn{If: []tables.Row{fence}, Put: []tables.Row{row}})
+	res, err := o.Tables.Commit(ctx, tables.Txn{If: []tables.Row{fence}, Put: []tables.Row{row}})
+	if err == nil && !res.Committed {
+		o.Lost("another owner writes progress")
+	}
 	return err
 }
 
@@ -70,8 +84,8 @@
 		o.Log.Warn("roster skipped", events.RowSkipped, zap.Error(err))
 		return
 	}
-	for _, w := range r.Workers {
-		s.UpsertWorker(now, w)
-		s.WorkerUnlisted(w.ID)
+	for _, e := range r.Workers {
+		s.UpsertWorker(now, cluster.Worker{ID: e.ID, Address: e.Address, Service: o.cfg.Service})
+		s.WorkerUnlisted(e.ID)
 	}
 }
