--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -61,13 +61,12 @@
 	unknown := false
 	for n.timeLeft(ctx) {
 		c, cancel := context.WithTimeout(ctx, submitTimeout)
-		res, err := n.store.Commit(c, txn)
+		_, err := n.store.Commit(c, txn)
 		cancel()
 		switch {
-		case err == nil && res.Committed:
-			return n.accepted(job, time.Since(began))
 		case err == nil:
-			// The row is there: this job came before, perhaps by the lost try.
+			// If the write was not committed the row is there: this job came before,
+			// perhaps by a try whose answer was lost.
 			return n.accepted(job, time.Since(began))
 		case !tables.IsUnknown(err) && !unknown:
 			return n.refuse(job.ID, err.Error())
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -13,6 +13,15 @@
 	"switchbank.example/switchbank/internal/tables"
 )
 
+const (
+	// followSilence is how long the feeds of the configuration and of the cell's
+	// rows may say nothing before the table is listed again.
+	followSilence = time.Second
+	// cellPause is the least time between two calls of the feed of the cell's rows.
+	cellPause = 20 * time.Millisecond
+)
+
+// storeFailed returns what logs that a table could not be read.
 func (n *Node) storeFailed(table string) func(error) {
 	return func(err error) {
 		n.Log.Info("table not read", events.StoreFailed, zap.String("table", table), zap.Error(err))
@@ -22,7 +31,7 @@
 // followConfig keeps the operators' configuration current.
 func (n *Node) followConfig(ctx context.Context) {
 	f := tables.Follower{
-		Service: n.store, Table: n.Configs.Table(), Parts: []string{""}, Silence: time.Second,
+		Service: n.store, Table: n.Configs.Table(), Parts: []string{""}, Silence: followSilence,
 		Apply: func(rows []tables.Row, _ bool) {
 			for _, r := range rows {
 				n.applyConfigRow(r)
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -53,7 +53,7 @@
 // followCell keeps the members' and the owners' rows current.
 func (n *Node) followCell(ctx context.Context) {
 	f := tables.Follower{
-		Service: n.store, Table: TableCell, Parts: []string{""}, Silence: time.Second, Pause: 20 * time.Millisecond,
+		Service: n.store, Table: TableCell, Parts: []string{""}, Silence: followSilence, Pause: cellPause,
 		Apply:  func(rows []tables.Row, _ bool) { n.applyCell(rows) },
 		Failed: n.storeFailed(TableCell),
 	}
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -44,17 +44,20 @@
 
 	mu   sync.Mutex
 	list map[string]*peer
+	// next turns the order in which peers are pinged.
 	next int
 	// relayNext turns the order in which relays are tried.
 	relayNext int
 }
 
+// peer is another node and how it has answered.
 type peer struct {
 	member
-	lastOK    time.Time
+	lastOK time.Time
+	// firstFail is the first failure since the last answer; zero: none.
 	firstFail time.Time
-	refused   int
-	reply     pingReply
+	// reply is its last answer.
+	reply pingReply
 }
 
 func newPeers(n *Node) *peers {
@@ -78,7 +81,7 @@
 		return
 	}
 	if old.Life != m.Life {
-		old.member, old.firstFail, old.refused = m, time.Time{}, 0
+		old.member, old.firstFail = m, time.Time{}
 	}
 }
 
@@ -92,10 +95,12 @@
 	return list
 }
 
+// up reports whether the peer answered lately, and has not failed to since.
 func (q *peer) up(now time.Time) bool {
 	return now.Sub(q.lastOK) < peerUpFor && q.firstFail.IsZero()
 }
 
+// anyUp reports whether any peer answers.
 func (p *peers) anyUp() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -119,6 +124,12 @@
 	return *q, true
 }
 
+// isDown reports whether a node is known not to answer.
+func (p *peers) isDown(name string) bool {
+	q, ok := p.get(name)
+	return ok && !q.firstFail.IsZero()
+}
+
 // pingLoop keeps in touch with the other nodes, a few in each round.
 func (p *peers) pingLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -129,6 +140,7 @@
 	}
 }
 
+// round returns the next peers to ping, in turn; the seeds while no peer is known.
 func (p *peers) round() []member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -171,7 +183,7 @@
 	var wasDown bool
 	if q != nil {
 		wasDown = !q.firstFail.IsZero()
-		q.lastOK, q.firstFail, q.refused, q.reply = time.Now(), time.Time{}, 0, reply
+		q.lastOK, q.firstFail, q.reply = time.Now(), time.Time{}, reply
 	}
 	p.mu.Unlock()
 	if wasDown {
@@ -200,9 +212,6 @@
 		if first = q.firstFail.IsZero(); first {
 			q.firstFail = time.Now()
 		}
-		if isRefused(err) {
-			q.refused++
-		}
 	}
 	p.mu.Unlock()
 	if first && p.n.ctx.Err() == nil {
@@ -327,9 +336,3 @@
 	}
 	return reply.Result, nil
 }
-
-// isDown reports whether a node is known not to answer.
-func (p *peers) isDown(name string) bool {
-	q, ok := p.get(name)
-	return ok && !q.firstFail.IsZero()
-}
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -27,12 +27,16 @@
 	holdUnconfirmed = 60 * time.Millisecond
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 200 * time.Millisecond
+	// directorySilence is how long the directory's feed waits in one call, and
+	// directoryPause batches the workers' announcements.
+	directorySilence = 2 * time.Second
+	directoryPause   = 200 * time.Millisecond
 )
 
 // followWorkers keeps the list of workers current, and a loop of holds for each.
 func (o *Owner) followWorkers(ctx context.Context) error {
 	f := tables.Follower{
-		Service: o.Tables, Table: o.Directory.Table(), Parts: []string{""}, Silence: 2 * time.Second, Pause: 200 * time.Millisecond,
+		Service: o.Tables, Table: o.Directory.Table(), Parts: []string{""}, Silence: directorySilence, Pause: directoryPause,
 		Apply:  func(rows []tables.Row, whole bool) { o.applyWorkers(ctx, rows, whole) },
 		Failed: o.followFailed(o.Directory.Table()),
 	}
