--- a/matrix/site/faults_test.go
+++ b/matrix/site/faults_test.go
@@ -54,9 +54,14 @@
 	return others
 }
 
-// faults are what can happen to one part of the system.
+// faults are what can happen to one part of the system. The pairs go by the order.
 func faults() []fault {
-	list := []fault{
+	return slices.Concat(nodeFaults(), ownerCuts(), storeFaults(), crashes(), workerFaults())
+}
+
+// nodeFaults are faults of whole nodes, and the play without a fault.
+func nodeFaults() []fault {
+	return []fault{
 		{"nothing", func(*world) func() { return nil }},
 		{"owner killed", func(w *world) func() { return w.killOwner() }},
 		{"owner drained", func(w *world) func() {
@@ -82,10 +87,22 @@
 			w.net.Pause(owner)
 			return func() { w.net.Resume(owner) }
 		}},
+	}
+}
+
+// ownerCuts are cuts of the network around the owner.
+func ownerCuts() []fault {
+	return []fault{
 		ownerCut("owner cut from the store", func(*world, string) []string { return []string{storeHost} }),
 		ownerCut("owner cut from the other nodes", otherNodes),
 		ownerCut("owner cut from nodes and store", func(w *world, owner string) []string { return append(otherNodes(w, owner), storeHost) }),
 		ownerCut("owner cut from half of the workers", func(*world, string) []string { return []string{"w0", "w1", "w2"} }),
+	}
+}
+
+// storeFaults are the ways in which the store fails.
+func storeFaults() []fault {
+	return []fault{
 		storeFault("store silent", site.StoreFaults{Down: true}),
 		storeFault("store busy", site.StoreFaults{Down: true, Busy: true}),
 		storeFault("store slow", site.StoreFaults{Delay: 240 * time.Millisecond}),
@@ -93,6 +110,13 @@
 		storeFault("store loses replies", site.StoreFaults{LoseReplies: 10}),
 		storeFault("store writes late", site.StoreFaults{Late: 10, LateBy: 3 * time.Second}),
 		storeFault("store without history", site.StoreFaults{NoHistory: true}),
+	}
+}
+
+// crashes are lost workers, alone and with the owner, and one that leaves as planned;
+// and an owner lost together with the store.
+func crashes() []fault {
+	return []fault{
 		{"owner killed while the store is silent", func(w *world) func() {
 			w.site.Store.SetFaults(site.StoreFaults{Down: true})
 			restart := w.killOwner()
@@ -125,12 +149,16 @@
 			return nil
 		}},
 	}
-	return append(list,
+}
+
+// workerFaults are the ways in which a worker that lives on fails.
+func workerFaults() []fault {
+	return []fault{
 		workerFault("worker's tasks stand still", site.WorkerFaults{Stuck: true}),
 		workerFault("worker fails everything", site.WorkerFaults{FailAll: true}),
 		workerFault("worker carries starts out late", site.WorkerFaults{Late: 4, LateBy: 3 * time.Second}),
 		workerFault("worker carries starts out later", site.WorkerFaults{Late: 4, LateBy: 11 * time.Second}),
-	)
+	}
 }
 
 func workerFault(name string, f site.WorkerFaults) fault {
