Last attempts go to proven workers; one more stalled run sets a probed worker aside again

A worker that is tried again after it was set aside needed two more stalled runs. TestLastAttemptOnProvenWorker.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -21,6 +21,8 @@
 	asideUntil time.Time
 	asideFor   time.Duration
 	probing    bool
+	// proven is set while the last run that ended here succeeded.
+	proven bool
 }
 
 const (
@@ -35,7 +37,7 @@
 )
 
 func (h *health) succeeded() {
-	h.failedJobs, h.failures, h.probing, h.asideFor = nil, 0, false, 0
+	h.failedJobs, h.failures, h.probing, h.asideFor, h.proven = nil, 0, false, 0, true
 }
 
 // takes reports whether the worker may be given another task.
@@ -54,6 +56,7 @@
 	}
 	h.failedJobs[job] = true
 	h.failures++
+	h.proven = false
 	if h.probing || (h.failures >= failuresAside && len(h.failedJobs) > 1) {
 		s.setAside(now, w, "its tasks fail")
 	}
@@ -179,10 +182,10 @@
 				s.helpSlow(now, r, standsStill)
 			}
 		}
-		if stalled >= stalledRuns {
+		if stalled >= stalledRuns || (stalled > 0 && w.health.probing) {
 			s.setAside(now, w, "its tasks stand still")
 		}
-		if len(slow) >= slowSteps {
+		if len(slow) >= slowSteps || (len(slow) > 0 && w.health.probing) {
 			s.setAside(now, w, "its tasks crawl")
 		}
 	}
@@ -293,7 +296,7 @@
 	if t.copied || t.done || t.step.job.state.Finished() {
 		return
 	}
-	w := s.bestWorkerBut(now, t.step, slow.worker)
+	w := s.bestWorker(now, t.step, nil, func(w *worker) bool { return w != slow.worker })
 	if w == nil {
 		if t.step.needsTicket() {
 			s.ask(now, t.step, 1, true)
@@ -304,10 +307,3 @@
 	s.counts.Copies++
 	s.start(now, t, w)
 }
-
-func (s *Shard) bestWorkerBut(now time.Time, st *step, but *worker) *worker {
-	aside := but.silent
-	but.silent = true
-	defer func() { but.silent = aside }()
-	return s.bestWorker(now, st, nil)
-}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -113,22 +113,34 @@
 // on which it did.
 const avoidFor = time.Second
 
-// bestWorkerFor returns the worker on which a task should start.
+// bestWorkerFor returns the worker on which a task should start. One that has
+// failed goes elsewhere, and with its last attempt to a worker whose last run
+// succeeded if there is one, and to none whose last run failed.
 func (s *Shard) bestWorkerFor(now time.Time, t *task) *worker {
-	if w := s.workers[t.failedOn]; w != nil && now.Sub(t.failedAt) < avoidFor {
-		return s.bestWorkerBut(now, t.step, w)
+	if t.failedOn == "" || now.Sub(t.failedAt) >= avoidFor {
+		return s.bestWorker(now, t.step, nil, anyWorker)
 	}
-	return s.bestWorker(now, t.step, nil)
+	elsewhere := func(w *worker) bool { return w.info.ID != t.failedOn }
+	if t.step.spec.LongRunning || t.step.job.spec.Policy.MaxAttempts-len(t.failed) > 1 {
+		return s.bestWorker(now, t.step, nil, elsewhere)
+	}
+	if w := s.bestWorker(now, t.step, nil, func(w *worker) bool { return elsewhere(w) && w.health.proven }); w != nil {
+		return w
+	}
+	return s.bestWorker(now, t.step, nil, func(w *worker) bool { return elsewhere(w) && w.health.failures == 0 })
 }
 
+// anyWorker allows all workers.
+func anyWorker(*worker) bool { return true }
+
 // bestWorker returns the worker on which the next task of the step should
 // start: near its data, then where the least room is left over. Extra is room
 // that this decision has already given away, by worker.
-func (s *Shard) bestWorker(now time.Time, st *step, extra map[*worker]int) *worker {
+func (s *Shard) bestWorker(now time.Time, st *step, extra map[*worker]int, allowed func(*worker) bool) *worker {
 	var best *worker
 	bestScore := 0.0
 	for _, w := range s.order {
-		if !s.usable(now, w, st) {
+		if !allowed(w) || !s.usable(now, w, st) {
 			continue
 		}
 		if st.needsTicket() {
@@ -255,10 +267,11 @@
 const oneRackPatience = time.Second
 
 func (s *Shard) fillGang(now time.Time, st *step, rack string) []*worker {
+	allowed := func(w *worker) bool { return rack == "" || w.info.Rack == rack }
 	extra := make(map[*worker]int)
 	places := make([]*worker, 0, len(st.tasks))
 	for range st.tasks {
-		w := s.bestWorkerOn(now, st, extra, rack)
+		w := s.bestWorker(now, st, extra, allowed)
 		if w == nil {
 			return nil
 		}
@@ -268,21 +281,6 @@
 	return places
 }
 
-func (s *Shard) bestWorkerOn(now time.Time, st *step, extra map[*worker]int, rack string) *worker {
-	if rack == "" {
-		return s.bestWorker(now, st, extra)
-	}
-	all := s.order
-	defer func() { s.order = all }()
-	s.order = nil
-	for _, w := range all {
-		if w.info.Rack == rack {
-			s.order = append(s.order, w)
-		}
-	}
-	return s.bestWorker(now, st, extra)
-}
-
 func (s *Shard) racks() []string {
 	var racks []string
 	seen := make(map[string]bool)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -410,3 +410,35 @@
 	r.persist(make(map[string]scheduler.Record))
 	r.wantState(cluster.StateSucceeded)
 }
+
+// TestLastAttemptOnProvenWorker checks that a task with one attempt left goes to
+// a worker whose last run succeeded.
+func TestLastAttemptOnProvenWorker(t *testing.T) {
+	r := newRig(t, 3)
+	r.announce()
+	// One worker after the other is filled, and ends as it is told.
+	r.s.AddJob(r.now, batch("a", tasks(3, 4000)), nil, false)
+	r.pass(200 * time.Millisecond)
+	r.endAll(cluster.OutcomeDone)
+	r.hold()
+	r.s.AddJob(r.now, batch("b", tasks(3, 4000)), nil, false)
+	r.pass(200 * time.Millisecond)
+	for _, id := range r.names() {
+		how := cluster.OutcomeFailed
+		if id == "w2" {
+			how = cluster.OutcomeDone
+		}
+		for _, s := range slices.Clone(r.workers[id].running) {
+			r.end(id, s.Task, s.Run, how)
+		}
+	}
+	r.pass(400 * time.Millisecond)
+	for _, id := range []string{"w0", "w1"} {
+		if len(r.workers[id].running) > 0 {
+			t.Errorf("a last attempt runs on %s, whose last run failed", id)
+		}
+	}
+	if len(r.workers["w2"].running) != 1 {
+		t.Error("no last attempt runs on the worker whose last run succeeded")
+	}
+}
