Stand-ins and scheduler: fields without a reader are gone, times have names

A job's saved mark was read only where it was set, and a stand-in's run had a checkpoint that nothing sets. The worker's header names all forms of Spec, and the balancer's answer says that an isolated node isn't ready.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -249,7 +249,8 @@
 	})
 }
 
-// readyHandler answers the balancer: ready once there is a configuration, until the node drains.
+// readyHandler answers the balancer: ready once there is a configuration, until
+// the node drains, and not while it reaches neither the store nor a peer.
 func (n *Node) readyHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if n.Draining() || n.Config() == nil || n.isolated() {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -19,13 +19,13 @@
 	rank  Rank
 	reps  []*repeat
 	state cluster.State
+	// begun is set once a run of the job was ordered or found.
 	begun bool
 	// finalSaved is set once the final state is in the store.
 	finalSaved bool
 	finishedAt time.Time
 	version    int64 // of the progress row
 	changed    int64 // rises with each change that has to be persisted
-	saved      int64 // the value of changed that the store holds
 	// left is how many tasks have not succeeded.
 	left int
 }
@@ -81,7 +81,7 @@
 func rankOf(j *cluster.Job, now time.Time) Rank {
 	age := time.Duration(0)
 	if ms := now.UnixMilli() - j.AcceptedMS; ms > 0 {
-		age = min(time.Duration(ms)*time.Millisecond, time.Hour)
+		age = min(time.Duration(ms)*time.Millisecond, mostAge)
 	}
 	chain := time.Duration(longestChain(j.Steps)) * time.Millisecond
 	aim := time.Duration(float64(chain)*max(1, j.Policy.Stretch)) + time.Duration(j.Policy.TargetMS)*time.Millisecond
@@ -92,6 +92,10 @@
 	return Rank{Priority: priority, Due: now.Add(aim - age)}
 }
 
+// mostAge is the most age that counts; the time of acceptance comes from the clock
+// of the node that accepted the job, which may be another one.
+const mostAge = time.Hour
+
 // longRunningPriority puts long-lived tasks first: they must be at work again
 // within seconds however full the shard is.
 const longRunningPriority = -1
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -106,8 +106,8 @@
 		if j == nil {
 			continue
 		}
-		j.version, j.saved = version, r.changed
-		if j.saved == j.changed {
+		j.version = version
+		if r.changed == j.changed {
 			delete(s.dirty, r.Job)
 		}
 		if r.Final && !j.finalSaved {
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -20,6 +20,7 @@
 	"time"
 )
 
+// dialTimeout bounds a dial to a host that is cut off or takes no connection.
 const dialTimeout = 2 * time.Second
 
 var errClosed = errors.New("connection closed")
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -191,6 +191,7 @@
 }
 
 const (
+	// adviceTakes is how long a call takes, and adviceValid how long a ticket is good.
 	adviceTakes = 20 * time.Millisecond
 	adviceValid = 2500 * time.Millisecond
 )
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -70,6 +70,7 @@
 	NowMS   int64      `json:"now_ms"`
 }
 
+// The limits of the platform's table service.
 const (
 	maxTxnEntries = 100
 	maxTxnBytes   = 1 << 20
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -20,7 +20,8 @@
 }
 
 // Worker is one life of a stand-in worker. The Spec of a job tells how its tasks
-// run: "MS" or "MS failing"; the step's room is read from "cpu=N" behind it.
+// run: "MS", "MS failing" (halfway) or "MS lasting" (until it is stopped); the
+// step's room is read from "cpu=N" behind it.
 type Worker struct {
 	ID      string
 	Address string
@@ -57,13 +58,13 @@
 }
 
 type taskRun struct {
-	task       string
-	run        int64
-	spec       taskSpec
-	from       int
-	startedAt  time.Time
-	stuck      bool
-	checkpoint string
+	task string
+	run  int64
+	spec taskSpec
+	// from is the percent at which the run began, from its checkpoint.
+	from      int
+	startedAt time.Time
+	stuck     bool
 }
 
 type runEnd struct {
@@ -132,7 +133,12 @@
 	return w
 }
 
-const beatEvery = 1500 * time.Millisecond
+const (
+	// beatEvery is how often a worker announces itself.
+	beatEvery = 1500 * time.Millisecond
+	// drainTime is the time that a draining worker says is left to it.
+	drainTime = 5 * time.Second
+)
 
 func (w *Worker) start() {
 	w.stop = w.site.cfg.Serve(w.Address, w.handler())
@@ -179,7 +185,7 @@
 		Capacity: capacity{w.cfg.CPUMilli, w.cfg.MemoryMB}, Labels: []string{"a", w.cfg.Rack}, ClockMS: w.clock(), Seq: w.clock(),
 	}
 	if w.drain {
-		b.State, b.RemainingMS = "draining", 5000
+		b.State, b.RemainingMS = "draining", drainTime.Milliseconds()
 	}
 	w.mu.Unlock()
 	w.site.Store.Put("servers", w.ID, b)
@@ -240,7 +246,7 @@
 
 func (w *Worker) clock() int64 { return time.Since(w.began).Milliseconds() }
 
-// advance ends what has run its time, and everything once the lease is over.
+// advance ends, under mu, what has run its time, and everything once the lease is over.
 func (w *Worker) advance() {
 	for _, name := range sortedKeys(w.running) {
 		t := w.running[name]
@@ -275,6 +281,7 @@
 	return min(100, t.from+int(100*time.Since(t.startedAt)/t.spec.takes))
 }
 
+// end notes that a run has ended and wakes the holds that wait for an end.
 func (w *Worker) end(t *taskRun, how string) {
 	w.ends++
 	checkpoint := ""
@@ -484,11 +491,13 @@
 	reply(rw, http.StatusOK, res)
 }
 
+// report lists what runs, without the checkpoints that an end carries, and the
+// ends that are not confirmed.
 func (w *Worker) report() holdReply {
 	res := holdReply{ClockMS: w.clock(), Running: []json.RawMessage{}, Ended: []json.RawMessage{}}
 	for _, name := range sortedKeys(w.running) {
 		t := w.running[name]
-		res.Running = append(res.Running, array(t.task, t.run, t.checkpoint, t.percent(), t.spec.cpu))
+		res.Running = append(res.Running, array(t.task, t.run, "", t.percent(), t.spec.cpu))
 	}
 	for _, e := range w.ended {
 		res.Ended = append(res.Ended, array(e.n, e.task, e.run, e.how, e.checkpoint))
