Paces after lost replies and takeovers; an ownership lost before it runs ends

Found in reading: a pace order without an answer was taken as done, and a filler that an earlier owner had slowed stayed slow (TestPaceAfterTakeover); an ownership that was lost between its publication and its start went on until a worker refused it; workers of other services were remembered for good; listeners stayed open when a later one failed. The setting far_factor was read by nothing and is gone. TestFillersArePaced holds the pacing itself.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -220,6 +220,10 @@
 		}
 		l, err := n.Listen(ctx, "tcp", p.address)
 		if err != nil {
+			for _, s := range servers {
+				// What else goes wrong at the end matters less than why it ends.
+				_ = s.Close()
+			}
 			return nil, &Error{"run", KindListen, err}
 		}
 		s := &http.Server{Handler: p.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -375,7 +375,7 @@
 	return scheduler.Params{
 		Epoch: epoch, Lease: min(lease, most), StopTime: time.Duration(n.cfg.Bounds.StopMS) * time.Millisecond,
 		Uncertain:    time.Duration(float64(min(lease, most))*scheduler.ClockSlack) + selfStop,
-		KeepFinished: time.Duration(n.cfg.Bounds.KeepStateMS) * time.Millisecond, FarFactor: n.cfg.Bounds.FarFactor,
+		KeepFinished: time.Duration(n.cfg.Bounds.KeepStateMS) * time.Millisecond,
 	}
 }
 
--- a/internal/owner/machines.go
+++ b/internal/owner/machines.go
@@ -56,7 +56,7 @@
 	alive := make(map[string]bool, len(list))
 	for _, m := range list {
 		current[m.ID] = m
-		if m.Worker != "" {
+		if m.Worker != "" && m.Service == w.o.cfg.Service {
 			alive[m.Worker] = true
 			w.onMachine[m.Worker] = m.ID
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -116,9 +116,11 @@
 	litter  litter
 	wake    chan struct{}
 	persist chan struct{}
-	lose    context.CancelCauseFunc
-	group   *errgroup.Group
-	ctx     context.Context
+	// lose ends the ownership; lost is why, if that came before Run.
+	lose  context.CancelCauseFunc
+	lost  error
+	group *errgroup.Group
+	ctx   context.Context
 }
 
 // New returns an Owner that has not been started.
@@ -137,7 +139,13 @@
 func (o *Owner) Run(ctx context.Context) error {
 	ctx, lose := context.WithCancelCause(ctx)
 	defer lose(nil)
+	o.mu.Lock()
 	o.lose = lose
+	lost := o.lost
+	o.mu.Unlock()
+	if lost != nil {
+		return lost
+	}
 	o.group, o.ctx = errgroup.WithContext(ctx)
 	o.advice = newAdviceQueue(o)
 	if err := o.load(o.ctx); err != nil {
@@ -162,8 +170,11 @@
 
 // Lost ends the ownership: another node has taken it.
 func (o *Owner) Lost(evidence string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lost = &Error{"run", KindLost, errors.New(evidence)}
 	if o.lose != nil {
-		o.lose(&Error{"run", KindLost, errors.New(evidence)})
+		o.lose(o.lost)
 	}
 }
 
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -88,6 +88,9 @@
 	}
 	others := len(t.runs) > 0 && !t.step.spec.Speculative
 	r := s.add(now, t, e.Run, w, runRunning)
+	if t.step.spec.Fills {
+		r.pace = paceUnknown
+	}
 	s.log.Info("run adopted", events.RunAdopted, zap.Stringer("task", e.Task), zap.Int64("run", e.Run), zap.String("worker", w.info.ID), zap.Int("percent", e.Percent))
 	switch {
 	case t.done || t.step.job.state.Finished():
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// fullPace is the share at which a run starts.
-	fullPace = 100
+	// fullPace is the share at which a run starts; paceUnknown stands for that of a
+	// run whose last change was not answered, or which an earlier owner started.
+	fullPace    = 100
+	paceUnknown = -1
 	// paceHigh and paceLow are shares of a serving task's latency target: above
 	// the first the fillers beside it are slowed, below the second they recover.
 	paceHigh = 0.85
@@ -57,7 +59,7 @@
 	if now.Sub(r.paceSent) < paceEvery {
 		return
 	}
-	pace := r.pace
+	pace := max(r.pace, 0)
 	switch {
 	case !serving:
 		pace = fullPace
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -197,6 +197,7 @@
 func (s *Shard) PaceReplied(_ time.Time, id string, task cluster.TaskID, n int64, reply cluster.Reply) {
 	r := s.runs[runKey{task, n}]
 	if r != nil && r.worker.info.ID == id && reply != cluster.ReplyOK {
-		r.paceSent = time.Time{}
+		// It may have been set or not: the next round sets it again.
+		r.pace = paceUnknown
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,8 +41,6 @@
 	Uncertain time.Duration
 	// KeepFinished is how long the state of a finished job is kept.
 	KeepFinished time.Duration
-	// FarFactor is how much longer tasks take away from their data or across racks.
-	FarFactor float64
 }
 
 // runsPerEpoch separates the run numbers of successive owners: a new owner
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -52,7 +52,7 @@
 	r.epoch++
 	r.s = scheduler.New(scheduler.Params{
 		Epoch: r.epoch, Lease: testLease, StopTime: 200 * time.Millisecond, Uncertain: 10 * time.Second,
-		KeepFinished: time.Minute, FarFactor: 1.5,
+		KeepFinished: time.Minute,
 	}, r.now, zap.NewNop())
 	r.s.ExpectWorkers(r.names())
 }
@@ -442,3 +442,64 @@
 		t.Error("no last attempt runs on the worker whose last run succeeded")
 	}
 }
+
+// paced returns the paces that the rounds of a time set, in order.
+func (r *rig) paced(d time.Duration, usage int64) []int {
+	var paces []int
+	for end := r.now.Add(d); r.now.Before(end); {
+		r.now = r.now.Add(100 * time.Millisecond)
+		for _, f := range r.workers {
+			for i := range f.running {
+				f.running[i].Usage = usage
+				f.running[i].Percent = 100
+			}
+		}
+		r.hold()
+		for _, c := range r.round() {
+			if p, ok := c.(scheduler.Pace); ok {
+				paces = append(paces, p.Percent)
+			}
+		}
+	}
+	return paces
+}
+
+// TestFillersArePaced checks that a task which fills is slowed while the serving
+// task beside it is over its target, and gets its pace back once that is calm.
+func TestFillersArePaced(t *testing.T) {
+	r := newRig(t, 1)
+	r.announce()
+	serving, filler := tasks(1, 1000), tasks(1, 1000)
+	serving.LongRunning, serving.LatencyTargetMS = true, 100
+	filler.Fills = true
+	r.s.AddJob(r.now, batch("serves", serving), nil, false)
+	r.s.AddJob(r.now, batch("fills", filler), nil, false)
+	r.pass(300 * time.Millisecond)
+	if got := len(r.running()); got != 2 {
+		t.Fatalf("%d tasks run beside each other, want 2", got)
+	}
+	if got := r.paced(3*time.Second, 150); len(got) == 0 || got[len(got)-1] != 0 {
+		t.Errorf("paces %v while the serving task is over its target, want them to end at 0", got)
+	}
+	if got := r.paced(10*time.Second, 20); len(got) == 0 || got[len(got)-1] != 100 {
+		t.Errorf("paces %v while the serving task is calm, want them to end at 100", got)
+	}
+}
+
+// TestPaceAfterTakeover checks that a filler which an earlier owner has slowed
+// gets its pace from the next owner.
+func TestPaceAfterTakeover(t *testing.T) {
+	r := newRig(t, 1)
+	r.announce()
+	filler := tasks(1, 1000)
+	filler.Fills = true
+	job := batch("fills", filler)
+	r.s.AddJob(r.now, job, nil, false)
+	r.pass(300 * time.Millisecond)
+	r.takeOver()
+	r.s.AddJob(r.now, job, nil, true)
+	r.announce()
+	if got := r.paced(2*time.Second, 20); len(got) != 1 || got[0] != 100 {
+		t.Errorf("paces %v after a takeover, want 100 once", got)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,8 +59,6 @@
 	GraceMS int64 `yaml:"grace_ms"`
 	// KeepStateMS is how long callers may ask for the state of a finished job.
 	KeepStateMS int64 `yaml:"keep_state_ms"`
-	// FarFactor is how much longer tasks take away from their data.
-	FarFactor float64 `yaml:"far_factor"`
 }
 
 // Kind tells apart the errors of this package.
@@ -94,7 +92,6 @@
 	defaultStop      = time.Second
 	defaultGrace     = 6 * time.Second
 	defaultKeepState = 120 * time.Second
-	defaultFarFactor = 1.5
 	defaultMemoryMB  = 128
 )
 
@@ -122,7 +119,6 @@
 	setDefault(&s.Bounds.StopMS, defaultStop.Milliseconds())
 	setDefault(&s.Bounds.GraceMS, defaultGrace.Milliseconds())
 	setDefault(&s.Bounds.KeepStateMS, defaultKeepState.Milliseconds())
-	setDefault(&s.Bounds.FarFactor, defaultFarFactor)
 	setDefault(&s.Limits.MemoryMB, int64(defaultMemoryMB))
 	setDefault(&s.LogLevel, "info")
 }
--- a/matrix/site/cell_test.go
+++ b/matrix/site/cell_test.go
@@ -121,7 +121,7 @@
 		Node: name, DataCentre: "dc", Store: storeHost + ":1", Advice: "advice:1", Machines: "machines:1",
 		Listen: settings.Listen{Callers: name + ":1", Ready: name + ":2", Peers: name + ":3"},
 		Seeds:  []string{"n0:3", "n1:3"},
-		Bounds: settings.Bounds{LeaseMostMS: 10_000, StopMS: 200, GraceMS: 6000, KeepStateMS: 120_000, FarFactor: 1.5},
+		Bounds: settings.Bounds{LeaseMostMS: 10_000, StopMS: 200, GraceMS: 6000, KeepStateMS: 120_000},
 	}
 	dial := w.net.Dial(name)
 	n := cell.New(cfg, cell.Deps{
