--- a/matrix/site/faults_test.go
+++ b/matrix/site/faults_test.go
@@ -144,8 +144,7 @@
 			}
 		}},
 		{"worker drains", func(w *world) func() {
-			w.drainedAt[w.workers[0].ID] = time.Now()
-			w.workers[0].Drain()
+			w.drainWorker()
 			return nil
 		}},
 	}
@@ -163,8 +162,8 @@
 
 func workerFault(name string, f site.WorkerFaults) fault {
 	return fault{name, func(w *world) func() {
-		w.workers[0].SetFaults(f)
-		return func() { w.workers[0].SetFaults(site.WorkerFaults{}) }
+		w.worker(0).SetFaults(f)
+		return func() { w.worker(0).SetFaults(site.WorkerFaults{}) }
 	}}
 }
 
@@ -258,8 +257,33 @@
 // crash ends the life of the first worker that is alive, and returns what begins
 // the next one on its machine.
 func (w *world) crash() func() {
+	w.mu.Lock()
 	i := slices.IndexFunc(w.workers, func(k *site.Worker) bool { return !k.Crashed() })
 	old := w.workers[i]
+	w.mu.Unlock()
 	old.Crash()
-	return func() { w.workers[i] = w.site.Restart(old) }
+	return func() {
+		next := w.site.Restart(old)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.workers[i] = next
+	}
+}
+
+// worker returns the present life on a worker's machine.
+func (w *world) worker(i int) *site.Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.workers[i]
+}
+
+// drainWorker lets the first worker announce that it leaves.
+func (w *world) drainWorker() {
+	k := w.worker(0)
+	w.mu.Lock()
+	if _, ok := w.drainedAt[k.ID]; !ok {
+		w.drainedAt[k.ID] = time.Now()
+	}
+	w.mu.Unlock()
+	k.Drain()
 }
