Tests keep the ports that they choose

Cause (one run of the whole script beside load: TestStoreCommits, address already in use): the tests closed the listeners by which they had found free ports, and another process took one of them.

--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -53,17 +53,31 @@
 	log                   *os.File
 }
 
+const (
+	// firstPort to lastPort lie below the ports that the system gives to outgoing
+	// connections, which therefore can't take one between its choice and its use.
+	firstPort = 20_000
+	lastPort  = 30_000
+	// portStride sets the ports of processes that run at once apart.
+	portStride = 97
+)
+
 // freePorts returns loopback addresses that nothing listens on.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
 	var addresses []string
-	for range n {
-		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	for port := firstPort + os.Getpid()*portStride%(lastPort-firstPort-1000); len(addresses) < n && port < lastPort; port++ {
+		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		defer func() { _ = l.Close() }()
 		addresses = append(addresses, l.Addr().String())
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(addresses) < n {
+		t.Fatalf("only %d of %d ports are free", len(addresses), n)
 	}
 	return addresses
 }
