--- a/internal/tables/relay_test.go
+++ b/internal/tables/relay_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,16 +16,32 @@
 
 // fakeService answers, refuses or is silent.
 type fakeService struct {
+	mu              sync.Mutex
 	silent, refuses bool
 	calls           int
 }
 
+func (f *fakeService) set(silent, refuses bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent, f.refuses = silent, refuses
+}
+
+func (f *fakeService) called() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
 func (f *fakeService) answer(ctx context.Context) error {
+	f.mu.Lock()
 	f.calls++
-	if f.refuses {
+	silent, refuses := f.silent, f.refuses
+	f.mu.Unlock()
+	if refuses {
 		return &tables.Error{Op: "fake", Kind: tables.KindRefused, Err: errors.New("busy")}
 	}
-	if f.silent {
+	if silent {
 		<-ctx.Done()
 		return &tables.Error{Op: "fake", Kind: tables.KindUnknown, Err: ctx.Err()}
 	}
@@ -60,7 +77,7 @@
 		if res, err := r.Commit(ctx, tables.Txn{}); err != nil || !res.Committed {
 			t.Fatalf("%+v, %v", res, err)
 		}
-		direct.refuses, direct.silent = false, true
+		direct.set(true, false)
 		began := time.Now()
 		for range 20 {
 			if _, err := r.Commit(ctx, tables.Txn{}); err != nil {
@@ -71,10 +88,10 @@
 		if took := time.Since(began); took != 2*time.Second {
 			t.Errorf("20 calls through a peer took %s, want only the pauses of 2s", took)
 		}
-		direct.silent = false
+		direct.set(false, false)
 		time.Sleep(time.Second)
-		before := peer.calls
-		if _, err := r.Commit(ctx, tables.Txn{}); err != nil || peer.calls != before {
+		before := peer.called()
+		if _, err := r.Commit(ctx, tables.Txn{}); err != nil || peer.called() != before {
 			t.Errorf("the service is back, and the call went through a peer (%v)", err)
 		}
 		cancel()
@@ -88,11 +105,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		direct, peer := &fakeService{silent: true}, &fakeService{}
 		r := tables.NewRelay(direct, peerList{peer})
-		if _, err := r.Commit(t.Context(), tables.Txn{}); !tables.IsUnknown(err) || peer.calls != 0 {
-			t.Errorf("got %v after %d calls of the peer, want an unknown outcome", err, peer.calls)
+		if _, err := r.Commit(t.Context(), tables.Txn{}); !tables.IsUnknown(err) || peer.called() != 0 {
+			t.Errorf("got %v after %d calls of the peer, want an unknown outcome", err, peer.called())
 		}
-		if _, err := r.List(t.Context(), tables.ListRequest{}); err != nil || peer.calls != 1 {
-			t.Errorf("a read: %v after %d calls of the peer", err, peer.calls)
+		if _, err := r.List(t.Context(), tables.ListRequest{}); err != nil || peer.called() != 1 {
+			t.Errorf("a read: %v after %d calls of the peer", err, peer.called())
 		}
 	})
 }
