Shards: waiting for background work no longer races with its beginning

Ruled out: the tests (both sides are in internal/node and internal/shard). Change: a count under the manager's lock, and a condition to wait on.

--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -108,9 +108,12 @@
 	opts     Options
 	log      *zap.Logger
 	wake     chan struct{}
-	busy     sync.WaitGroup
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// busy counts what runs in the background; idle is told of each end. A WaitGroup
+	// will not do: ReleaseAll waits while Run may begin something new.
+	busy     int
+	idle     *sync.Cond
 	revision int64
 	read     bool
 	rows     map[Key]entry
@@ -136,7 +139,7 @@
 
 // New returns a manager that owns nothing yet.
 func New(table lease.Table, l *lease.Lease, keys []Key, handlers map[Kind]Handler, opts Options, log *zap.Logger) *Manager {
-	return &Manager{
+	m := &Manager{
 		table:    table,
 		lease:    l,
 		keys:     keys,
@@ -148,6 +151,8 @@
 		owned:    make(map[Key]*owned),
 		changed:  func(Key) {},
 	}
+	m.idle = sync.NewCond(&m.mu)
+	return m
 }
 
 // OnChange sets the function that is told of a shard whose owner has changed.
@@ -161,7 +166,7 @@
 		m.poll(ctx)
 		select {
 		case <-ctx.Done():
-			m.busy.Wait()
+			m.wait()
 			return nil
 		case <-t.C:
 		case <-m.wake:
@@ -243,7 +248,32 @@
 		})
 	}
 	_ = g.Wait()
-	m.busy.Wait()
+	m.wait()
+}
+
+// background runs fn, and is waited for by wait.
+func (m *Manager) background(fn func()) {
+	m.mu.Lock()
+	m.busy++
+	m.mu.Unlock()
+	go func() {
+		defer func() {
+			m.mu.Lock()
+			m.busy--
+			m.mu.Unlock()
+			m.idle.Broadcast()
+		}()
+		fn()
+	}()
+}
+
+// wait returns once nothing runs in the background.
+func (m *Manager) wait() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for m.busy > 0 {
+		m.idle.Wait()
+	}
 }
 
 // held reports whether the ownership of key under epoch is certain now.
@@ -298,7 +328,7 @@
 	}
 	m.mu.Unlock()
 	if handOver {
-		m.busy.Go(func() { m.release(ctx, key) })
+		m.background(func() { m.release(ctx, key) })
 	}
 	if o != nil || want.ID != self.ID {
 		return
@@ -350,7 +380,7 @@
 	m.owned[key] = o
 	m.mu.Unlock()
 	m.log.Info("shard taken", events.ShardTaken, zap.String("shard", string(key)), zap.Int64("epoch", row.Epoch))
-	m.busy.Go(func() { m.load(ctx, key, o) })
+	m.background(func() { m.load(ctx, key, o) })
 }
 
 func (m *Manager) load(ctx context.Context, key Key, o *owned) {
