--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -17,9 +17,10 @@
 // A job moves in two writes, since its progress lies in another part of the store than
 // its pin. The first marks its progress as moving, under the fence: an owner that has
 // been replaced can't begin a move any more. The second rewrites the pin and the job
-// for the new shard, on condition of the pin's version and of no cancel. Whoever owns
-// the shard and finds a mark beside the job gives the pin a new version, after which
-// the second write can't take effect late; then the pin tells where the job is.
+// for the new shard, on condition of no cancel and of the pin's version as it was read
+// before the mark was written. Whoever owns the shard and finds a mark beside the job
+// gives the pin a new version, after which the second write can't take effect any more;
+// then the pin tells where the job is.
 
 // Shards knows the other shards of a service.
 type Shards interface {
@@ -84,6 +85,14 @@
 
 // move moves a job to another shard, or finds out that it stays.
 func (o *Owner) move(ctx context.Context, m scheduler.Move, to cluster.ShardID) {
+	pin, here := o.readPin(ctx, m.Job.ID)
+	if !here {
+		if ctx.Err() == nil {
+			o.Log.Warn("job not moved", events.JobMoved, zap.String("job", m.Job.ID), zap.String("cause", "its pin names another shard"))
+			o.stays(m.Job.ID)
+		}
+		return
+	}
 	if !o.mark(ctx, m) {
 		o.returns(m.Job.ID)
 		return
@@ -91,7 +100,7 @@
 	job := m.Job
 	job.Shard = to.Index
 	job.Moves++
-	moved, err := o.repin(ctx, job)
+	moved, err := o.repin(ctx, job, pin)
 	if ctx.Err() != nil {
 		return
 	}
@@ -140,18 +149,14 @@
 	}
 }
 
-// repin writes the rows of a marked job for its new shard, and reports whether the job
-// is there.
-func (o *Owner) repin(ctx context.Context, job cluster.Job) (moved bool, err error) {
+// repin writes the rows of a marked job for its new shard, on condition of its pin, and
+// reports whether the job is there.
+func (o *Owner) repin(ctx context.Context, job cluster.Job, pin tables.Row) (moved bool, err error) {
 	txn, err := AcceptJob([]cluster.Job{job})
 	if err != nil {
 		o.Log.Error("job not moved", events.JobMoved, zap.String("job", job.ID), zap.Error(err))
 		return false, err
 	}
-	pin, found := o.readPin(ctx, job.ID)
-	if !found {
-		return !o.staysPinned(ctx, job.ID), nil
-	}
 	part, from := PartOf(job.Service, job.ID), TableJobs(o.cfg.Shard)
 	txn.If[0].Version = pin.Version
 	txn.If = append(txn.If, tables.Row{Table: from, Part: part, Key: job.ID + cancelSuffix})
