--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -40,11 +40,6 @@
 	}
 }
 
-// orderTimeout bounds an order: an answer takes a few milliseconds, 0.1 s when
-// many orders go out after a takeover, and an order without one is followed by a
-// stop that makes sure it isn't carried out.
-const orderTimeout = 300 * time.Millisecond
-
 func (o *Owner) carryOut(ctx context.Context, c scheduler.Command) {
 	switch c := c.(type) {
 	case scheduler.Start:
@@ -62,20 +57,42 @@
 			func(s *scheduler.Shard, now time.Time, r cluster.Reply) {
 				s.PaceReplied(now, c.Worker, c.Task, c.Run, r)
 			})
+	case scheduler.Look:
+		go o.look(ctx, c.Worker)
 	case scheduler.Advise:
 		o.advice.add(c)
 	}
 }
 
+// look asks a worker what it runs, beside the hold that it may be keeping open.
+func (o *Owner) look(ctx context.Context, id string) {
+	o.mu.Lock()
+	seq, order, lastSeen, ok := o.shard.HoldSent(time.Now(), id)
+	o.mu.Unlock()
+	if !ok {
+		return
+	}
+	c, cancel := context.WithTimeout(ctx, holdSlack)
+	defer cancel()
+	report, reply := o.Workers.Hold(c, order, lastSeen, 0)
+	if ctx.Err() == nil && reply == cluster.ReplyOK {
+		o.do(func(s *scheduler.Shard, now time.Time) { s.Observe(now, id, seq, report) })
+	}
+}
+
 // order sends one order and feeds its reply back. An order that was cut short
 // because the ownership ended has no reply to feed back.
 func (o *Owner) order(ctx context.Context, worker string, send func(context.Context) cluster.Reply, replied func(*scheduler.Shard, time.Time, cluster.Reply)) {
-	c, cancel := context.WithTimeout(ctx, orderTimeout)
+	c, cancel := context.WithTimeout(ctx, o.replies.Limit())
 	defer cancel()
+	sent := time.Now()
 	reply := send(c)
 	if ctx.Err() != nil {
 		return
 	}
+	if reply == cluster.ReplyOK || reply == cluster.ReplyUnknown {
+		o.replies.Note(time.Since(sent))
+	}
 	if reply == cluster.ReplyFence {
 		o.Lost("worker " + worker + " has seen a higher epoch")
 		return
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -80,6 +80,7 @@
 	fenceVersion int64
 
 	advice  *adviceQueue
+	replies ReplyTimes
 	litter  litter
 	spill   spill
 	unread  unread
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -186,10 +186,17 @@
 	switch reply {
 	case cluster.ReplyOK:
 		r.stopped, r.knownAt = true, r.worker.holds
+		if r.state == runUnanswered {
+			// The hold that is open says nothing of it, and the next one may be kept open.
+			s.emit(Look{Worker: id})
+		}
 	case cluster.ReplyOtherLife:
 		s.WorkerOver(now, id, "another life answers at its address")
 	default:
 		r.stopSent = now
+		if r.state == runUnanswered && reply == cluster.ReplyUnknown && !r.worker.silent {
+			s.emit(Stop{Order: s.orderTo(r.worker), Task: task, Run: n})
+		}
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -70,6 +70,9 @@
 	Percent int
 }
 
+// Look asks a worker at once what it runs; the answer goes to Observe.
+type Look struct{ Worker string }
+
 // Advise asks the advice service which workers may run a step; the answer goes to Advised.
 type Advise struct {
 	Step    StepID
@@ -83,6 +86,7 @@
 func (Start) command()  {}
 func (Stop) command()   {}
 func (Pace) command()   {}
+func (Look) command()   {}
 func (Advise) command() {}
 
 // StepID names a step of one repeat of a job.
