Room is set aside for large tasks that wait, where it comes free in time

What waits now has room set aside where it comes free soonest, if that is in time; only what would be late by waiting stops other work. Work that ends before the room is needed may use it.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -14,6 +14,7 @@
 
 // placeAll starts what can start, the most urgent first.
 func (s *Shard) placeAll(now time.Time) {
+	s.reserving = 0
 	for _, j := range s.active {
 		if j.moving {
 			continue
@@ -89,9 +90,12 @@
 			return
 		}
 	}
-	if !st.spec.Gang {
-		s.preempt(now, st, left)
+	if st.spec.Gang {
+		s.reserveGang(now, st)
+		return
 	}
+	s.reserve(now, st, left)
+	s.preempt(now, st, left)
 }
 
 // anyTicket reports whether the step holds a valid ticket.
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -26,7 +26,7 @@
 		}
 		res := w.reserved[st]
 		res.amount = res.amount.Add(st.spec.Room())
-		res.until = now.Add(s.p.StopTime + reservationSlack)
+		res.until, res.at = now.Add(s.p.StopTime+reservationSlack), time.Time{}
 		w.reserved[st] = res
 	}
 }
--- /dev/null
+++ b/internal/scheduler/reserve.go
@@ -0,0 +1,180 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"switchbank.example/switchbank/internal/resource"
+)
+
+// The load pattern: large tasks wait in a full shard in which small ones come and go.
+// Room comes free in small pieces, which the next small task takes, so that a large one,
+// and a gang even more, finds room by chance or by stopping the work of others. Room is
+// therefore set aside for what waits and is most urgent, on the worker where it will be
+// free the soonest; only what would be late by waiting stops the work of others.
+
+const (
+	// reserveFor is how long room stays set aside before it is looked at anew: runs end
+	// earlier or later than expected, and a report is up to 0.5 s old.
+	reserveFor = 300 * time.Millisecond
+	// reserveSteps is how many steps may have room set aside in one round, the most
+	// urgent first: each looks at all runs of the shard.
+	reserveSteps = 8
+	// reserveMost is the longest wait for which room is set aside; beyond it, more is
+	// lost by keeping room empty than by waiting on.
+	reserveMost = 4 * time.Second
+	// slackMargin is kept of the time for which a step may wait: the ends of others are
+	// known from reports that are up to 0.5 s old.
+	slackMargin = 300 * time.Millisecond
+)
+
+// reservation is room kept for a step until a time.
+type reservation struct {
+	amount resource.Amount
+	until  time.Time
+	// at is when the step is expected to use it; zero: it is being made by stopping runs.
+	at time.Time
+}
+
+// blocks reports whether the room that a step has set aside is not there for another
+// one, which is neither more urgent nor over before it is needed.
+func (res *reservation) blocks(now time.Time, owner, other *step) bool {
+	switch {
+	case owner == other:
+		return false
+	case res.at.IsZero():
+		return true
+	case other.job.rank.Priority < owner.job.rank.Priority:
+		return false
+	}
+	return now.Add(other.estimate()).After(res.at)
+}
+
+// reserve sets room aside for n waiting tasks of a step, as far as it comes free before
+// they would be late.
+func (s *Shard) reserve(now time.Time, st *step, n int) {
+	n -= s.reservedFor(now, st)
+	if n <= 0 || s.reserving >= reserveSteps {
+		return
+	}
+	s.reserving++
+	within := min(s.slack(now, st)-slackMargin, reserveMost)
+	for range n {
+		w, in := s.soonestRoom(now, st)
+		if w == nil || in > within {
+			return
+		}
+		w.setAside(now, st, now.Add(in))
+	}
+}
+
+// reserveGang sets room aside for all members of a gang.
+func (s *Shard) reserveGang(now time.Time, st *step) {
+	if s.reservedFor(now, st) >= len(st.tasks) || s.reserving >= reserveSteps {
+		return
+	}
+	s.reserving++
+	s.release(st)
+	longest := time.Duration(0)
+	for range st.tasks {
+		w, in := s.soonestRoom(now, st)
+		if w == nil || in > reserveMost {
+			s.release(st)
+			return
+		}
+		longest = max(longest, in)
+		w.setAside(now, st, now.Add(in))
+	}
+	for _, w := range s.order {
+		if res, ok := w.reserved[st]; ok {
+			res.at = now.Add(longest)
+			w.reserved[st] = res
+		}
+	}
+}
+
+// release gives up all room that is set aside for a step.
+func (s *Shard) release(st *step) {
+	for _, w := range s.order {
+		delete(w.reserved, st)
+	}
+}
+
+// setAside keeps room for one more task of a step, which is expected to use it at a time.
+func (w *worker) setAside(now time.Time, st *step, at time.Time) {
+	res := w.reserved[st]
+	res.amount = res.amount.Add(st.spec.Room())
+	res.until, res.at = now.Add(reserveFor), at
+	w.reserved[st] = res
+}
+
+// slack returns for how long a step may wait and its job still be in time.
+func (s *Shard) slack(now time.Time, st *step) time.Duration {
+	return st.job.rank.Due.Sub(now) - s.chainFrom(st)
+}
+
+// chainFrom returns how long the work takes from the start of a step to the end of its job.
+func (s *Shard) chainFrom(st *step) time.Duration {
+	after := time.Duration(0)
+	for _, next := range st.rep.steps {
+		if slices.Contains(next.spec.After, st.id.Step) {
+			after = max(after, s.chainFrom(next))
+		}
+	}
+	return s.expected(st) + after
+}
+
+// soonestRoom returns the worker on which one more task of a step will find room the
+// soonest, beside what is set aside for the step there already, and in what time.
+func (s *Shard) soonestRoom(now time.Time, st *step) (best *worker, in time.Duration) {
+	for _, w := range s.order {
+		kept := w.reserved[st].amount
+		if !s.usable(now, w, st) || !s.spreadAllows(w, st, timesFits(kept, st.spec.Room())) {
+			continue
+		}
+		if st.needsTicket() && !st.advice.answers[w.info.ID].good {
+			continue
+		}
+		d, ok := s.roomIn(now, w, st, w.free(now, st).Sub(kept))
+		if ok && (best == nil || d < in) {
+			best, in = w, d
+		}
+	}
+	return best, in
+}
+
+// runEnd is when a run is expected to leave its room.
+type runEnd struct {
+	room resource.Amount
+	in   time.Duration
+}
+
+// roomIn returns in what time a worker with that much free has room for one more task of
+// a step; false: not by the ends of what runs there.
+func (s *Shard) roomIn(now time.Time, w *worker, st *step, free resource.Amount) (time.Duration, bool) {
+	need := st.spec.Room()
+	if free.Fits(need) {
+		return 0, true
+	}
+	var ends []runEnd
+	for _, r := range w.runs {
+		spec := r.task.step.spec
+		switch {
+		case r.stopping:
+			ends = append(ends, runEnd{spec.Room(), s.p.StopTime})
+		case !spec.LongRunning:
+			ends = append(ends, runEnd{spec.Room(), s.remaining(now, r)})
+		}
+	}
+	slices.SortFunc(ends, func(a, b runEnd) int { return cmp.Compare(a.in, b.in) })
+	for _, e := range ends {
+		free = free.Add(e.room)
+		if free.Fits(need) {
+			return e.in, true
+		}
+	}
+	return 0, false
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -141,6 +141,8 @@
 	// directoryAt is when the directory was last read, and directorySince since when
 	// it is read without a gap.
 	directoryAt, directorySince time.Time
+	// reserving is how many steps had room set aside in this round.
+	reserving int
 	// load is what Load returns, as of loadAt.
 	load   float64
 	loadAt time.Time
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -28,7 +28,7 @@
 	// known either, so that the worker counts as full for each.
 	foreign map[runKey]bool
 	used    resource.Amount
-	// reserved is room being freed by preemption, by the step that is to have it.
+	// reserved is room set aside, or being freed by preemption, by the step that is to have it.
 	reserved map[*step]reservation
 
 	// holds counts the holds sent; a report counts only for what was known before it was sent.
@@ -55,12 +55,6 @@
 	leaving bool
 }
 
-// reservation is room kept for a step until a time.
-type reservation struct {
-	amount resource.Amount
-	until  time.Time
-}
-
 // ClockSlack is how many times as long as its own clock says a worker's lease
 // may last on ours: its steady clock may run slower by 2 %.
 const ClockSlack = 1.02
@@ -186,14 +180,13 @@
 func (w *worker) free(now time.Time, st *step) resource.Amount {
 	a := w.info.Capacity.Sub(w.used)
 	for owner, res := range w.reserved {
-		if owner == st {
-			continue
-		}
 		if now.After(res.until) {
 			delete(w.reserved, owner)
 			continue
 		}
-		a = a.Sub(res.amount)
+		if res.blocks(now, owner, st) {
+			a = a.Sub(res.amount)
+		}
 	}
 	return a
 }
