A node refuses ways of giving orders that it can't, and jobs too large to keep

A job whose row the store refuses as invalid was answered 503 with a time to come back: now 400 at once.

--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -24,6 +24,8 @@
 	AnswerRefused Answer = "refused"
 	// AnswerUnknown: the call may take effect; the caller should repeat it.
 	AnswerUnknown Answer = "unknown"
+	// AnswerImpossible: the call can't take effect however often it comes.
+	AnswerImpossible Answer = "impossible"
 	// AnswerNoJob: there is no such job.
 	AnswerNoJob Answer = "no_job"
 )
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -56,6 +56,9 @@
 			// The job came before, perhaps by a try whose answer was lost.
 			n.Log.Info("job accepted before", events.JobAccepted, zap.String("job", job.ID), zap.String("queue", job.Queue))
 			return AnswerOK
+		case tables.KindOf(err) == tables.KindInvalid && !unknown:
+			n.refuse(job.ID, err.Error())
+			return AnswerImpossible
 		case !tables.IsUnknown(err) && !unknown:
 			return n.refuse(job.ID, err.Error())
 		case n.store.down():
--- a/internal/owner/model_test.go
+++ b/internal/owner/model_test.go
@@ -65,7 +65,6 @@
 	fence, progress, pin                   int8
 	knows, marked, begun                   bool
 	fenceLate, markLate, moveLate, pinLate int8
-	begunLate                              int8
 }
 
 // model is one state of all processes and the store.
--- a/internal/owner/replies.go
+++ b/internal/owner/replies.go
@@ -11,6 +11,7 @@
 // may carry them out seconds later. Each such start holds up its job until the order has
 // been given up, so that the time to wait for an answer follows the answers that come.
 
+// The bounds of the wait for the answer to an order.
 const (
 	// OrderLeast and OrderMost bound the wait for the answer to an order. It comes within
 	// a few milliseconds, and within 0.1 s while the owner's host has used up its share of
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,8 @@
 	Limits   Limits `yaml:"limits"`
 	Bounds   Bounds `yaml:"bounds"`
 	LogLevel string `yaml:"log_level"`
+	// WorkerOrders is how workers are given orders; only calls are built.
+	WorkerOrders string `yaml:"worker_orders"`
 	// WorkersPerShard is how many workers a shard has at most. It counts when a
 	// service is first divided; a layout that exists stays.
 	WorkersPerShard int `yaml:"workers_per_shard"`
@@ -99,6 +101,10 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// OrdersByCall is the way of giving orders to workers that is built: each order is a call
+// of the worker.
+const OrdersByCall = "invocation"
+
 // The values of settings that were left out.
 const (
 	defaultLeaseMost = 10 * time.Second
@@ -140,6 +146,7 @@
 	setDefault(&s.Limits.CoreSpeed, 1.0)
 	setDefault(&s.Listen.PeersAt, s.Listen.Peers)
 	setDefault(&s.LogLevel, "info")
+	setDefault(&s.WorkerOrders, OrdersByCall)
 	setDefault(&s.WorkersPerShard, defaultWorkersPerShard)
 }
 
@@ -173,6 +180,10 @@
 			return invalid(b.field, "must be above 0")
 		}
 	}
+	if s.WorkerOrders != OrdersByCall {
+		// A node that ran would accept jobs of which it could start nothing.
+		return invalid("worker_orders", "only "+OrdersByCall+" is built, not "+s.WorkerOrders)
+	}
 	if s.Limits.CPUShare < 0 {
 		return invalid("limits.cpu_share", "must be above 0")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,6 +38,7 @@
 		{strings.Replace(good, `peers: "127.0.0.1:3"`, `peers: "127.0.0.1:3", peers_at: "nowhere"`, 1), "listen.peers_at"},
 		{good + "workers_per_shard: -1\n", "workers_per_shard"},
 		{good + "limits: {core_speed: -1}\n", "limits.core_speed"},
+		{good + "worker_orders: heartbeat\n", "worker_orders"},
 	} {
 		_, err := settings.Parse("node.yaml", []byte(c.text))
 		var e *settings.Error
--- a/matrix/site/input_test.go
+++ b/matrix/site/input_test.go
@@ -36,6 +36,7 @@
 			{"a step after itself", http.MethodPost, "/batch/" + goodID, `{"Steps":[{"Count":1,"DependsOn":[0]}]}`, http.StatusBadRequest, "steps[0].after"},
 			{"negative room", http.MethodPost, "/batch/" + goodID, `{"Steps":[{"Count":1,"Cpu":-1}]}`, http.StatusBadRequest, "steps[0].need"},
 			{"too many tasks", http.MethodPost, "/batch/" + goodID, `{"RepeatCount":2000,"Steps":[{"Count":1000}]}`, http.StatusBadRequest, "steps"},
+			{"larger than a row", http.MethodPost, "/batch/" + goodID, `{"Spec":"` + strings.Repeat("x", 70_000) + `","Steps":[` + step + `]}`, http.StatusBadRequest, "too large"},
 			{"unknown queue", http.MethodPost, "/nowhere/" + goodID, `{"Steps":[` + step + `]}`, http.StatusNotFound, ""},
 			{"not an ID", http.MethodPost, "/batch/short", `{"Steps":[` + step + `]}`, http.StatusNotFound, ""},
 			{"unknown job", http.MethodGet, "/batch/" + goodID, "", http.StatusGone, ""},
