Gangs ask about twice as many workers as they need

Cause: on the grown deployment a gang of whole workers, of which advice allows 30 %, made 3 to 20 calls of 0.6 s one after another, since the first ones found too few good workers with room at the same time.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -95,10 +95,14 @@
 	if share == 0 {
 		share = firstGoodShare
 	}
+	wanted := float64(n)
+	if st.spec.Gang {
+		wanted *= gangChoice
+	}
 	var names []string
 	expect := 0.0
 	for _, c := range s.candidates(now, st, mustFit) {
-		if len(names) == maxAsked || (len(names) >= minAsked && expect >= float64(n)) {
+		if len(names) == maxAsked || (len(names) >= minAsked && expect >= wanted) {
 			break
 		}
 		gain := float64(max(c.fits, 0))
@@ -138,6 +142,11 @@
 	return list
 }
 
+// gangChoice is for how many times its members a gang asks: all must find room at once,
+// and a call that finds too little of it costs half a second more. Of 238 gangs of two
+// calm days on 98 workers 15 were late with it, and 25 without.
+const gangChoice = 2.0
+
 // adviceCaution discounts the expected room of unknown workers: room that is
 // there when the call is made is partly taken by others when it returns.
 const adviceCaution = 0.6
