--- a/internal/owner/fence.go
+++ b/internal/owner/fence.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"switchbank.example/switchbank/internal/cluster"
@@ -57,64 +58,64 @@
 }
 
 // takeFence writes the fence under this owner's epoch, on condition that it holds a
-// lower one. A write whose answer is lost shows when the row is read again: it holds
-// this epoch, which no other owner has.
+// lower one, until that is known to be done. A write whose answer is lost shows when the
+// row is read again: it holds this epoch, which no other owner has.
 func (o *Owner) takeFence(ctx context.Context) error {
-	seen, known := o.cfg.Fence, o.cfg.Fence.Key != ""
+	seen := o.cfg.Fence
 	for ctx.Err() == nil {
-		var err error
-		if !known {
-			seen, err = ReadFence(ctx, o.Tables, o.cfg.Shard)
-		}
-		if err == nil {
-			epoch := o.fenceEpoch(seen)
-			if epoch == o.Epoch() {
-				o.fenceVersion = seen.Version
-				return nil
-			}
-			if epoch > o.Epoch() {
-				o.Lost("the fence of the progress has a higher epoch")
-				return &Error{"take fence", KindLost, nil}
-			}
-			var committed bool
-			if seen, committed, err = o.writeFence(ctx, seen); committed {
-				o.fenceVersion = seen.Version
-				return nil
-			}
-		}
-		known = err == nil
-		if err != nil && ctx.Err() == nil {
+		row, err := o.tryFence(ctx, seen)
+		switch epoch := o.fenceEpoch(row); {
+		case err != nil:
+			seen = tables.Row{}
 			o.Log.Warn("fence not taken", events.StoreFailed, zap.Stringer("shard", o.cfg.Shard), zap.Int64("epoch", o.Epoch()), zap.Error(err))
 			tables.Sleep(ctx, tables.RetryPause(err, fenceRetry))
+		case epoch == o.Epoch():
+			o.fenceVersion = row.Version
+			return nil
+		case epoch > o.Epoch():
+			o.Lost("the fence of the progress has a higher epoch")
+			return &Error{"take fence", KindLost, errors.New("an owner with a higher epoch has it")}
+		default:
+			seen = row
 		}
 	}
 	return &Error{"take fence", KindLoad, ctx.Err()}
 }
 
-// writeFence replaces the fence that was seen. It returns the row as it stands then.
-func (o *Owner) writeFence(ctx context.Context, seen tables.Row) (row tables.Row, committed bool, err error) {
+// tryFence reads the fence, unless it was seen, and replaces it if it holds a lower epoch
+// than this owner's. It returns the row as it stands then.
+func (o *Owner) tryFence(ctx context.Context, seen tables.Row) (tables.Row, error) {
+	if seen.Key == "" {
+		var err error
+		if seen, err = ReadFence(ctx, o.Tables, o.cfg.Shard); err != nil {
+			return tables.Row{}, err
+		}
+	}
+	if o.fenceEpoch(seen) >= o.Epoch() {
+		return seen, nil
+	}
+	return o.writeFence(ctx, seen)
+}
+
+// writeFence replaces the fence that was seen, and returns the row as it stands then.
+func (o *Owner) writeFence(ctx context.Context, seen tables.Row) (tables.Row, error) {
 	value, err := json.Marshal(fenceRecord{o.Epoch()})
 	if err != nil {
-		return seen, false, &Error{"write fence", KindLoad, err}
+		return tables.Row{}, &Error{"write fence", KindLoad, err}
 	}
-	row = FenceKey(o.cfg.Shard)
+	row := FenceKey(o.cfg.Shard)
 	row.Value = value
-	seen.Value = nil
 	res, err := o.Tables.Commit(ctx, tables.Txn{If: []tables.Row{seen}, Put: []tables.Row{row}})
 	switch {
 	case err != nil:
-		return seen, false, err
+		return tables.Row{}, err
 	case res.Committed:
 		row.Version = res.Version
-		return row, true, nil
-	}
-	row = FenceKey(o.cfg.Shard)
-	for _, r := range res.Current {
-		if r.Key == fenceKey {
-			row = r
-		}
+		return row, nil
+	case len(res.Current) > 0:
+		return res.Current[0], nil
 	}
-	return row, false, nil
+	return FenceKey(o.cfg.Shard), nil
 }
 
 // fenceEpoch returns the epoch that a fence row holds. One that can't be read is no
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -111,11 +111,14 @@
 	s.apply(storeTxn{Put: []storeRow{{Table: table, Part: part, Key: key, Value: value}}})
 }
 
-// Remove drops a row.
-func (s *Store) Remove(table, key string) {
+// Remove drops a row of the empty part.
+func (s *Store) Remove(table, key string) { s.RemoveIn(table, "", key) }
+
+// RemoveIn drops a row.
+func (s *Store) RemoveIn(table, part, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.apply(storeTxn{Remove: []storeRow{{Table: table, Key: key}}})
+	s.apply(storeTxn{Remove: []storeRow{{Table: table, Part: part, Key: key}}})
 }
 
 // Handler serves the store.
