Writes that the store can't accept are tried again each second; two errors are logged

The node's row that is not written, and an owner's row that is not read after a lost reply, are no longer passed over without a line.

--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -172,10 +172,12 @@
 	}
 	row := tables.Row{Table: TableCell, Key: nodePrefix + n.me.Name, Value: value}
 	for ctx.Err() == nil {
-		if _, err := n.store.Commit(ctx, tables.Txn{Put: []tables.Row{row}}); err == nil {
+		_, err := n.store.Commit(ctx, tables.Txn{Put: []tables.Row{row}})
+		if err == nil {
 			return
 		}
-		tables.Sleep(ctx, watchEvery)
+		n.Log.Info("node not announced", events.StoreFailed, zap.Error(err))
+		tables.Sleep(ctx, tables.RetryPause(err, watchEvery))
 	}
 }
 
@@ -194,6 +196,7 @@
 	if err != nil {
 		n.Log.Warn("shard not taken", events.StoreFailed, zap.Stringer("shard", shard), zap.String("cause", cause), zap.Error(err))
 		n.rereadOwner(ctx, shard)
+		tables.Sleep(ctx, tables.RetryPause(err, 0))
 		return n.local(shard) != nil
 	}
 	if !res.Committed {
@@ -251,7 +254,12 @@
 // rereadOwner settles a write whose reply was lost.
 func (n *Node) rereadOwner(ctx context.Context, shard cluster.ShardID) {
 	r, ok, err := tables.Get(ctx, n.store, TableCell, "", ownerPrefix+shard.String())
-	if err != nil || !ok {
+	if err != nil {
+		// The feed shows the row, or the next look after the owner takes the shard again.
+		n.Log.Info("owner row not read", events.StoreFailed, zap.Stringer("shard", shard), zap.Error(err))
+		return
+	}
+	if !ok {
 		return
 	}
 	rec, err := decodeOwner(r)
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -34,28 +34,32 @@
 		case <-o.persist:
 		}
 		pause := persistGap
-		if !o.persistOnce(ctx) {
-			pause = persistRetry
+		if retry := o.persistOnce(ctx); retry > 0 {
+			pause = retry
 			notify(o.persist)
 		}
 		tables.Sleep(ctx, pause)
 	}
 }
 
-// persistOnce writes one batch and reports whether that went well.
-func (o *Owner) persistOnce(ctx context.Context) bool {
+// persistOnce writes one batch, and returns the pause before it is to be tried again; 0:
+// that went well.
+func (o *Owner) persistOnce(ctx context.Context) (retry time.Duration) {
 	o.mu.Lock()
 	batch := o.shard.Dirty(batchJobs)
 	o.mu.Unlock()
 	if batch.Empty() {
-		return true
+		return 0
 	}
 	if len(batch.Records) == 0 {
 		o.do(func(s *scheduler.Shard, now time.Time) { s.Persisted(now, batch, 0) })
-		return true
+		return 0
 	}
 	if o.spill.isOn() {
-		return o.spillBatch(ctx, batch)
+		if !o.spillBatch(ctx, batch) {
+			return persistRetry
+		}
+		return 0
 	}
 	began := time.Now()
 	res, err := o.Tables.Commit(ctx, o.progressTxn(batch))
@@ -65,13 +69,16 @@
 		if ctx.Err() == nil {
 			o.Log.Warn("progress not written", events.StoreFailed, zap.Int("jobs", len(batch.Records)), zap.Error(err))
 		}
-		return !o.progressAnswers(ctx) && o.spillBatch(ctx, batch)
+		if !o.progressAnswers(ctx) && o.spillBatch(ctx, batch) {
+			return 0
+		}
+		return tables.RetryPause(err, persistRetry)
 	case !res.Committed:
 		o.settle(batch, res.Current)
-		return false
+		return persistRetry
 	}
 	o.persisted(batch, res.Version)
-	return true
+	return 0
 }
 
 // persisted notes that a batch is in the store under the version. Rows that it makes
--- /dev/null
+++ b/internal/tables/retry_test.go
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package tables_test
+
+import (
+	"testing"
+	"time"
+
+	"switchbank.example/switchbank/internal/tables"
+)
+
+// TestInvalidRequestWaitsLonger checks that what the service can't accept is not sent
+// again at the pace of what may go through the next time.
+func TestInvalidRequestWaitsLonger(t *testing.T) {
+	const usual = 50 * time.Millisecond
+	for _, c := range []struct {
+		kind tables.Kind
+		want time.Duration
+	}{{tables.KindRefused, usual}, {tables.KindUnknown, usual}, {tables.KindInvalid, time.Second}} {
+		if got := tables.RetryPause(&tables.Error{Op: "commit", Kind: c.kind}, usual); got != c.want {
+			t.Errorf("%s: %v, want %v", c.kind, got, c.want)
+		}
+	}
+}
