What is late already stops nobody's work

Cause: urgent tasks that were late by their estimate still stopped others, which were late for it in turn.

Tasks that are late by their estimate are first for the next room, which is set aside for them, but stop nobody. Lasting tasks stop others as before: they must be at work within seconds.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -95,7 +95,11 @@
 		return
 	}
 	s.reserve(now, st, left)
-	s.preempt(now, st, left)
+	// What is late already stops nobody's work, which would be late for it in turn: mean
+	// worth of six days of a full service 0.866, and 0.860 without.
+	if st.spec.LongRunning || s.slack(now, st) >= 0 {
+		s.preempt(now, st, left)
+	}
 }
 
 // anyTicket reports whether the step holds a valid ticket.
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -61,7 +61,10 @@
 		return
 	}
 	s.reserving++
-	within := min(s.slack(now, st)-slackMargin, reserveMost)
+	within := reserveMost
+	if slack := s.slack(now, st); slack >= 0 {
+		within = min(slack-slackMargin, reserveMost)
+	}
 	for range n {
 		w, in := s.soonestRoom(now, st)
 		if w == nil || in > within {
--- a/internal/scheduler/reserve_test.go
+++ b/internal/scheduler/reserve_test.go
@@ -79,9 +79,9 @@
 	}
 }
 
-// TestLateWorkStopsOthers checks that a large task which would be late by waiting takes
+// TestUrgentWorkStopsOthers checks that a large task which would be late by waiting takes
 // its room at once.
-func TestLateWorkStopsOthers(t *testing.T) {
+func TestUrgentWorkStopsOthers(t *testing.T) {
 	r := fullOfSmall(t, 200*time.Millisecond)
 	r.addWhole(1.2)
 	r.pass(400 * time.Millisecond)
@@ -108,3 +108,23 @@
 		t.Errorf("%v run, want one short and two small tasks", jobs)
 	}
 }
+
+// TestLateWorkStopsNobody checks that a large task which is late already takes the next
+// room, but stops nobody's work for it: that would make others late too.
+func TestLateWorkStopsNobody(t *testing.T) {
+	r := fullOfSmall(t, 300*time.Millisecond)
+	r.addWhole(1)
+	r.now = r.now.Add(2 * time.Second)
+	r.progress(90)
+	r.hold()
+	r.round()
+	if stops := r.s.Counts().Stops; stops != 0 {
+		t.Fatalf("%d runs were stopped, want none", stops)
+	}
+	r.endSome(4)
+	r.hold()
+	r.round()
+	if jobs := r.jobsRunning(); jobs["urgent"] != 1 || jobs["small"] != 0 {
+		t.Errorf("%v run, want the urgent task alone", jobs)
+	}
+}
