A worker that leaves without a word is found also where all announce themselves together

The gap is 2 s now; an outage shorter than that takes no entries with it, since these lapse after three announcements.

--- a/internal/scheduler/leaving.go
+++ b/internal/scheduler/leaving.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// directoryGap is from when the directory counts as not read: the workers'
-	// announcements, one each 1.5 s, show all the time on the smallest sites.
-	directoryGap = time.Second
+	// directoryGap is from when the directory counts as not read. Each worker announces
+	// itself every 1.5 s, and all may do so together; entries lapse after three times that
+	// only, so that an outage which is shorter than this takes none with it.
+	directoryGap = 2 * time.Second
 	// backWithin is how long after an outage of the store entries that lapsed
 	// meanwhile may take to come back (about two seconds), with some slack.
 	backWithin = 2500 * time.Millisecond
--- a/standin/site/beat.go
+++ b/standin/site/beat.go
@@ -26,6 +26,10 @@
 		return
 	}
 	w.mu.Lock()
+	if w.unlisted {
+		w.mu.Unlock()
+		return
+	}
 	b := beat{
 		Upstream: w.site.cfg.Service, Address: w.Address, Zone: "dc", State: "ready",
 		Capacity: capacity{w.cfg.CPUMilli, w.cfg.MemoryMB}, Labels: w.labels(), ClockMS: w.clock(), Seq: w.clock(),
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -42,7 +42,9 @@
 	changed chan struct{}
 	dead    bool
 	drain   bool
-	faults  WorkerFaults
+	// unlisted is set once it leaves without a word.
+	unlisted bool
+	faults   WorkerFaults
 }
 
 // WorkerFaults are the ways in which a worker can fail.
@@ -120,6 +122,15 @@
 	w.beat()
 }
 
+// LeaveUnsaid lets the worker's entry go, as of one that leaves without saying so: it
+// serves on, but announces itself no more.
+func (w *Worker) LeaveUnsaid() {
+	w.mu.Lock()
+	w.unlisted = true
+	w.mu.Unlock()
+	w.site.Store.Remove("servers", w.ID)
+}
+
 // Crash ends the life: nothing runs there any more, and the directory drops it.
 func (w *Worker) Crash() {
 	w.mu.Lock()
