Sight: how far an answer had come, how a configuration was read, and how long a node was behind

The record could not tell whether configurations came late because the table is listed again, because peers' fetches can't end, or because reads of the store are given up half-way. SB1722 says of each answer that broke off how much had arrived; SB1710 says how the version was read, its size and how long the node knew that it was behind; three metrics count the same. No logic is changed.

--- /dev/null
+++ b/internal/cell/configuration.go
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/tables"
+)
+
+// The ways in which a configuration is read from the store.
+const (
+	fromFeed = "feed"
+	fromList = "list"
+)
+
+// followConfig keeps the operators' configuration current.
+func (n *Node) followConfig(ctx context.Context) {
+	f := tables.Follower{
+		Service: n.store, Table: n.Configs.Table(), Parts: []string{""}, Silence: followSilence,
+		Apply: func(rows []tables.Row, whole bool) {
+			for _, r := range rows {
+				n.applyConfigRow(r, whole)
+			}
+		},
+		Failed: n.storeFailed(n.Configs.Table()),
+	}
+	f.Run(ctx)
+}
+
+// applyConfigRow takes in a row of the operators' table, from a list if listed is set.
+func (n *Node) applyConfigRow(r tables.Row, listed bool) {
+	if r.Gone {
+		return
+	}
+	cfg, ok, err := n.Configs.Decode(r)
+	if err != nil {
+		n.Log.Warn("configuration row skipped", events.RowSkipped, zap.String("key", r.Key), zap.Error(err))
+		return
+	}
+	if !ok {
+		return
+	}
+	from := fromFeed
+	if listed {
+		from = fromList
+	}
+	n.metrics.GetOrCreateCounter(`switchbank_config_bytes_total{from="` + from + `"}`).Add(len(r.Value))
+	n.applyConfig(cfg, "store "+from, len(r.Value))
+}
+
+// applyConfig puts a configuration in force, unless a newer one is. Its size is 0 if
+// that isn't known.
+func (n *Node) applyConfig(cfg cluster.Config, source string, size int) {
+	for {
+		old := n.config.Load()
+		if old != nil && old.Version >= cfg.Version {
+			return
+		}
+		if n.config.CompareAndSwap(old, &cfg) {
+			break
+		}
+	}
+	n.Log.Info("configuration in force", events.ConfigInForce, zap.Int64("version", cfg.Version), zap.String("source", source),
+		zap.Int("queues", len(cfg.Queues)), zap.Int("services", len(cfg.Services)), zap.Int("bytes", size),
+		zap.Duration("behind", n.behind.inForce(cfg.Version)))
+	n.watchServices(cfg.Services)
+}
+
+// configSeen fetches a newer configuration that a peer has.
+func (n *Node) configSeen(ctx context.Context, reply pingReply) {
+	old := n.Config()
+	if reply.ConfigVersion == 0 || (old != nil && old.Version >= reply.ConfigVersion) {
+		return
+	}
+	n.behind.heardOf(reply.ConfigVersion)
+	cfg, err := call[done, cluster.Config](ctx, n.peers, reply.Me.Address, pathConfig, done{}, askPeer)
+	if err != nil {
+		n.countFetch("failed")
+		n.Log.Info("configuration not fetched", events.PeerLost, zap.String("peer", reply.Me.Name), zap.Error(err))
+		return
+	}
+	n.countFetch("read")
+	n.applyConfig(cfg, reply.Me.Name, 0)
+}
+
+// countFetch counts a fetch of the configuration from a peer.
+func (n *Node) countFetch(outcome string) {
+	n.metrics.GetOrCreateCounter(`switchbank_config_fetches_total{outcome="` + outcome + `"}`).Inc()
+}
+
+// behind notes since when a node has known that its configuration is not the newest.
+type behind struct {
+	mu sync.Mutex
+	// version is the one in force here, and newest the newest that a peer has told of.
+	version, newest int64
+	// since is when the node learned of a version above its own; zero: its own is
+	// the newest that it knows of.
+	since time.Time
+}
+
+// heardOf notes that a peer has a version.
+func (b *behind) heardOf(version int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.newest = max(b.newest, version)
+	if b.since.IsZero() && version > b.version {
+		b.since = time.Now()
+	}
+}
+
+// inForce notes that a version is in force, and returns how long the node was behind.
+func (b *behind) inForce(version int64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.version = max(b.version, version)
+	if b.since.IsZero() {
+		return 0
+	}
+	d := time.Since(b.since)
+	if version >= b.newest {
+		b.since = time.Time{}
+	}
+	return d
+}
+
+// duration returns for how long the node has known of a newer version, or 0.
+func (b *behind) duration() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.since.IsZero() {
+		return 0
+	}
+	return time.Since(b.since)
+}
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -29,6 +29,7 @@
 		}
 		return 0
 	})
+	n.metrics.NewGauge("switchbank_config_behind_seconds", func() float64 { return n.behind.duration().Seconds() })
 	total("switchbank_runs_started", func(c scheduler.Counts) int64 { return c.Starts })
 	total("switchbank_runs_done", func(c scheduler.Counts) int64 { return c.Done })
 	total("switchbank_runs_failed", func(c scheduler.Counts) int64 { return c.Failed })
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -100,6 +100,7 @@
 	peers    *peers
 	metrics  *metrics.Set
 	config   atomic.Pointer[cluster.Config]
+	behind   behind
 	draining atomic.Bool
 
 	mu sync.Mutex
--- /dev/null
+++ b/internal/conns/answer.go
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package conns
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/events"
+)
+
+// answer is the body of an answer. It logs how far the answer had come if it
+// breaks off, or is given up, before its end.
+type answer struct {
+	io.ReadCloser
+	t    *Transport
+	r    *http.Request
+	sent int64
+	// bytes is how much has arrived.
+	bytes int64
+}
+
+// Read reads what has arrived.
+func (a *answer) Read(b []byte) (int, error) {
+	n, err := a.ReadCloser.Read(b)
+	a.bytes += int64(n)
+	if err != nil && !errors.Is(err, io.EOF) {
+		a.t.Log.Info("answer broke off", events.AnswerBrokeOff, zap.String("url", a.r.URL.String()), zap.Int64("bytes", a.bytes),
+			zap.Duration("took", time.Duration(a.t.now()-a.sent)), zap.Error(err))
+	}
+	return n, err
+}
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -69,8 +69,10 @@
 	res, err := t.http.RoundTrip(r)
 	if err != nil {
 		t.closeSilent(dialled(r.URL), sent)
+		return res, err
 	}
-	return res, err
+	res.Body = &answer{ReadCloser: res.Body, t: t, r: r, sent: sent}
+	return res, nil
 }
 
 // httpPort is dialled for a URL without a port; nothing here speaks TLS.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -122,6 +122,7 @@
 	ProgressSpills  = zap.String(Field, "SB1719")
 	PartLoaded      = zap.String(Field, "SB1720")
 	ConnsSilent     = zap.String(Field, "SB1721")
+	AnswerBrokeOff  = zap.String(Field, "SB1722")
 )
 
 // LinesDropped is written by the log's writer itself, beside the logger.
