Answers that arrive are not given up: limits count from the last byte, not for the whole

An answer that takes longer only because it is large and the link is slow was thrown away before its end and asked for again from its beginning. Ruled out: longer limits; any total is too short for some size, and too long for a call that gets no answer. Change: conns.WithLimit ends a call when nothing has arrived for a while; the relay looks for a lost answer only until it begins to arrive; calls of peers and listings of machines likewise. A dial that is given up doesn't count as refused. Left: the table is still read each second, and fetches from peers go side by side.

--- a/internal/cell/layout.go
+++ b/internal/cell/layout.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/conns"
 	"switchbank.example/switchbank/internal/events"
 	"switchbank.example/switchbank/internal/tables"
 )
@@ -17,7 +18,8 @@
 const (
 	// layoutLook is the pause between two looks for a service's layout, which is in
 	// the store after the first start. layoutMake is how long a node waits for it
-	// before it makes one, and machinesWithin bounds one listing of the machines.
+	// before it makes one, and machinesWithin is by when a listing of the machines has
+	// to begin to arrive.
 	layoutLook     = 10 * time.Millisecond
 	layoutMake     = 100 * time.Millisecond
 	machinesWithin = 700 * time.Millisecond
@@ -70,7 +72,7 @@
 // makeLayout plans a service's layout from the machines that the platform lists,
 // and writes it unless another node has.
 func (n *Node) makeLayout(ctx context.Context, service string) {
-	c, cancel := context.WithTimeout(ctx, machinesWithin)
+	c, cancel := conns.WithLimit(ctx, machinesWithin)
 	machines, err := n.Machines.Machines(c)
 	cancel()
 	if err != nil && n.cfg.Machines != "" {
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -192,9 +192,9 @@
 	return ok && !q.firstFail.IsZero()
 }
 
-// call sends a message to a peer.
-func call[Req, Resp any](ctx context.Context, p *peers, address, path string, req Req, timeout time.Duration) (Resp, error) {
-	c, cancel := context.WithTimeout(ctx, timeout)
+// call sends a message to a peer, whose answer has to begin to arrive within begin.
+func call[Req, Resp any](ctx context.Context, p *peers, address, path string, req Req, begin time.Duration) (Resp, error) {
+	c, cancel := conns.WithLimit(ctx, begin)
 	defer cancel()
 	return httpx.Call[Req, Resp](c, p.client, "http://"+address+path, req)
 }
--- a/internal/cell/ping.go
+++ b/internal/cell/ping.go
@@ -152,5 +152,5 @@
 // isRefused reports whether nothing listens at the other end.
 func isRefused(err error) bool {
 	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial" && !op.Timeout()
+	return errors.As(err, &op) && op.Op == "dial" && !op.Timeout() && !errors.Is(err, context.Canceled)
 }
--- a/internal/conns/answer.go
+++ b/internal/conns/answer.go
@@ -27,7 +27,10 @@
 // Read reads what has arrived.
 func (a *answer) Read(b []byte) (int, error) {
 	n, err := a.ReadCloser.Read(b)
-	a.bytes += int64(n)
+	if n > 0 {
+		a.bytes += int64(n)
+		heard(a.r.Context())
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		a.t.Log.Info("answer broke off", events.AnswerBrokeOff, zap.String("url", a.r.URL.String()), zap.Int64("bytes", a.bytes),
 			zap.Duration("took", time.Duration(a.t.now()-a.sent)), zap.Error(err))
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -10,9 +10,15 @@
 // arrived since the failed call was sent are closed, and the next call makes a new
 // one. Calls that are open are left alone; they end by their own limits.
 //
+// WithLimit bounds a call by what arrives of its answer: a large answer on a slow link
+// takes as long as it takes, while one that doesn't come, or stands still, is given up.
+//
 // # Usage
 //
 //	client := &http.Client{Transport: conns.New(conns.Network{Dial: dial, Log: log}, 8, time.Minute)}
+//	ctx, cancel := conns.WithLimit(ctx, 300*time.Millisecond)
+//	defer cancel()
+//	res, err := client.Do(r.WithContext(ctx))
 package conns
 
 import (
@@ -71,6 +77,7 @@
 		t.closeSilent(dialled(r.URL), sent)
 		return res, err
 	}
+	heard(r.Context())
 	res.Body = &answer{ReadCloser: res.Body, t: t, r: r, sent: sent}
 	return res, nil
 }
--- /dev/null
+++ b/internal/conns/limit_test.go
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package conns_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/conns"
+	"switchbank.example/switchbank/standin/network"
+)
+
+const (
+	// begin is the limit of the calls until their answer begins to arrive.
+	begin = 300 * time.Millisecond
+	piece = "0123456789"
+)
+
+// piecewise answers with pieces, with a pause before each.
+func piecewise(pauses ...time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for _, d := range pauses {
+			select {
+			case <-time.After(d):
+			case <-r.Context().Done():
+				return
+			}
+			_, _ = io.WriteString(w, piece)
+			_ = http.NewResponseController(w).Flush()
+		}
+	})
+}
+
+// TestLimit checks that a call is ended by what arrives of its answer, and not by how
+// long the whole answer takes.
+func TestLimit(t *testing.T) {
+	const hour = time.Hour
+	for _, c := range []struct {
+		name   string
+		pauses []time.Duration
+		// kind is that of the call's end, "" if the answer is read whole; after is when it ends.
+		kind  conns.Kind
+		after time.Duration
+	}{
+		{"a large answer on a slow link", []time.Duration{200 * time.Millisecond, time.Second, time.Second, time.Second}, "", 3200 * time.Millisecond},
+		{"no answer", []time.Duration{hour}, conns.KindSilent, begin},
+		{"an answer that stands still", []time.Duration{200 * time.Millisecond, hour}, conns.KindStalled, 200*time.Millisecond + conns.StallTimeout},
+		{"one that stands still later", []time.Duration{0, time.Second, hour}, conns.KindStalled, time.Second + conns.StallTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := network.New()
+				srv := &http.Server{Handler: piecewise(c.pauses...)}
+				l := n.Listen("a:80")
+				go func() { _ = srv.Serve(l) }()
+				defer func() { _ = srv.Close() }()
+				client := &http.Client{Transport: conns.New(conns.Network{Dial: n.Dial("client"), Log: zap.NewNop()}, 1, time.Minute)}
+				defer client.CloseIdleConnections()
+				ctx, cancel := conns.WithLimit(t.Context(), begin)
+				defer cancel()
+				r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://a/", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				began := time.Now()
+				body, err := readAll(client, r)
+				if took := time.Since(began); took != c.after {
+					t.Errorf("the call ended after %s, want %s", took, c.after)
+				}
+				var e *conns.Error
+				switch {
+				case c.kind == "" && (err != nil || len(body) != len(c.pauses)*len(piece)):
+					t.Errorf("read %q and %v, want all", body, err)
+				case c.kind != "" && (!errors.As(err, &e) || e.Kind != c.kind):
+					t.Errorf("the call ended with %v, want %s", err, c.kind)
+				}
+				if got, want := conns.Arriving(ctx), c.pauses[0] < begin; got != want {
+					t.Errorf("Arriving is %t, want %t", got, want)
+				}
+			})
+		})
+	}
+}
+
+func readAll(client *http.Client, r *http.Request) ([]byte, error) {
+	res, err := client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	return io.ReadAll(res.Body)
+}
--- a/internal/owner/machines.go
+++ b/internal/owner/machines.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/conns"
 	"switchbank.example/switchbank/internal/events"
 	"switchbank.example/switchbank/internal/scheduler"
 	"switchbank.example/switchbank/internal/tables"
@@ -25,7 +26,7 @@
 	// makes up for a listing that came before a worker was found silent.
 	machinesSoon  = 120 * time.Millisecond
 	machinesFirst = missingTwice + 1
-	// machinesTimeout bounds one listing.
+	// machinesTimeout is by when a listing has to begin to arrive.
 	machinesTimeout = 700 * time.Millisecond
 	// missingTwice is how many listings in a row must lack a machine or a worker.
 	missingTwice = 2
@@ -36,7 +37,7 @@
 	w := machineWatch{o: o, onMachine: make(map[string]string), missing: make(map[string]int)}
 	pause := machinesEvery * time.Duration(o.cfg.Layout.Shards+1) / 2
 	for n := 0; ctx.Err() == nil; n++ {
-		c, cancel := context.WithTimeout(ctx, machinesTimeout)
+		c, cancel := conns.WithLimit(ctx, machinesTimeout)
 		list, err := o.Machines.Machines(c)
 		cancel()
 		if err == nil {
--- a/internal/tables/look.go
+++ b/internal/tables/look.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"time"
+
+	"switchbank.example/switchbank/internal/conns"
 )
 
 // silentDirect is how long a call may go without an answer while no other call
@@ -13,13 +15,13 @@
 const silentDirect = 900 * time.Millisecond
 
 // giveUpSilent ends a direct call early if the service answers nothing meanwhile.
-func (r *Relay) giveUpSilent(cancel context.CancelFunc, after time.Duration) *time.Timer {
+func (r *Relay) giveUpSilent(ctx context.Context, cancel context.CancelFunc, after time.Duration) *time.Timer {
 	sent := time.Now()
 	return time.AfterFunc(after, func() {
 		r.mu.Lock()
 		unanswered := r.lastAnswer.Before(sent)
 		r.mu.Unlock()
-		if unanswered {
+		if unanswered && !conns.Arriving(ctx) {
 			cancel()
 		}
 	})
@@ -40,10 +42,11 @@
 	lookPause = 700 * time.Millisecond
 )
 
-// giveUpLost ends a direct call early if the service answers another one at once.
-func (r *Relay) giveUpLost(cancel context.CancelFunc, after time.Duration) *time.Timer {
+// giveUpLost ends a direct call early if nothing of its answer has arrived and the
+// service answers another one at once.
+func (r *Relay) giveUpLost(ctx context.Context, cancel context.CancelFunc, after time.Duration) *time.Timer {
 	return time.AfterFunc(after, func() {
-		if r.answers() {
+		if !conns.Arriving(ctx) && r.answers() && !conns.Arriving(ctx) {
 			cancel()
 		}
 	})
--- a/internal/tables/relay.go
+++ b/internal/tables/relay.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sync/singleflight"
+
+	"switchbank.example/switchbank/internal/conns"
 )
 
 const (
@@ -104,7 +106,7 @@
 // limits bound one call.
 type limits struct {
 	// wait is for how long the service may hold the answer back, and most how much
-	// longer it may take.
+	// longer it may take to begin.
 	wait, most time.Duration
 	// write is set if the call may not be repeated without an answer.
 	write bool
@@ -165,10 +167,10 @@
 // directly makes a call of the service itself. If its outcome is unknown, back
 // reports whether the service answers on another connection.
 func directly[Res any](ctx context.Context, r *Relay, lim limits, call request[Res]) (res Res, back bool, err error) {
-	c, cancel := context.WithTimeout(ctx, lim.wait+lim.most)
+	c, cancel := conns.WithLimit(ctx, lim.wait+lim.most)
 	defer cancel()
-	defer r.giveUpSilent(cancel, lim.wait+silentDirect).Stop()
-	defer r.giveUpLost(cancel, lim.wait+lostAfter).Stop()
+	defer r.giveUpSilent(c, cancel, lim.wait+silentDirect).Stop()
+	defer r.giveUpLost(c, cancel, lim.wait+lostAfter).Stop()
 	res, err = call(c, r.direct)
 	r.answered(err)
 	return res, IsUnknown(err) && ctx.Err() == nil && r.answers(), err
@@ -176,7 +178,7 @@
 
 // through makes a call through a peer.
 func through[Res any](ctx context.Context, peer Service, lim limits, call request[Res]) (Res, error) {
-	c, cancel := context.WithTimeout(ctx, lim.wait+lim.most)
+	c, cancel := conns.WithLimit(ctx, lim.wait+lim.most)
 	defer cancel()
 	return call(c, peer)
 }
