A table whose feed answers is not listed again

Cause: the follower of the configuration listed the whole table each time its feed had said nothing for a second, as a guard against a deaf feed. The cost grows with the configuration and falls on every node: 380 kB a second for 1,446 routes, 730 for 2,846, on links of 1,250. Ruled out: going on from the newest version that the feed shows, without lists: a change made while the feed is deaf would be lost (TestFollowerOfQuietTable fails); going on from the last change: leaves the history after 20 s. Change: a list only after the loss of the history or two failures; the feed goes on from a version that it has shown at least 5 s ago. The directory and the cell's rows keep their lists.

--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -36,7 +36,7 @@
 // followWorkers keeps the list of workers current, and a loop of holds for each.
 func (o *Owner) followWorkers(ctx context.Context) error {
 	f := tables.Follower{
-		Service: o.Tables, Table: o.Directory.Table(), Parts: []string{""}, Silence: directorySilence, Pause: directoryPause,
+		Service: o.Tables, Table: o.Directory.Table(), Parts: []string{""}, Silence: directorySilence, Relist: directorySilence, Pause: directoryPause,
 		Apply:  func(rows []tables.Row, whole bool) { o.applyWorkers(ctx, rows, whole) },
 		Failed: o.followFailed(o.Directory.Table()),
 	}
--- a/internal/tables/follow.go
+++ b/internal/tables/follow.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// Follower keeps a table current: from its feed, and from a list whenever the
-// feed has been silent for a while, has failed, or has lost its history.
+// Follower keeps a table current: from its feed, and from a list when the feed has lost
+// its history or has failed twice, and, if that is asked for, when it has been silent.
 type Follower struct {
 	Service Service
 	Table   string
@@ -20,7 +20,7 @@
 	// Silence is how long one call of the feed waits for a change.
 	Silence time.Duration
 	// Relist is how long after a list a feed that says nothing makes the table be
-	// listed again; 0: each time.
+	// listed again; 0: never, which is for large rows that rarely change.
 	Relist time.Duration
 	// Pause is the least time between two calls of the feed.
 	Pause time.Duration
@@ -34,12 +34,21 @@
 	failing bool
 	// listedAt is when the table was last listed.
 	listedAt time.Time
+	// mark is a version that the feed has shown without a change, and markedAt when.
+	mark     int64
+	markedAt time.Time
 }
 
 // retryPause is the pause after a failed call: short beside the bounds on
 // configuration (2 s), long beside the answer time of the service (4 ms).
 const retryPause = 100 * time.Millisecond
 
+// markAge is how old a version has to be that the feed has shown without a change
+// before the feed goes on from there. A feed can be deaf for a second before its history
+// is dropped; one that went on at once would then never learn of what it missed. It is
+// well below the 20 s for which the service keeps its history.
+const markAge = 5 * time.Second
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	after, relist := f.After, f.After == 0
@@ -51,21 +60,38 @@
 			}
 		}
 		res, err := f.Service.Feed(ctx, FeedRequest{Table: f.Table, After: after, Wait: f.Silence})
-		relist = err != nil || (len(res.Rows) == 0 && time.Since(f.listedAt) >= f.Relist)
 		if err != nil {
-			if KindOf(err) == KindHistoryGone {
+			gone := KindOf(err) == KindHistoryGone
+			if gone {
 				after = 0
 			}
+			relist = gone || f.Relist > 0 || f.failing
 			f.fail(ctx, err)
 			continue
 		}
 		f.failing = false
-		if len(res.Rows) > 0 {
-			f.Apply(res.Rows, false)
-			after = res.Version
-			Sleep(ctx, f.Pause)
+		if len(res.Rows) == 0 {
+			relist = f.Relist > 0 && time.Since(f.listedAt) >= f.Relist
+			after = f.advance(after, res.Version)
+			continue
 		}
+		relist = false
+		f.Apply(res.Rows, false)
+		after, f.mark = res.Version, 0
+		Sleep(ctx, f.Pause)
+	}
+}
+
+// advance returns from where the feed goes on after it has shown a version without a
+// change: from an earlier such version, so that it stays within the history.
+func (f *Follower) advance(after, version int64) int64 {
+	now := time.Now()
+	if f.mark != 0 && now.Sub(f.markedAt) < markAge {
+		return after
 	}
+	after = max(after, f.mark)
+	f.mark, f.markedAt = version, now
+	return after
 }
 
 // listAfter applies a list of all parts and returns the version from which the feed
@@ -77,7 +103,7 @@
 		f.fail(ctx, err)
 		return after
 	}
-	f.failing, f.listedAt = false, time.Now()
+	f.failing, f.listedAt, f.mark = false, time.Now(), 0
 	f.Apply(rows, true)
 	return version
 }
