A large write is not taken for one whose answer is lost while it is being sent

A batch of progress of 700 kB takes 0.75 s over a link of 10 Mbit/s; it would have counted as unknown and been sent again without end (TestLargeWriteOnSlowLink fails without the change). Limits of a write now begin when its body can have been sent, at half of the slowest link's rate.

--- a/internal/tables/relay.go
+++ b/internal/tables/relay.go
@@ -88,7 +88,7 @@
 // Commit commits txn. A write whose outcome is unknown is not repeated here:
 // the caller settles it by its conditions.
 func (r *Relay) Commit(ctx context.Context, txn Txn) (TxnResult, error) {
-	return relayed(ctx, r, limits{most: commitTimeout, write: true}, func(ctx context.Context, s Service) (TxnResult, error) { return s.Commit(ctx, txn) })
+	return relayed(ctx, r, limits{wait: sending(txn.size()), most: commitTimeout, write: true}, func(ctx context.Context, s Service) (TxnResult, error) { return s.Commit(ctx, txn) })
 }
 
 // List reads rows.
@@ -116,8 +116,8 @@
 
 // limits bound one call.
 type limits struct {
-	// wait is for how long the service may hold the answer back, and most how much
-	// longer it may take to begin.
+	// wait is how long the request takes on its way, or for how long the service may hold
+	// the answer back, and most how much longer that may take to begin.
 	wait, most time.Duration
 	// write is set if the call may not be repeated without an answer, and own if it may
 	// not go through peers.
@@ -133,6 +133,16 @@
 	listTimeout   = time.Second
 )
 
+// uploadRate is what a node can send at least, in bytes a second: half of a link of 10
+// Mbit/s, the slowest that nodes have.
+const uploadRate = 625_000
+
+// sending returns how long a request of a size may be on its way. A write that is given
+// up while it is being sent counts as unknown and is sent again, over the same link.
+func sending(size int) time.Duration {
+	return time.Duration(size) * time.Second / uploadRate
+}
+
 // relayed makes a call directly, or through peers while the service turns this node away.
 func relayed[Res any](ctx context.Context, r *Relay, lim limits, call request[Res]) (res Res, err error) {
 	directFirst := r.DirectGood()
--- a/internal/tables/relay_test.go
+++ b/internal/tables/relay_test.go
@@ -179,3 +179,47 @@
 		})
 	}
 }
+
+// slowUpload is a service to which a node sends over a slow link.
+type slowUpload struct {
+	fakeService
+	// rate is in bytes a second.
+	rate int
+}
+
+// List is answered at once.
+func (s *slowUpload) List(context.Context, tables.ListRequest) (tables.ListResult, error) {
+	return tables.ListResult{}, nil
+}
+
+// Commit is answered once the values have been sent, in base64.
+func (s *slowUpload) Commit(ctx context.Context, txn tables.Txn) (tables.TxnResult, error) {
+	size := 0
+	for _, r := range txn.Put {
+		size += 4 * len(r.Value) / 3
+	}
+	tables.Sleep(ctx, time.Duration(size)*time.Second/time.Duration(s.rate))
+	return s.fakeService.Commit(ctx, txn)
+}
+
+// TestLargeWriteOnSlowLink checks that a write isn't given up while it is being sent: one
+// of 700 kB takes 0.75 s over a link of 10 Mbit/s, while other calls are answered at once.
+// It was taken for one whose answer is lost after 0.2 s, and would have been sent again
+// and again.
+func TestLargeWriteOnSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		svc := &slowUpload{rate: 1_250_000}
+		r := tables.NewRelay(svc, peerList{}, look)
+		res, err := r.Commit(t.Context(), tables.Txn{Put: []tables.Row{{Table: "t", Key: "k", Value: make([]byte, 700_000)}}})
+		if err != nil || !res.Committed {
+			t.Errorf("%+v, %v", res, err)
+		}
+		// A small one whose answer is lost is given up as soon as before.
+		svc.set(true, false)
+		began := time.Now()
+		_, err = r.Commit(t.Context(), tables.Txn{Put: []tables.Row{{Table: "t", Key: "k", Value: make([]byte, 100)}}})
+		if took := time.Since(began); !tables.IsUnknown(err) || took > 300*time.Millisecond {
+			t.Errorf("a lost answer: %v after %s, want an unknown outcome within 0.3 s", err, took)
+		}
+	})
+}
--- a/internal/tables/tables.go
+++ b/internal/tables/tables.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"time"
 
@@ -40,6 +41,17 @@
 	Remove []Row `json:"remove,omitempty"`
 }
 
+// size returns about how many bytes the Txn has on its way: values go in base64.
+func (t Txn) size() int {
+	n := 0
+	for _, rows := range [][]Row{t.If, t.Put, t.Remove} {
+		for _, r := range rows {
+			n += len(r.Table) + len(r.Part) + len(r.Key) + base64.StdEncoding.EncodedLen(len(r.Value))
+		}
+	}
+	return n
+}
+
 // MaxEntries is the most rows that a Txn may name (the table service's limit).
 const MaxEntries = 100
 
