The soak lets the configuration grow on nodes with slow links

Two of five nodes have links of 10 Mbit/s to the store and from the others; the configuration grows by 700 routes each 2 to 6 s. At the end the last version must be in force on every node.

--- a/e2e/link_test.go
+++ b/e2e/link_test.go
@@ -37,6 +37,25 @@
 	closed  bool
 	// silenced is how often the connections that were open went silent.
 	silenced int
+	// in and out let what goes to the listener, and what comes from it, pass one after the other.
+	in, out lane
+}
+
+// lane is one direction of a link.
+type lane struct {
+	mu sync.Mutex
+	// rate is in bytes a second; 0: no limit. It is set before the link is used.
+	rate int
+}
+
+// carry waits until n bytes have passed, behind all that came before them.
+func (l *lane) carry(n int) {
+	if l.rate == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	time.Sleep(time.Duration(n) * time.Second / time.Duration(l.rate))
 }
 
 // newLink relays from an address to another one.
@@ -133,8 +152,8 @@
 		return
 	}
 	silent := func() bool { return k.silentSince(silenced) }
-	go k.pass(near, far, silent, func(s linkState) bool { return s.holdIn })
-	k.pass(far, near, silent, func(s linkState) bool { return s.holdOut })
+	go k.pass(near, far, &k.in, silent, func(s linkState) bool { return s.holdIn })
+	k.pass(far, near, &k.out, silent, func(s linkState) bool { return s.holdOut })
 }
 
 // keep notes an open connection; false: the link breaks all.
@@ -150,7 +169,7 @@
 
 // pass copies data one way, as the state of the link allows. What comes on a
 // connection that has gone silent is lost, its end as well.
-func (k *link) pass(from, to net.Conn, silent func() bool, held func(linkState) bool) {
+func (k *link) pass(from, to net.Conn, lane *lane, silent func() bool, held func(linkState) bool) {
 	defer func() {
 		if !silent() {
 			_ = to.Close()
@@ -161,6 +180,7 @@
 		n, err := from.Read(buf)
 		if n > 0 && !silent() {
 			k.await(held)
+			lane.carry(n)
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				_ = from.Close()
 				return
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -26,6 +26,10 @@
 	// soakRejectOneIn keeps the chance small that advice rejects all four workers of
 	// a shard: a job that has begun doesn't move, and would wait for ever.
 	soakRejectOneIn = 64
+	// soakSlow nodes have links of 10 Mbit/s to the store, and others to them; the rate
+	// is in bytes a second.
+	soakSlow     = 2
+	soakSlowRate = 1_250_000
 	// soakTime is how long faults and jobs come.
 	soakTime = 20 * time.Second
 	// soakPause is the pause between two jobs.
@@ -81,8 +85,9 @@
 // TestSoak plays random faults, drawn from a seed, on real processes: nodes are
 // killed, paused, stopped as planned and started again; connections to the store,
 // to workers and between nodes are delayed, reset, held one way and silenced, for a
-// while or for good; the store and workers fail. What workers and callers saw is
-// judged; once all is mended every accepted job must end.
+// while or for good; the store and workers fail; the configuration grows by many routes,
+// also on nodes with slow links. What workers and callers saw is judged; once all is
+// mended every accepted job must end, and the last configuration be in force.
 func TestSoak(t *testing.T) {
 	for _, seed := range soakSeeds(t) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
@@ -98,12 +103,14 @@
 	seed uint64
 	rng  *rand.Rand
 	// ports are the addresses that nothing uses yet.
-	ports   []string
-	began   time.Time
-	version int64
-	faults  sync.WaitGroup
+	ports  []string
+	began  time.Time
+	faults sync.WaitGroup
 
 	mu sync.Mutex
+	// version is the last configuration's, which has more routes beside those of the load.
+	version int64
+	more    int
 	// busy are the things that a fault of their own has at the moment.
 	busy     map[string]bool
 	workers  []*site.Worker
@@ -172,6 +179,11 @@
 		n.peers = s.links[n.peersAt].to
 		k := newLink(s.t, s.port(), s.store)
 		s.links[k.at], n.store = k, k.at
+		if i >= soakNodes-soakSlow {
+			for _, slow := range []*link{k, s.links[n.peersAt]} {
+				slow.in.rate, slow.out.rate = soakSlowRate, soakSlowRate
+			}
+		}
 		s.seeds = append(s.seeds, n.peersAt)
 		s.nodes = append(s.nodes, n)
 	}
@@ -189,6 +201,7 @@
 	load.Go(s.load)
 	load.Go(s.silences)
 	load.Go(s.partsAway)
+	load.Go(s.growConfig)
 	for time.Since(s.began) < soakTime {
 		time.Sleep(s.between(faultPauseLeast, faultPauseMost))
 		s.strike()
@@ -209,6 +222,7 @@
 		open = s.open()
 		return open == ""
 	})
+	s.checkConfig()
 	for _, wrong := range s.site.Breaches(site.Claims{Refused: s.refused, HeldUp: s.heldUp}) {
 		s.t.Error(wrong)
 	}
--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"syscall"
 	"time"
@@ -175,6 +176,8 @@
 
 // configure puts the next version of the configuration in force.
 func (s *soak) configure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.version++
 	route := site.Route{Name: "batch", Host: "h", PathPrefix: "/batch/", Priority: 2, MaxAttempts: 3, Stretch: 2, TargetMS: 1200, Upstream: "billing"}
 	urgent := route
@@ -182,7 +185,47 @@
 	urgent.Advice = &site.Advice{DecideMS: 20, EachMS: 0.1, ValidMS: 2500}
 	extra := route
 	extra.Name, extra.PathPrefix = fmt.Sprintf("extra%d", s.version), fmt.Sprintf("/extra%d/", s.version)
-	s.site.Configure(s.version, urgent, route, extra)
+	routes := []site.Route{urgent, route, extra}
+	for i := range s.more {
+		routes = append(routes, site.Route{Name: fmt.Sprintf("more%d", i), Host: "another", PathPrefix: fmt.Sprintf("/more%d/", i), MaxAttempts: 3, Stretch: 2, Upstream: "billing", Advice: urgent.Advice})
+	}
+	s.site.Configure(s.version, routes...)
+}
+
+// The pause between two times at which the configuration grows, and by how many routes.
+const (
+	growLeast, growMost = 2 * time.Second, 6 * time.Second
+	growBy              = 700
+)
+
+// growConfig lets the configuration grow by many routes now and then.
+func (s *soak) growConfig() {
+	rng := rand.New(rand.NewPCG(^s.seed, ^s.seed)) //nolint:gosec // A seed must give the same play.
+	for {
+		time.Sleep(between(rng, growLeast, growMost))
+		if time.Since(s.began) > soakTime {
+			return
+		}
+		s.mu.Lock()
+		s.more += growBy
+		s.mu.Unlock()
+		s.configure()
+	}
+}
+
+// checkConfig checks that the last configuration comes into force on each node, and that
+// none goes back to an earlier one.
+func (s *soak) checkConfig() {
+	s.configure()
+	path := func(version int64) string { return fmt.Sprintf("/extra%d/", version) }
+	for _, n := range s.nodes {
+		s.until(n.name+" has the last configuration", func() bool {
+			return s.status(http.MethodGet, "http://"+n.callers+path(s.version), nil) == http.StatusOK
+		})
+		if status := s.status(http.MethodGet, "http://"+n.callers+path(s.version-1), nil); status != http.StatusNotFound {
+			s.t.Errorf("%s answers %d for a route that was removed, want %d", n.name, status, http.StatusNotFound)
+		}
+	}
 }
 
 // during lets a fault last for a while, unless the thing has one already.
