Only entries of the directory that are whole and make sense name a worker

Cause: each state but draining was taken for ready, and a capacity, data centre or address that was missing or made no sense was taken as it was. A row of the feed that could not be read was skipped, so that its worker went on getting orders; in a list the worker counted as gone, and its runs were stopped and moved. An entry that another shard's rack or an unknown service claimed was left as it was before. Change: one check in platform/ with a reason (missing, type, invalid, unreadable) and the member; rows are taken in their order; a row that is there but names no worker here means that nothing new starts on that life, while what runs there runs on; told once for each change, with a counter by reason. A value that is no base64 leaves the other rows of its page as they are. TestRows read a worker's row without members that every worker writes; it has them now.

--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzReplay -fuzztime $(FUZZTIME) ./internal/journal
 	$(GO) test -run '^$$' -fuzz FuzzContact -fuzztime $(FUZZTIME) ./internal/worker
 	$(GO) test -run '^$$' -fuzz FuzzRows -fuzztime $(FUZZTIME) ./platform
+	$(GO) test -run '^$$' -fuzz FuzzEntries -fuzztime $(FUZZTIME) ./platform
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/scheduler"
 )
 
@@ -67,6 +68,11 @@
 	n.metrics.GetOrCreateHistogram(`switchbank_call_seconds{kind="` + kind + `"}`).Update(took.Seconds())
 }
 
+// countRefused counts an entry of the directory that names no worker.
+func (n *Node) countRefused(reason cluster.Kind) {
+	n.metrics.GetOrCreateCounter(`switchbank_worker_entries_refused_total{reason="` + string(reason) + `"}`).Inc()
+}
+
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	n.metrics.WritePrometheus(w)
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -275,7 +275,8 @@
 	o := owner.New(owner.Config{
 		Shard: shard, Layout: layout, Row: row, Fence: fence, Params: n.params(rec.Epoch),
 	}, owner.Deps{
-		Tables: n.store, Workers: n.Workers, Advisers: n.peers, Machines: n.Machines, Directory: n.Directory, Shards: n, Log: n.Log,
+		Tables: n.store, Workers: n.Workers, Advisers: n.peers, Machines: n.Machines, Directory: n.Directory, Shards: n,
+		EntryRefused: n.countRefused, Log: n.Log,
 	})
 	if !n.noteOwned(shard, o, ownerSeen{rec, row.Version}) {
 		return
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -24,8 +24,17 @@
 // Kind tells apart the errors of this package.
 type Kind string
 
-// KindInvalid is a value that can't be accepted.
-const KindInvalid Kind = "invalid"
+// The kinds of error.
+const (
+	// KindInvalid is a value that can't be accepted.
+	KindInvalid Kind = "invalid"
+	// KindMissing is a field that is not there.
+	KindMissing Kind = "missing"
+	// KindType is a field of another type.
+	KindType Kind = "type"
+	// KindUnreadable is a message that can't be read at all.
+	KindUnreadable Kind = "unreadable"
+)
 
 // Error is the error type of this package.
 type Error struct {
--- a/internal/owner/deps.go
+++ b/internal/owner/deps.go
@@ -43,6 +43,7 @@
 type Directory interface {
 	// Table is the name of the directory's table.
 	Table() string
+	// Worker decodes the row of a worker; an error is a *cluster.Error.
 	Worker(row tables.Row) (cluster.Worker, error)
 }
 
@@ -54,5 +55,7 @@
 	Machines  Machines
 	Directory Directory
 	Shards    Shards
-	Log       *zap.Logger
+	// EntryRefused counts an entry of the directory that names no worker.
+	EntryRefused func(reason cluster.Kind)
+	Log          *zap.Logger
 }
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -6,10 +6,7 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"switchbank.example/switchbank/internal/cluster"
-	"switchbank.example/switchbank/internal/events"
 	"switchbank.example/switchbank/internal/scheduler"
 	"switchbank.example/switchbank/internal/tables"
 )
@@ -27,55 +24,8 @@
 	holdUnconfirmed = 60 * time.Millisecond
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 200 * time.Millisecond
-	// directorySilence is how long the directory's feed waits in one call, and
-	// directoryPause batches the workers' announcements.
-	directorySilence = 2 * time.Second
-	directoryPause   = 200 * time.Millisecond
 )
 
-// followWorkers keeps the list of workers current, and a loop of holds for each.
-func (o *Owner) followWorkers(ctx context.Context) error {
-	f := tables.Follower{
-		Service: o.Tables, Table: o.Directory.Table(), Parts: []string{""}, Silence: directorySilence, Relist: directorySilence, Pause: directoryPause,
-		Apply:  func(rows []tables.Row, whole bool) { o.applyWorkers(ctx, rows, whole) },
-		Failed: o.followFailed(o.Directory.Table()),
-	}
-	f.Run(ctx)
-	return nil
-}
-
-func (o *Owner) applyWorkers(ctx context.Context, rows []tables.Row, whole bool) {
-	var found []cluster.Worker
-	listed := make(map[string]bool, len(rows))
-	for _, r := range rows {
-		if r.Gone {
-			o.do(func(s *scheduler.Shard, now time.Time) { s.WorkerUnlisted(now, r.Key) })
-			continue
-		}
-		w, err := o.Directory.Worker(r)
-		if err != nil {
-			o.Log.Warn("worker row skipped", events.RowSkipped, zap.String("table", r.Table), zap.String("key", r.Key), zap.Error(err))
-			continue
-		}
-		if o.mine(w.Service, w.Rack) {
-			found = append(found, w)
-			listed[w.ID] = true
-		}
-	}
-	o.do(func(s *scheduler.Shard, now time.Time) {
-		s.DirectoryRead(now)
-		for _, w := range found {
-			s.UpsertWorker(now, w)
-		}
-		if whole {
-			s.ListedWorkers(now, listed)
-		}
-	})
-	for _, w := range found {
-		o.startHolding(ctx, w.ID)
-	}
-}
-
 func (o *Owner) startHolding(ctx context.Context, id string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -71,6 +72,9 @@
 	shard *scheduler.Shard
 	// holding are the workers that have a loop of holds.
 	holding map[string]bool
+	// refused are the entries of the directory that name no worker, by key: what was
+	// told of each.
+	refused *lru.Cache[string, string]
 	loaded  bool
 	began   time.Time
 	// feedFrom is the version from which the jobs' feed goes on after the load, and
@@ -97,8 +101,8 @@
 func New(cfg Config, deps Deps) *Owner {
 	return &Owner{
 		cfg: cfg, Deps: deps, began: time.Now(), shard: scheduler.New(cfg.Params, time.Now(), deps.Log),
-		holding: make(map[string]bool),
-		wake:    make(chan struct{}, 1), persist: make(chan struct{}, 1),
+		holding: make(map[string]bool), refused: newRefused(),
+		wake: make(chan struct{}, 1), persist: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -30,7 +30,7 @@
 func (s *Shard) measureLoad(now time.Time) float64 {
 	var room, wanted resource.Amount
 	for _, w := range s.order {
-		if w.answers() && !w.info.Draining && !w.leaving && w.health.takes(now, w) {
+		if w.takesNew(now) {
 			room = room.Add(w.info.Capacity)
 			wanted = wanted.Add(w.used)
 		}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -117,12 +117,17 @@
 // One that runs what no known job explains may not: how much room that takes isn't
 // known, and after a takeover not even how much the worker has.
 func (s *Shard) usable(now time.Time, w *worker, st *step) bool {
-	return w.answers() && !w.info.Draining && !w.leaving && len(w.foreign) == 0 && w.health.takes(now, w) &&
+	return w.takesNew(now) && len(w.foreign) == 0 &&
 		w.info.Service == st.job.spec.Service &&
 		(st.spec.Label == "" || w.info.HasLabel(st.spec.Label)) &&
 		w.info.Capacity.Fits(st.spec.Room())
 }
 
+// takesNew reports whether anything new may start on the worker, room aside.
+func (w *worker) takesNew(now time.Time) bool {
+	return w.answers() && !w.info.Draining && !w.leaving && !w.unnamed && w.health.takes(now, w)
+}
+
 // avoidFor is how long a task that failed or crawled waits for another worker than
 // the one on which it did.
 const avoidFor = time.Second
--- a/standin/site/beat.go
+++ b/standin/site/beat.go
@@ -2,12 +2,17 @@
 
 package site
 
+import "cmp"
+
 // beat is a worker's entry in the directory.
 type beat struct {
 	Upstream    string   `json:"Upstream"`
 	Address     string   `json:"Address"`
 	Zone        string   `json:"Zone"`
+	Version     string   `json:"Version"`
+	Slots       int      `json:"Slots"`
 	State       string   `json:"State"`
+	ColdMS      int64    `json:"ColdRemainingMs"`
 	Capacity    capacity `json:"Capacity"`
 	Labels      []string `json:"Labels"`
 	RemainingMS int64    `json:"RemainingMs,omitempty"`
@@ -18,22 +23,23 @@
 type capacity struct {
 	CPU      int64 `json:"Cpu"`
 	MemoryMB int64 `json:"MemMb"`
+	GPU      int64 `json:"Gpu"`
 }
 
+// workerSlots is how many slots a worker says that it has.
+const workerSlots = 8
+
 // beat writes the worker's entry, if the store takes it.
 func (w *Worker) beat() {
 	if w.site.Store.down() {
 		return
 	}
 	w.mu.Lock()
-	if w.unlisted {
+	if w.unlisted || w.quiet {
 		w.mu.Unlock()
 		return
 	}
-	b := beat{
-		Upstream: w.site.cfg.Service, Address: w.Address, Zone: "dc", State: "ready",
-		Capacity: capacity{w.cfg.CPUMilli, w.cfg.MemoryMB}, Labels: w.labels(), ClockMS: w.clock(), Seq: w.clock(),
-	}
+	b := w.entry()
 	if w.drain {
 		b.State, b.RemainingMS = "draining", drainTime.Milliseconds()
 		w.site.noteDrained(w.ID)
@@ -42,6 +48,14 @@
 	w.site.Store.Put("servers", w.ID, b)
 }
 
+// entry is what the worker says of itself. The caller holds mu.
+func (w *Worker) entry() beat {
+	return beat{
+		Upstream: cmp.Or(w.cfg.Service, w.site.cfg.Service), Address: w.Address, Zone: "dc", Version: "v1", Slots: workerSlots, State: "ready",
+		Capacity: capacity{CPU: w.cfg.CPUMilli, MemoryMB: w.cfg.MemoryMB}, Labels: w.labels(), ClockMS: w.clock(), Seq: w.clock(),
+	}
+}
+
 // labels are the worker's kind, its rack and its own label.
 func (w *Worker) labels() []string {
 	labels := []string{"a", w.cfg.Rack}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -14,11 +14,13 @@
 package site
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -170,9 +172,16 @@
 	Name string `json:"Name"`
 }
 
-// Configure writes a version of the configuration.
+// Configure writes a version of the configuration. It names the site's service and
+// those of the routes.
 func (s *Site) Configure(version int64, routes ...Route) {
-	s.Store.Put("op", "config", config{version, routes, []service{{s.cfg.Service}}})
+	services := []service{{s.cfg.Service}}
+	for _, r := range routes {
+		if named := (service{r.Upstream}); !slices.Contains(services, named) {
+			services = append(services, named)
+		}
+	}
+	s.Store.Put("op", "config", config{version, routes, services})
 }
 
 type machines struct {
@@ -195,7 +204,7 @@
 	s.mu.Unlock()
 	list := machines{Machines: []machine{}}
 	for _, k := range workers {
-		m := machine{Machine: k.machine, Pool: s.cfg.Service, State: "up", ID: k.ID, Labels: k.labels()}
+		m := machine{Machine: k.machine, Pool: cmp.Or(k.cfg.Service, s.cfg.Service), State: "up", ID: k.ID, Labels: k.labels()}
 		if k.Crashed() {
 			m.State, m.ID = "down", ""
 		}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -3,7 +3,6 @@
 package site
 
 import (
-	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
@@ -97,11 +96,7 @@
 
 // Put writes a row as the operator or a worker does.
 func (s *Store) Put(table, key string, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		panic("site: a row can't be encoded: " + err.Error())
-	}
-	s.PutRaw(table, "", key, body)
+	s.PutRaw(table, "", key, encode(value))
 }
 
 // PutRaw writes any bytes as a row.
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -15,6 +15,8 @@
 	Label    string
 	CPUMilli int64
 	MemoryMB int64
+	// Service is the worker's pool; "": the site's.
+	Service string
 }
 
 // Worker is one life of a stand-in worker. The Spec of a job tells how its tasks
@@ -44,7 +46,9 @@
 	drain   bool
 	// unlisted is set once it leaves without a word.
 	unlisted bool
-	faults   WorkerFaults
+	// quiet is set while the worker doesn't announce itself, and its entry stays.
+	quiet  bool
+	faults WorkerFaults
 }
 
 // WorkerFaults are the ways in which a worker can fail.
