Rows that can't be read: a table with its tests; another writer in the matrix and the soak

An owner's row that could not be read was skipped, so that nobody could take the shard: each try failed on the row's version (TestSpoiltRows, the job stays running and a new one pending). It now names no owner, with the last epoch known; the fence keeps the order.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -85,8 +85,8 @@
 // TestSoak plays random faults, drawn from a seed, on real processes: nodes are
 // killed, paused, stopped as planned and started again; connections to the store,
 // to workers and between nodes are delayed, reset, held one way and silenced, for a
-// while or for good; the store and workers fail; the configuration grows by many routes,
-// also on nodes with slow links. What workers and callers saw is judged; once all is
+// while or for good; the store and workers fail; another writer spoils entries of the
+// directory; the configuration grows by many routes, also on nodes with slow links. What workers and callers saw is judged; once all is
 // mended every accepted job must end, and the last configuration be in force.
 func TestSoak(t *testing.T) {
 	for _, seed := range soakSeeds(t) {
@@ -202,6 +202,7 @@
 	load.Go(s.silences)
 	load.Go(s.partsAway)
 	load.Go(s.growConfig)
+	load.Go(s.spoilEntries)
 	for time.Since(s.began) < soakTime {
 		time.Sleep(s.between(faultPauseLeast, faultPauseMost))
 		s.strike()
--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -213,6 +213,21 @@
 	}
 }
 
+// The pause between two times at which another writer spoils entries of the directory.
+const spoilLeast, spoilMost = 500 * time.Millisecond, 4 * time.Second
+
+// spoilEntries is another writer of the directory.
+func (s *soak) spoilEntries() {
+	rng := rand.New(rand.NewPCG(s.seed, s.seed+1)) //nolint:gosec // A seed must give the same play.
+	for {
+		time.Sleep(between(rng, spoilLeast, spoilMost))
+		if time.Since(s.began) > soakTime {
+			return
+		}
+		s.site.SpoilSome(rng)
+	}
+}
+
 // checkConfig checks that the last configuration comes into force on each node, and that
 // none goes back to an earlier one.
 func (s *soak) checkConfig() {
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -92,15 +92,16 @@
 		return
 	}
 	rec, err := decodeOwner(r)
-	if err != nil {
-		n.Log.Warn("owner row skipped", events.RowSkipped, zap.String("key", r.Key), zap.Error(err))
-		return
-	}
 	n.mu.Lock()
 	if r.Version <= n.owners[shard].version {
 		n.mu.Unlock()
 		return
 	}
+	if err != nil {
+		// It names no owner, so that the shard can be taken: the fence holds the epoch.
+		rec = ownerRecord{Epoch: n.owners[shard].Epoch}
+		n.Log.Warn("owner row names none", events.RowSkipped, zap.String("key", r.Key), zap.Int64("epoch", rec.Epoch), zap.Error(err))
+	}
 	n.owners[shard] = ownerSeen{rec, r.Version}
 	o := n.owned[shard]
 	n.mu.Unlock()
--- a/matrix/site/faults_test.go
+++ b/matrix/site/faults_test.go
@@ -3,6 +3,7 @@
 package site_test
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -174,9 +175,28 @@
 		workerFault("worker fails everything", site.WorkerFaults{FailAll: true}),
 		workerFault("worker carries starts out late", site.WorkerFaults{Late: 4, LateBy: 3 * time.Second}),
 		workerFault("worker carries starts out later", site.WorkerFaults{Late: 4, LateBy: 11 * time.Second}),
+		{"another writer spoils entries", otherWriter},
 	}
 }
 
+// otherWriter spoils entries of the directory until the fault ends.
+func otherWriter(w *world) func() {
+	const pause = 300 * time.Millisecond
+	rng := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // Each run must give the same play.
+	done := make(chan struct{})
+	go func() {
+		for {
+			w.site.SpoilSome(rng)
+			select {
+			case <-done:
+				return
+			case <-time.After(pause):
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
 func workerFault(name string, f site.WorkerFaults) fault {
 	return fault{name, func(w *world) func() {
 		w.worker(0).SetFaults(f)
--- /dev/null
+++ b/matrix/site/spoiltrows_test.go
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package site_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/owner"
+)
+
+// spoiltRow is a row that can't be read any more, and what it may cost.
+type spoiltRow struct {
+	name             string
+	table, part, key string
+	// state is the state of the job that was handed in before, once the owner is
+	// killed and its time has passed. That of its row is lost with the row.
+	state string
+}
+
+// spoiltID is the job to which the rows belong.
+const spoiltID = "00000000000000ab"
+
+// spoiltRows are the rows that a node reads, but for the directory's.
+func spoiltRows() []spoiltRow {
+	shard := cluster.ShardID{Service: service}
+	part := owner.PartOf(service, spoiltID)
+	return []spoiltRow{
+		{"the configuration", "op", "", "config", "succeeded"},
+		{"a member's row", "cell", "", "node/n0", "succeeded"},
+		{"the owner's row", "cell", "", "owner/" + shard.String(), "succeeded"},
+		{"the layout", "cell", "", "layout/" + service, "succeeded"},
+		{"the fence", owner.TableProgress, owner.ProgressPart(shard), owner.FenceKey(shard).Key, "succeeded"},
+		{"the list of workers", owner.TableProgress, owner.ProgressPart(shard), "!workers", "succeeded"},
+		{"the job's pin", owner.TablePins, part, spoiltID, "succeeded"},
+		{"the job's progress", owner.TableProgress, owner.ProgressPart(shard), spoiltID, "succeeded"},
+		{"the job's row", owner.TableJobs(shard), part, spoiltID, "running"},
+	}
+}
+
+// TestSpoiltRows spoils each kind of row that nodes read, while a job runs, and then
+// kills the owner: the shard is taken, the job ends, except if its own row is lost, and
+// new jobs are accepted and end. With a row of the owner that could not be read nobody
+// could take the shard: each try failed on the version of the row, which was skipped.
+func TestSpoiltRows(t *testing.T) {
+	for _, c := range spoiltRows() {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playSpoiltRow(t, c) })
+		})
+	}
+}
+
+func playSpoiltRow(t *testing.T, c spoiltRow) {
+	w := newWorld(t)
+	defer w.close()
+	time.Sleep(4 * time.Second)
+	step := stepBody{Count: 2, CPU: 500, MemoryMB: 100, EstimateMS: 3000, Saves: true}
+	w.handIn("n1", "batch", spoiltID, "3000 cpu=500", step)
+	time.Sleep(time.Second)
+	w.site.Store.PutRaw(c.table, c.part, c.key, []byte(`{"owner":5,"shards":"x"`))
+	time.Sleep(time.Second)
+	w.kill(w.site.Owner())
+	time.Sleep(12 * time.Second)
+	if got := w.state("batch", spoiltID); got != c.state {
+		t.Errorf("the job is %q, want %q", got, c.state)
+	}
+	id := w.submit("batch", "400 cpu=500", stepBody{Count: 1, CPU: 500, MemoryMB: 100, EstimateMS: 400})
+	time.Sleep(3 * time.Second)
+	if got := w.state("batch", id); got != "succeeded" {
+		t.Errorf("a new job is %q", got)
+	}
+	w.site.Configure(2, routes()[:1]...)
+	time.Sleep(2 * time.Second)
+	for _, n := range w.names() {
+		if status, _ := w.call(n, http.MethodGet, "/batch/", ""); status != http.StatusNotFound {
+			t.Errorf("%s serves a queue that version 2 has removed: %d", n, status)
+		}
+	}
+	w.checkJudged()
+}
