--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -97,7 +97,7 @@
 	TakeoverDone    = zap.String(Field, "SB1629")
 	WorkerLeaving   = zap.String(Field, "SB1631")
 	JobMoved        = zap.String(Field, "SB1630")
-	WorkerUnnamed   = zap.String(Field, "SB1632")
+	EntryInvalid    = zap.String(Field, "SB1632")
 )
 
 // The events of nodes on a platform.
--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -41,8 +41,8 @@
 type entry struct {
 	key  string
 	gone bool
-	// named is the worker of this shard that the row names, nil if it names none.
-	named *cluster.Worker
+	// worker is the one of this shard that the row names, nil if it names none.
+	worker *cluster.Worker
 }
 
 // applyWorkers takes in rows of the directory, all of them if whole is set. A row that
@@ -61,10 +61,10 @@
 			switch {
 			case e.gone:
 				s.WorkerUnlisted(now, e.key)
-			case e.named == nil:
-				s.WorkerUnnamed(now, e.key)
+			case e.worker == nil:
+				s.EntryInvalid(now, e.key)
 			default:
-				s.UpsertWorker(now, *e.named)
+				s.UpsertWorker(now, *e.worker)
 			}
 		}
 		if whole {
@@ -72,7 +72,7 @@
 		}
 	})
 	for _, e := range entries {
-		if e.named != nil {
+		if e.worker != nil {
 			o.startHolding(ctx, e.key)
 		}
 	}
@@ -93,7 +93,7 @@
 	if !o.mine(w.Service, w.Rack) {
 		return entry{key: r.Key}
 	}
-	return entry{key: r.Key, named: &w}
+	return entry{key: r.Key, worker: &w}
 }
 
 // noteRefused logs and counts an entry that names no worker, once for each reason: it is
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -132,7 +132,7 @@
 	var total resource.Amount
 	fits := false
 	for _, w := range s.order {
-		if !w.info.Draining && !w.unnamed && (spec.Label == "" || w.info.HasLabel(spec.Label)) && w.info.Capacity.Fits(spec.Room()) {
+		if !w.info.Draining && !w.entryInvalid && (spec.Label == "" || w.info.HasLabel(spec.Label)) && w.info.Capacity.Fits(spec.Room()) {
 			fits = true
 			total = total.Add(w.info.Capacity)
 		}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -125,7 +125,7 @@
 
 // takesNew reports whether anything new may start on the worker, room aside.
 func (w *worker) takesNew(now time.Time) bool {
-	return w.answers() && !w.info.Draining && !w.leaving && !w.unnamed && w.health.takes(now, w)
+	return w.answers() && !w.info.Draining && !w.leaving && !w.entryInvalid && w.health.takes(now, w)
 }
 
 // avoidFor is how long a task that failed or crawled waits for another worker than
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -53,8 +53,8 @@
 	// leaving is set while the directory has dropped a worker that still answers: it
 	// ends soon, like one that says that it drains.
 	leaving bool
-	// unnamed is set while the worker's entry in the directory names no worker to use.
-	unnamed bool
+	// entryInvalid is set while the worker's entry in the directory names no worker to use.
+	entryInvalid bool
 }
 
 // ClockSlack is how many times as long as its own clock says a worker's lease
@@ -82,7 +82,7 @@
 			zap.Duration("remaining", info.Remaining), zap.Int("runs", len(w.runs)))
 	}
 	draining := w.info.Draining
-	w.info, w.unlisted, w.leaving, w.unnamed = info, false, false, false
+	w.info, w.unlisted, w.leaving, w.entryInvalid = info, false, false, false
 	w.info.Draining = info.Draining || draining
 	if info.Draining && info.Remaining > 0 {
 		w.leavesAt = now.Add(info.Remaining)
@@ -159,7 +159,7 @@
 				zap.Duration("silent", now.Sub(w.silentSince)), zap.Int("runs", len(w.runs)))
 			s.loseRuns(now, w, "lease over")
 		}
-		if (w.unlisted || w.unnamed) && w.silent && now.After(s.leaseEnd(w)) {
+		if (w.unlisted || w.entryInvalid) && w.silent && now.After(s.leaseEnd(w)) {
 			s.WorkerOver(now, w.info.ID, "not listed, and its lease is over")
 		}
 	}
@@ -202,18 +202,18 @@
 	w.used = w.used.Add(w.info.Capacity.Times(int64(len(w.foreign))))
 }
 
-// WorkerUnnamed notes that a worker's entry in the directory is there but names no worker
+// EntryInvalid notes that a worker's entry in the directory is there but names no worker
 // to use: another writer may have left it so. Nothing new starts there until the entry
 // is right again. What runs there runs on: nothing says that the life is over or ends.
-func (s *Shard) WorkerUnnamed(now time.Time, id string) {
+func (s *Shard) EntryInvalid(now time.Time, id string) {
 	w := s.workers[id]
 	if w == nil {
 		return
 	}
 	w.setListed(now, true)
-	if !w.unnamed {
-		w.unnamed = true
-		s.log.Info("worker's entry names none", events.WorkerUnnamed, zap.String("worker", id), zap.Int("runs", len(w.runs)))
+	if !w.entryInvalid {
+		w.entryInvalid = true
+		s.log.Info("directory entry is invalid", events.EntryInvalid, zap.String("worker", id), zap.Int("runs", len(w.runs)))
 	}
 }
 
--- a/internal/tables/look.go
+++ b/internal/tables/look.go
@@ -46,7 +46,11 @@
 // service answers another one at once.
 func (r *Relay) giveUpLost(ctx context.Context, cancel context.CancelFunc, after time.Duration) *time.Timer {
 	return time.AfterFunc(after, func() {
-		if !conns.Arriving(ctx) && r.answers() && !conns.Arriving(ctx) {
+		if conns.Arriving(ctx) || !r.answers() {
+			return
+		}
+		// The look took a while, in which the answer may have begun to arrive.
+		if !conns.Arriving(ctx) {
 			cancel()
 		}
 	})
