--- a/internal/owner/fence.go
+++ b/internal/owner/fence.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -131,3 +132,12 @@
 	}
 	return rec.Epoch
 }
+
+// lostToAnother is why an ownership ends whose fence has changed.
+const lostToAnother = "another owner writes progress"
+
+// fenceLost reports whether rows as they stand, which a write was answered with whose
+// conditions did not hold, show that another owner has written the fence.
+func (o *Owner) fenceLost(current []tables.Row) bool {
+	return slices.ContainsFunc(current, func(r tables.Row) bool { return r.Key == fenceKey && r.Version != o.fenceVersion })
+}
--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -139,11 +139,12 @@
 
 // noteVersion takes the version of a job's progress from rows that differed.
 func (o *Owner) noteVersion(id string, current []tables.Row) {
+	if o.fenceLost(current) {
+		o.Lost(lostToAnother)
+		return
+	}
 	for _, r := range current {
-		switch {
-		case r.Key == fenceKey && r.Version != o.fenceVersion:
-			o.Lost("another owner writes progress")
-		case r.Key == id:
+		if r.Key == id {
 			o.do(func(s *scheduler.Shard, _ time.Time) { s.SetVersion(id, r.Version) })
 		}
 	}
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -110,15 +110,12 @@
 // settle corrects the versions after a write whose conditions did not hold:
 // either an earlier write took effect without an answer, or the shard is lost.
 func (o *Owner) settle(batch scheduler.Batch, current []tables.Row) {
+	if o.fenceLost(current) {
+		o.Lost(lostToAnother)
+		return
+	}
 	versions := make(map[string]tables.Row, len(current))
 	for _, r := range current {
-		if r.Key == fenceKey {
-			if r.Version != o.fenceVersion {
-				o.Lost("another owner writes progress")
-				return
-			}
-			continue
-		}
 		versions[r.Key] = r
 	}
 	same := 0
--- a/internal/owner/sweep.go
+++ b/internal/owner/sweep.go
@@ -69,13 +69,12 @@
 // stillLitter returns the rows that may go after a removal whose conditions did not
 // hold: those that have not been written since, unless another owner has the shard.
 func (o *Owner) stillLitter(rows, current []tables.Row) []tables.Row {
+	if o.fenceLost(current) {
+		return nil
+	}
 	versions := make(map[rowName]int64, len(current))
 	for _, r := range current {
 		versions[nameOf(r)] = r.Version
 	}
-	fence := o.fence()
-	if v, ok := versions[nameOf(fence)]; ok && v != fence.Version {
-		return nil
-	}
 	return slices.DeleteFunc(rows, func(r tables.Row) bool { return r.Version > 0 && versions[nameOf(r)] != r.Version })
 }
