--- a/internal/tables/follow.go
+++ b/internal/tables/follow.go
@@ -34,7 +34,8 @@
 	failing bool
 	// listedAt is when the table was last listed.
 	listedAt time.Time
-	// mark is a version that the feed has shown without a change, and markedAt when.
+	// mark is a version that the feed has shown without a change, and markedAt when;
+	// only a table that isn't listed again needs it.
 	mark     int64
 	markedAt time.Time
 }
@@ -72,7 +73,9 @@
 		f.failing = false
 		if len(res.Rows) == 0 {
 			relist = f.Relist > 0 && time.Since(f.listedAt) >= f.Relist
-			after = f.advance(after, res.Version)
+			if f.Relist == 0 {
+				after = f.advance(after, res.Version)
+			}
 			continue
 		}
 		relist = false
