--- a/matrix/site/slowlink_test.go
+++ b/matrix/site/slowlink_test.go
@@ -103,6 +103,7 @@
 // away received 26 MB and had none of the last two in time. With one fetch at a time,
 // packed, and no feed by way of others it receives 0.3 MB.
 func TestLargeConfigurationsFromPeers(t *testing.T) {
+	const versions = 6
 	synctest.Test(t, func(t *testing.T) {
 		w := newSlowLinkWorld(t)
 		defer w.close()
@@ -114,7 +115,11 @@
 		w.configure(3, 2*routesMore)
 		w.configure(4, 2*routesMore)
 		w.configure(5, 3*routesMore)
-		w.configure(6, 3*routesMore)
+		w.configure(versions, 3*routesMore)
+		// Side by side there are two or three for each version.
+		if got := w.metric("s0", `switchbank_config_fetches_total{outcome="read"}`); got > versions {
+			t.Errorf("s0 fetched a configuration %v times, want %d at most", got, versions)
+		}
 		if got := w.net.Received("s0") - before; got > fromPeersMost {
 			t.Errorf("s0 received %d bytes, want at most %d", got, fromPeersMost)
 		}
