--- /dev/null
+++ b/matrix/site/widegang_test.go
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package site_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestGangWiderThanItsShardsAllowedWorkers hands in jobs whose second step is a gang of
+// three whole workers, of which advice allows fewer in one of the two shards, while the
+// other shard has them. Each job must end wherever it was accepted.
+//
+// A shard learns what advice allows for a step only once the steps before it have ended,
+// and a job that has begun doesn't move: its gang waits for ever, asks for the workers
+// that are left again and again, and starts nowhere, while most of the service is idle.
+func TestGangWiderThanItsShardsAllowedWorkers(t *testing.T) {
+	const (
+		jobs = 6
+		gang = 3
+		// rejectOneIn leaves two workers of one shard and three of the other, or less often
+		// three of both.
+		rejectOneIn = 3
+		tries       = 1000
+		// endsWithin is far more than the job's work of 0.8 s, on an idle service.
+		endsWithin = 20 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		w := newShardedWorld(t)
+		defer w.close()
+		w.site.SetRejectOneIn(rejectOneIn)
+		time.Sleep(4 * time.Second)
+		n := 0
+		for i := 0xe000; n < jobs && i < 0xe000+tries; i++ {
+			id := fmt.Sprintf("%016x", i)
+			first, second := w.allowed(id+".0.1", 0), w.allowed(id+".0.1", perShard)
+			if min(first, second) >= gang || max(first, second) < gang {
+				continue
+			}
+			n++
+			w.handIn("n1", "urgent", id, "400 cpu=4000",
+				stepBody{Count: 1, CPU: workerCores, MemoryMB: 100, EstimateMS: 400},
+				stepBody{Count: gang, CPU: workerCores, MemoryMB: 100, EstimateMS: 400, Gang: true, After: []int{0}})
+			time.Sleep(endsWithin)
+			if got := w.state("urgent", id); got != "succeeded" {
+				t.Errorf("a job whose gang may run on %d and %d workers of the shards is %q after %s", first, second, got, endsWithin)
+			}
+		}
+		if n < jobs {
+			t.Errorf("only %d jobs of the kind were found", n)
+		}
+		w.checkJudged()
+	})
+}
+
+// allowed returns how many workers of one shard advice allows for a step: the first
+// perShard workers lie in one shard, the others in the other.
+func (w *world) allowed(step string, from int) int {
+	n := 0
+	for _, k := range w.workers[from : from+perShard] {
+		if w.site.Advises(step, k.ID) {
+			n++
+		}
+	}
+	return n
+}
