--- a/matrix/site/spoiltrows_test.go
+++ b/matrix/site/spoiltrows_test.go
@@ -81,3 +81,32 @@
 	}
 	w.checkJudged()
 }
+
+// TestSpoiltSpilledRows spoils all rows in which progress is spilled while its own part
+// is away, and then kills the owner: the next one goes on from what the jobs' own rows and
+// the workers say, each accepted job ends, and the spoilt rows are removed.
+func TestSpoiltSpilledRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.close()
+		load := w.beginLoad(2*partsAway, partsAway/2)
+		w.site.Store.SetAway(w.progressParts()...)
+		time.Sleep(partsAway / 2)
+		spilled := w.site.Store.Keys("spill")
+		if len(spilled) == 0 {
+			t.Fatal("nothing was spilled")
+		}
+		for _, key := range spilled {
+			w.site.Store.PutRaw("spill", "", key, []byte("nonsense"))
+		}
+		restart := w.killOwner()
+		time.Sleep(time.Second)
+		w.site.Store.SetAway()
+		restart()
+		load.Wait()
+		w.checkSettled()
+		if left := w.site.Store.Keys("spill"); len(left) > 0 {
+			t.Errorf("%d rows of spilled progress are left, such as %s", len(left), left[0])
+		}
+	})
+}
