Reading again: one way to note a read, to encode a reply and to tell the version in force

What the change had written twice: the store's feed and this node's own (readNoted), the encoding of replies (encodeReply), the relay's lists and feeds with and without peers. The version in force stood beside the configuration in what notes how long a node is behind, and was worked out in four places (versionOf); the set of listed workers was made for each feed, and is needed for lists only.

--- a/internal/cell/configuration.go
+++ b/internal/cell/configuration.go
@@ -63,18 +63,20 @@
 // applyConfig puts a configuration in force, unless a newer one is. Its size is 0 if
 // that isn't known.
 func (n *Node) applyConfig(cfg cluster.Config, source string, size int) {
+	var behind time.Duration
 	for {
 		old := n.config.Load()
 		if old != nil && old.Version >= cfg.Version {
 			return
 		}
+		behind = n.behind.duration(versionOf(old))
 		if n.config.CompareAndSwap(old, &cfg) {
 			break
 		}
 	}
 	n.Log.Info("configuration in force", events.ConfigInForce, zap.Int64("version", cfg.Version), zap.String("source", source),
 		zap.Int("queues", len(cfg.Queues)), zap.Int("services", len(cfg.Services)), zap.Int("bytes", size),
-		zap.Duration("behind", n.behind.inForce(cfg.Version)))
+		zap.Duration("behind", behind))
 	n.watchServices(cfg.Services)
 }
 
@@ -82,11 +84,11 @@
 // fetched: side by side, and begun anew with each sign of life, fetches filled the
 // link of a slow node and none ended.
 func (n *Node) configSeen(reply pingReply) {
-	old := n.Config()
-	if reply.ConfigVersion == 0 || (old != nil && old.Version >= reply.ConfigVersion) {
+	inForce := versionOf(n.Config())
+	if reply.ConfigVersion <= inForce {
 		return
 	}
-	n.behind.heardOf(reply.ConfigVersion)
+	n.behind.heardOf(reply.ConfigVersion, inForce)
 	if !n.fetching.CompareAndSwap(false, true) {
 		return
 	}
@@ -115,46 +117,39 @@
 	n.metrics.GetOrCreateCounter(`switchbank_config_fetches_total{outcome="` + outcome + `"}`).Inc()
 }
 
+// versionOf returns the version of a configuration; 0: there is none.
+func versionOf(cfg *cluster.Config) int64 {
+	if cfg == nil {
+		return 0
+	}
+	return cfg.Version
+}
+
 // behind notes since when a node has known that its configuration is not the newest.
 type behind struct {
 	mu sync.Mutex
-	// version is the one in force here, and newest the newest that a peer has told of.
-	version, newest int64
-	// since is when the node learned of a version above its own; zero: its own is
-	// the newest that it knows of.
-	since time.Time
+	// newest is the newest version that a peer has told of, and since is when the node
+	// heard of a version above the one in force, which it had not been behind before.
+	newest int64
+	since  time.Time
 }
 
-// heardOf notes that a peer has a version.
-func (b *behind) heardOf(version int64) {
+// heardOf notes that a peer has a version above the one in force here.
+func (b *behind) heardOf(version, inForce int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.newest = max(b.newest, version)
-	if b.since.IsZero() && version > b.version {
+	if b.newest <= inForce {
 		b.since = time.Now()
 	}
+	b.newest = max(b.newest, version)
 }
 
-// inForce notes that a version is in force, and returns how long the node was behind.
-func (b *behind) inForce(version int64) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.version = max(b.version, version)
-	if b.since.IsZero() {
-		return 0
-	}
-	d := time.Since(b.since)
-	if version >= b.newest {
-		b.since = time.Time{}
-	}
-	return d
-}
-
-// duration returns for how long the node has known of a newer version, or 0.
-func (b *behind) duration() time.Duration {
+// duration returns for how long the node has known of a version above the one in force,
+// or 0.
+func (b *behind) duration(inForce int64) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.since.IsZero() {
+	if b.newest <= inForce {
 		return 0
 	}
 	return time.Since(b.since)
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -24,13 +24,8 @@
 	n.metrics.NewGauge("switchbank_store_silent_seconds", func() float64 {
 		return n.store.silent().Seconds()
 	})
-	n.metrics.NewGauge("switchbank_config_version", func() float64 {
-		if cfg := n.Config(); cfg != nil {
-			return float64(cfg.Version)
-		}
-		return 0
-	})
-	n.metrics.NewGauge("switchbank_config_behind_seconds", func() float64 { return n.behind.duration().Seconds() })
+	n.metrics.NewGauge("switchbank_config_version", func() float64 { return float64(versionOf(n.Config())) })
+	n.metrics.NewGauge("switchbank_config_behind_seconds", func() float64 { return n.behind.duration(versionOf(n.Config())).Seconds() })
 	total("switchbank_runs_started", func(c scheduler.Counts) int64 { return c.Starts })
 	total("switchbank_runs_done", func(c scheduler.Counts) int64 { return c.Done })
 	total("switchbank_runs_failed", func(c scheduler.Counts) int64 { return c.Failed })
--- a/internal/cell/ownstore.go
+++ b/internal/cell/ownstore.go
@@ -19,24 +19,10 @@
 
 // List reads rows.
 func (s ownStore) List(ctx context.Context, req tables.ListRequest) (tables.ListResult, error) {
-	if s.down() {
-		return tables.ListResult{}, errDown("list")
-	}
-	res, err := s.relay.ListOwn(ctx, req)
-	if err == nil {
-		s.answered()
-	}
-	return res, err
+	return readNoted(ctx, s.watchedStore, "list", req, s.relay.ListOwn)
 }
 
 // Feed waits for changes.
 func (s ownStore) Feed(ctx context.Context, req tables.FeedRequest) (tables.FeedResult, error) {
-	if s.down() {
-		return tables.FeedResult{}, errDown("feed")
-	}
-	res, err := s.relay.FeedOwn(ctx, req)
-	if err == nil {
-		s.answered()
-	}
-	return res, err
+	return readNoted(ctx, s.watchedStore, "feed", req, s.relay.FeedOwn)
 }
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -53,9 +53,9 @@
 
 func (n *Node) pinged(ctx context.Context, req pingRequest) (pingReply, error) {
 	n.peers.learn(req.From)
-	reply := pingReply{Me: n.me, Draining: n.Draining(), StoreGood: n.relay.DirectGood() && !n.store.down()}
-	if cfg := n.Config(); cfg != nil {
-		reply.ConfigVersion = cfg.Version
+	reply := pingReply{
+		Me: n.me, Draining: n.Draining(), StoreGood: n.relay.DirectGood() && !n.store.down(),
+		ConfigVersion: versionOf(n.Config()),
 	}
 	n.mu.Lock()
 	owned := maps.Clone(n.owned)
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -174,19 +174,18 @@
 
 // Feed waits for changes; it may be silent for as long as nothing changes.
 func (s *watchedStore) Feed(ctx context.Context, req tables.FeedRequest) (tables.FeedResult, error) {
+	return readNoted(ctx, s, "feed", req, s.Service.Feed)
+}
+
+// readNoted makes a read of which only an answer is noted, and not that it fails.
+func readNoted[Req, Res any](ctx context.Context, s *watchedStore, op string, req Req, read func(context.Context, Req) (Res, error)) (res Res, err error) {
 	if s.down() {
-		return tables.FeedResult{}, errDown("feed")
+		return res, errDown(op)
 	}
-	res, err := s.Service.Feed(ctx, req)
-	if err == nil {
-		s.answered()
+	if res, err = read(ctx, req); err == nil {
+		s.mu.Lock()
+		s.lastSeen, s.failedAt = time.Now(), time.Time{}
+		s.mu.Unlock()
 	}
 	return res, err
 }
-
-// answered notes that the store has answered.
-func (s *watchedStore) answered() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lastSeen, s.failedAt = time.Now(), time.Time{}
-}
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -125,9 +125,8 @@
 
 // writeReply answers with v, packed if it is large and the caller accepts that.
 func writeReply(w http.ResponseWriter, r *http.Request, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		WriteError(w, errors.Wrap(err, "encode reply"))
+	body, ok := encodeReply(w, v)
+	if !ok {
 		return
 	}
 	if small, ok := packed(r, body); ok {
@@ -203,12 +202,19 @@
 
 // WriteJSON answers with v.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
+	if body, ok := encodeReply(w, v); ok {
+		writeBody(w, status, body)
+	}
+}
+
+// encodeReply encodes v, or answers that this failed.
+func encodeReply(w http.ResponseWriter, v any) (body []byte, ok bool) {
 	body, err := json.Marshal(v)
 	if err != nil {
 		WriteError(w, errors.Wrap(err, "encode reply"))
-		return
+		return nil, false
 	}
-	writeBody(w, status, body)
+	return body, true
 }
 
 // writeBody answers with an encoded body.
--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -50,10 +50,8 @@
 // the life that it stood for gets nothing new, and what runs there runs on.
 func (o *Owner) applyWorkers(ctx context.Context, rows []tables.Row, whole bool) {
 	entries := make([]entry, len(rows))
-	listed := make(map[string]bool, len(rows))
 	for i, r := range rows {
 		entries[i] = o.decodeEntry(r)
-		listed[r.Key] = !r.Gone
 	}
 	o.do(func(s *scheduler.Shard, now time.Time) {
 		s.DirectoryRead(now)
@@ -68,6 +66,10 @@
 			}
 		}
 		if whole {
+			listed := make(map[string]bool, len(entries))
+			for _, e := range entries {
+				listed[e.key] = true
+			}
 			s.ListedWorkers(now, listed)
 		}
 	})
--- a/internal/tables/relay.go
+++ b/internal/tables/relay.go
@@ -93,22 +93,30 @@
 
 // List reads rows.
 func (r *Relay) List(ctx context.Context, req ListRequest) (ListResult, error) {
-	return relayed(ctx, r, limits{most: listTimeout}, func(ctx context.Context, s Service) (ListResult, error) { return s.List(ctx, req) })
-}
-
-// Feed waits for changes.
-func (r *Relay) Feed(ctx context.Context, req FeedRequest) (FeedResult, error) {
-	return relayed(ctx, r, limits{most: listTimeout, wait: req.Wait}, func(ctx context.Context, s Service) (FeedResult, error) { return s.Feed(ctx, req) })
+	return r.list(ctx, req, false)
 }
 
 // ListOwn reads rows, but not through peers.
 func (r *Relay) ListOwn(ctx context.Context, req ListRequest) (ListResult, error) {
-	return relayed(ctx, r, limits{most: listTimeout, own: true}, func(ctx context.Context, s Service) (ListResult, error) { return s.List(ctx, req) })
+	return r.list(ctx, req, true)
+}
+
+func (r *Relay) list(ctx context.Context, req ListRequest, own bool) (ListResult, error) {
+	return relayed(ctx, r, limits{most: listTimeout, own: own}, func(ctx context.Context, s Service) (ListResult, error) { return s.List(ctx, req) })
+}
+
+// Feed waits for changes.
+func (r *Relay) Feed(ctx context.Context, req FeedRequest) (FeedResult, error) {
+	return r.feed(ctx, req, false)
 }
 
 // FeedOwn waits for changes, but not through peers.
 func (r *Relay) FeedOwn(ctx context.Context, req FeedRequest) (FeedResult, error) {
-	return relayed(ctx, r, limits{most: listTimeout, wait: req.Wait, own: true}, func(ctx context.Context, s Service) (FeedResult, error) { return s.Feed(ctx, req) })
+	return r.feed(ctx, req, true)
+}
+
+func (r *Relay) feed(ctx context.Context, req FeedRequest, own bool) (FeedResult, error) {
+	return relayed(ctx, r, limits{most: listTimeout, wait: req.Wait, own: own}, func(ctx context.Context, s Service) (FeedResult, error) { return s.Feed(ctx, req) })
 }
 
 // request makes one call of a service.
