A list that was asked for before a run was listed does not drop the run

Read in the other order, the older answer, made before the start arrived, dropped a run that the newer one had listed, and the task started again. Ruled out: a start that arrives after its stop (the stop leaves a tombstone), starts that were not sent, a worker taken for gone.

--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -57,6 +57,9 @@
 	if r.state == runStarting {
 		r.state = runRunning
 	}
+	// Answers pass each other: one to a question that was asked before this list was read
+	// may be older than the run, which then ran twice.
+	r.knownAt = w.holds
 	t := r.task
 	t.uncertain = false
 	if r.firstAt.IsZero() {
