A job that has begun moves where its gang fits; jobs are accepted for an owner; shards follow the hosts

Changes: a job of which nothing runs goes with its progress to another shard if the workers here, but for those that advice has rejected, can't hold a step; shards are as large as half of the hosts can own (workers_per_shard 0), checked settings.

--- a/internal/cell/layout.go
+++ b/internal/cell/layout.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +13,7 @@
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/conns"
 	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/settings"
 	"switchbank.example/switchbank/internal/tables"
 )
 
@@ -80,7 +82,7 @@
 		return
 	}
 	// Without a list of machines the service has one shard.
-	value, err := json.Marshal(cluster.PlanLayout(service, machines, n.cfg.WorkersPerShard))
+	value, err := json.Marshal(cluster.PlanLayout(service, machines, n.workersPerShard()))
 	if err != nil {
 		panic("cell: a layout holds only strings and numbers: " + err.Error())
 	}
@@ -99,3 +101,25 @@
 		}
 	}
 }
+
+const (
+	// ownedShare is the part of its processor that the owner of a shard should use at its
+	// usual load: bursts take twice that.
+	ownedShare = 0.6
+	// shardLeast is the least size of a shard: few workers hold no wide job.
+	shardLeast = 24
+)
+
+// workersPerShard returns how many workers a shard should have at most: as many as half of
+// the hosts can own, since the large ones may be lost. Shards are as large as that allows,
+// as a gang has to find its room in one: gangs of 69 and 91 tasks, of which advice allows
+// a third of the workers, never started in shards of 110.
+func (n *Node) workersPerShard() int {
+	if n.cfg.WorkersPerShard > 0 {
+		return n.cfg.WorkersPerShard
+	}
+	hosts := append(n.peers.processors(), n.me.CPUMilli)
+	slices.Sort(hosts)
+	typical := float64(hosts[(len(hosts)-1)/2])
+	return min(max(shardLeast, int(typical*ownedShare/settings.MilliOwned)), settings.MostWorkersPerShard)
+}
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -187,6 +187,19 @@
 	return list
 }
 
+// processors returns what the other nodes that have told it may use of a processor, in
+// thousandths of a core.
+func (p *peers) processors() (list []int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, q := range p.sorted {
+		if q.CPUMilli > 0 {
+			list = append(list, q.CPUMilli)
+		}
+	}
+	return list
+}
+
 // known returns how many other nodes are known.
 func (p *peers) known() int {
 	p.mu.Lock()
--- a/internal/cell/pins.go
+++ b/internal/cell/pins.go
@@ -40,10 +40,19 @@
 		return nil, false
 	}
 	if layout.Shards > 1 && job.Splits() {
-		return job.Split(layout.Choices(job.ID)[0], &layout), true
+		return n.epochsOf(job.Split(layout.Choices(job.ID)[0], &layout)), true
 	}
 	job.Shard = n.choose(ctx, &layout, &job).Index
-	return []cluster.Job{job}, true
+	return n.epochsOf([]cluster.Job{job}), true
+}
+
+// epochsOf notes in the parts of a job which owner each is accepted for.
+func (n *Node) epochsOf(parts []cluster.Job) []cluster.Job {
+	for i := range parts {
+		rec, _ := n.owner(parts[i].ShardID())
+		parts[i].Epoch = rec.Epoch
+	}
+	return parts
 }
 
 // choose returns the shard that a job should run on: that of its data's rack
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -11,6 +11,7 @@
 package cluster
 
 import (
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"strings"
@@ -167,13 +168,18 @@
 	Service string `json:"service"`
 	// Shard is the index of the service's shard on which the job runs.
 	Shard int `json:"shard,omitempty"`
+	// Epoch is that of the shard's owner as the node knew it that accepted the job; 0: it
+	// knew none. An owner of a higher epoch may not have been the first to have the job.
+	Epoch int64 `json:"epoch,omitempty"`
 	// Share is the part of the job's tasks that the shard runs.
 	Share Share `json:"share,omitzero"`
-	// Moves is how often the job went from one shard to another.
-	Moves  int    `json:"moves,omitempty"`
-	Policy Policy `json:"policy"`
-	Spec   string `json:"spec"`
-	Steps  []Step `json:"steps"`
+	// Moves is how often the job went from one shard to another, and Carried the progress
+	// that it had when it last did, as the owner there would have persisted it.
+	Moves   int             `json:"moves,omitempty"`
+	Carried json.RawMessage `json:"carried,omitempty"`
+	Policy  Policy          `json:"policy"`
+	Spec    string          `json:"spec"`
+	Steps   []Step          `json:"steps"`
 	// AcceptedMS is the time of day of the acceptance, in Unix milliseconds.
 	AcceptedMS int64 `json:"accepted_ms"`
 	// Repeats is how often the steps run; 0: once, at once.
--- a/internal/owner/feed.go
+++ b/internal/owner/feed.go
@@ -53,7 +53,12 @@
 		if s.Has(r.Key) || r.Part != PartOf(o.cfg.Shard.Service, r.Key) {
 			continue
 		}
-		if job, ok := o.decodeJob(r); ok {
+		job, ok := o.decodeJob(r)
+		if ok && job.Epoch > o.Epoch() {
+			go o.Lost("a job was accepted for a later owner")
+			return
+		}
+		if ok {
 			s.AddJob(now, job, nil, false)
 		}
 	}
--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -100,6 +100,7 @@
 	job := m.Job
 	job.Shard = to.Index
 	job.Moves++
+	job.Epoch, job.Carried = 0, m.Carried
 	moved, err := o.repin(ctx, job, pin)
 	if ctx.Err() != nil {
 		return
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -181,11 +181,16 @@
 	}
 }
 
-// AddJob takes a job that was persisted with that version. One that is not known
+// AddJob takes a job that was persisted with that version. One that was accepted for a
+// later owner shows that there is one. One that is not known
 // here although all rows up to its version are was moved to another shard before
 // this owner came: its acceptance was told late. One of a part that has not been read
 // is read with it.
 func (o *Owner) AddJob(job cluster.Job, version int64) {
+	if job.Epoch > o.Epoch() {
+		o.Lost("a job was accepted for a later owner")
+		return
+	}
 	o.do(func(s *scheduler.Shard, now time.Time) {
 		if o.loaded && version > o.jobsUpTo && !o.isUnread(job.ID) {
 			s.AddJob(now, job, nil, false)
--- a/internal/owner/take.go
+++ b/internal/owner/take.go
@@ -79,7 +79,10 @@
 	}
 	var p *scheduler.Progress
 	if pr, found := progress[r.Key]; found {
-		p = o.decodeProgress(pr)
+		if p = o.decodeProgress(pr); p != nil && !p.IsOf(&job) {
+			// It is left from before the job went away and came back.
+			p = nil
+		}
 	}
 	if p != nil && p.State.Finished() {
 		o.litter.add(jobRows(o.cfg.Shard, r.Key)...)
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -10,6 +10,7 @@
 
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/resource"
 )
 
 // advice is what the advice service has said of a step. Which workers are good
@@ -151,8 +152,12 @@
 // there when the call is made is partly taken by others when it returns.
 const adviceCaution = 0.6
 
-func countFits(w *worker, now time.Time, st *step) int64 {
-	free, need := w.free(now, st), st.spec.Room()
+// countFits returns how many tasks of a step the room that is free on a worker holds.
+func countFits(w *worker, now time.Time, st *step) int64 { return fitsIn(w.free(now, st), st) }
+
+// fitsIn returns how many tasks of a step some room on one worker holds.
+func fitsIn(free resource.Amount, st *step) int64 {
+	need := st.spec.Room()
 	n := int64(st.spec.Count)
 	for _, p := range [][2]int64{{free.CPUMilli, need.CPUMilli}, {free.MemoryMB, need.MemoryMB}, {free.Accelerators, need.Accelerators}} {
 		if p[1] > 0 {
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -62,7 +62,7 @@
 
 // encodeProgress returns the value of a job's progress row as of its last change.
 func (s *Shard) encodeProgress(j *job, p Progress) []byte {
-	p.Epoch, p.Change = s.p.Epoch, j.changed
+	p.Epoch, p.Change, p.Came = s.p.Epoch, j.changed, j.spec.Moves+1
 	value, err := json.Marshal(p)
 	if err != nil {
 		panic("scheduler: progress holds only strings and numbers: " + err.Error())
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -120,7 +120,9 @@
 }
 
 // AddJob takes an accepted job. Progress is what an earlier owner persisted, or
-// nil; tasks of an uncertain job may already run somewhere.
+// nil; tasks of an uncertain job may already run somewhere. So may, until the takeover is
+// complete, those of a job that was accepted for an earlier owner, which may not have
+// known yet that it had been replaced.
 func (s *Shard) AddJob(now time.Time, spec cluster.Job, progress *Progress, uncertain bool) {
 	if s.jobs[spec.ID] != nil {
 		return
@@ -128,6 +130,11 @@
 	if away, ok := s.movedAway[spec.ID]; ok && spec.Moves <= away.moves {
 		return
 	}
+	uncertain = uncertain || (s.takeover.open && spec.Epoch < s.p.Epoch)
+	if progress == nil {
+		progress = s.carried(&spec)
+	}
+	spec.Carried = nil
 	j := &job{spec: spec, rank: rankOf(&spec, now), state: cluster.StatePending, inherited: uncertain}
 	s.jobs[spec.ID] = j
 	if progress != nil && progress.State.Finished() {
@@ -152,6 +159,20 @@
 	s.finishIfDone(now, j)
 }
 
+// carried returns the progress with which a job came from another shard, or nil.
+func (s *Shard) carried(spec *cluster.Job) *Progress {
+	if len(spec.Carried) == 0 {
+		return nil
+	}
+	p, err := ParseProgress(spec.Carried, 0)
+	if err != nil {
+		s.log.Warn("carried progress skipped", events.RowSkipped, zap.String("job", spec.ID), zap.Error(err))
+		return nil
+	}
+	p.Moving = false
+	return p
+}
+
 func (s *Shard) build(j *job, now time.Time, uncertain bool) {
 	for k := range max(1, j.spec.Repeats) {
 		rep := &repeat{due: now}
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"switchbank.example/switchbank/internal/cluster"
-	"switchbank.example/switchbank/internal/resource"
 )
 
 // Move is a job that would better run on another shard.
@@ -17,7 +16,9 @@
 	// that says that the job is moving.
 	Version int64
 	Mark    []byte
-	// Unfit is set if no worker of this shard can ever run one of its steps.
+	// Carried is the progress that goes with the job; nil: it hasn't begun.
+	Carried []byte
+	// Unfit is set if the workers of this shard can never run one of its steps.
 	Unfit bool
 }
 
@@ -31,9 +32,9 @@
 	movesMost = 8
 )
 
-// Moves returns jobs of which no task may have run and which would better run
-// elsewhere, at most n. Each must be answered by Moved or Stays; until then
-// nothing of it starts.
+// Moves returns jobs of which nothing runs and which would better run elsewhere, at most
+// n: those that have not begun, and others if the workers here can't run their next steps.
+// Each must be answered by Moved or Stays; until then nothing of it starts.
 func (s *Shard) Moves(now time.Time, n int) []Move {
 	if s.takeover.open {
 		return nil
@@ -47,11 +48,15 @@
 			continue
 		}
 		unfit := s.unfit(j)
-		if !unfit && (s.load < moveFrom || !j.waitsSince(now, moveAfter)) {
+		if !unfit && (j.begun || s.load < moveFrom || !j.waitsSince(now, moveAfter)) {
 			continue
 		}
 		j.moving = true
-		list = append(list, Move{Job: j.spec, Version: j.version, Mark: s.moveMark(j), Unfit: unfit})
+		m := Move{Job: j.spec, Version: j.version, Mark: s.moveMark(j), Unfit: unfit}
+		if j.begun {
+			m.Carried = s.encodeProgress(j, j.progress())
+		}
+		list = append(list, m)
 	}
 	return list
 }
@@ -65,16 +70,30 @@
 	return s.encodeProgress(j, p)
 }
 
-// mayMove reports whether the job is whole, no task of it may have run, and it has
-// moves left. While progress of it is being written it waits, since that write would
-// replace the mark.
+// mayMove reports whether the job is whole, nothing of it may run, and it has moves left.
+// While progress of it is being written it waits, since that write would replace the mark.
 func (s *Shard) mayMove(j *job) bool {
-	if j.begun || j.moving || s.dirty[j.spec.ID] != nil || !j.spec.Share.Whole() || j.spec.Moves >= movesMost {
+	if j.moving || s.dirty[j.spec.ID] != nil || !j.spec.Share.Whole() || j.spec.Moves >= movesMost || j.runs() {
 		return false
 	}
 	return !j.inherited || s.takeover.complete
 }
 
+// runs reports whether anything of the job may run.
+func (j *job) runs() bool {
+	if !j.begun {
+		return false
+	}
+	for _, rep := range j.reps {
+		for _, st := range rep.steps {
+			if slices.ContainsFunc(st.tasks, func(t *task) bool { return len(t.runs) > 0 }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // movedJob is what is remembered of a job that went to another shard.
 type movedJob struct {
 	// moves is the job's count of moves when it went.
@@ -113,29 +132,40 @@
 	})
 }
 
-// unfit reports whether a step of the job can never run here: no worker has its
-// label and size, or all of them together have less room than its gang needs.
+// unfit reports whether a step of the job that is left can never run here.
 func (s *Shard) unfit(j *job) bool {
 	if len(s.order) == 0 {
 		return false
 	}
-	for i := range j.spec.Steps {
-		if !s.fits(&j.spec.Steps[i]) {
-			return true
+	for _, rep := range j.reps {
+		for _, st := range rep.steps {
+			if st.done < len(st.tasks) && !s.holds(st) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
-// fits reports whether the shard's workers could run a step if they were free.
-func (s *Shard) fits(spec *cluster.Step) bool {
-	var total resource.Amount
-	fits := false
+// holds reports whether the shard's workers could run a step if they were free: one task
+// at least, and all together of a gang or of tasks that last. Workers that advice rejects
+// don't count; those that it was not asked about do.
+func (s *Shard) holds(st *step) bool {
+	need := 1
+	if st.spec.Gang || st.spec.LongRunning {
+		need = len(st.tasks) - st.done
+	}
+	room := 0
 	for _, w := range s.order {
-		if !w.info.Draining && !w.entryInvalid && (spec.Label == "" || w.info.HasLabel(spec.Label)) && w.info.Capacity.Fits(spec.Room()) {
-			fits = true
-			total = total.Add(w.info.Capacity)
+		if w.info.Draining || w.leaving || w.entryInvalid || (st.spec.Label != "" && !w.info.HasLabel(st.spec.Label)) {
+			continue
+		}
+		if ans, known := st.advice.answers[w.info.ID]; known && !ans.good {
+			continue
+		}
+		if room += int(fitsIn(w.info.Capacity, st)); room >= need {
+			return true
 		}
 	}
-	return fits && (!spec.Gang || total.Fits(spec.Room().Times(int64(spec.Count))))
+	return false
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,8 +37,8 @@
 	LogLevel string `yaml:"log_level"`
 	// WorkerOrders is how workers are given orders; only calls are built.
 	WorkerOrders string `yaml:"worker_orders"`
-	// WorkersPerShard is how many workers a shard has at most. It counts when a
-	// service is first divided; a layout that exists stays.
+	// WorkersPerShard is how many workers a shard has at most; 0: as many as the hosts can
+	// own. It counts when a service is first divided; a layout that exists stays.
 	WorkersPerShard int `yaml:"workers_per_shard"`
 }
 
@@ -114,11 +115,17 @@
 	defaultGrace     = 6 * time.Second
 	defaultKeepState = 120 * time.Second
 	defaultMemoryMB  = 128
-	// An owner takes about 0.4 ms of processor a task, and the smallest hosts of the
-	// users' sites have a fifth of a core.
-	defaultWorkersPerShard = 120
 )
 
+// MilliOwned is what a busy worker uses of the processor of the host that owns its shard,
+// in thousandths of a core, while other nodes make its calls: 0.17 core for 280 workers
+// with 310 starts a second, the mean of a day.
+const MilliOwned = 0.6
+
+// MostWorkersPerShard bounds a shard by the row in which its workers are listed for the
+// next owner: 64 KB, at some 40 bytes each.
+const MostWorkersPerShard = 1500
+
 // Load reads and checks a settings file.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
@@ -149,7 +156,6 @@
 	setDefault(&s.Listen.PeersAt, s.Listen.Peers)
 	setDefault(&s.LogLevel, "info")
 	setDefault(&s.WorkerOrders, OrdersByCall)
-	setDefault(&s.WorkersPerShard, defaultWorkersPerShard)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -176,7 +182,7 @@
 		value int64
 	}{
 		{"bounds.lease_most_ms", s.Bounds.LeaseMostMS}, {"bounds.stop_ms", s.Bounds.StopMS}, {"bounds.grace_ms", s.Bounds.GraceMS},
-		{"bounds.keep_state_ms", s.Bounds.KeepStateMS}, {"limits.memory_mb", s.Limits.MemoryMB}, {"workers_per_shard", int64(s.WorkersPerShard)},
+		{"bounds.keep_state_ms", s.Bounds.KeepStateMS}, {"limits.memory_mb", s.Limits.MemoryMB},
 	} {
 		if b.value <= 0 {
 			return invalid(b.field, "must be above 0")
@@ -195,6 +201,12 @@
 	if s.Limits.CoreSpeed < 0 {
 		return invalid("limits.core_speed", "must be above 0")
 	}
+	if s.WorkersPerShard < 0 || s.WorkersPerShard > MostWorkersPerShard {
+		return invalid("workers_per_shard", "must be from 0 to "+strconv.Itoa(MostWorkersPerShard))
+	}
+	if need := MilliOwned * float64(s.WorkersPerShard); need > float64(s.Limits.CPUMilli()) {
+		return invalid("workers_per_shard", fmt.Sprintf("the owner of a shard uses up to %.0f thousandths of a core, more than limits.cpu_share gives", need))
+	}
 	return nil
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -37,6 +37,9 @@
 		{good + "limits: {cpu_share: -0.4}\n", "limits.cpu_share"},
 		{strings.Replace(good, `peers: "127.0.0.1:3"`, `peers: "127.0.0.1:3", peers_at: "nowhere"`, 1), "listen.peers_at"},
 		{good + "workers_per_shard: -1\n", "workers_per_shard"},
+		{good + "workers_per_shard: 1501\n", "workers_per_shard"},
+		{good + "workers_per_shard: 300\nlimits: {cpu_share: 0.12}\n", "workers_per_shard"},
+		{good + "limits: {link_mbps: -2}\n", "limits.link_mbps"},
 		{good + "limits: {core_speed: -1}\n", "limits.core_speed"},
 		{good + "worker_orders: heartbeat\n", "worker_orders"},
 	} {
