Writes, reads and removals leave a slow link to signs of life

Cause: after an outage of the store the owner wrote 49 jobs of progress at once, 150 kB, for 0.6 s in which it was taken for silent; a takeover read 40 parts at once, and the rows of all jobs that had ended within a minute. Ends were confirmed only by a batch with all open changes, so that a backlog confirmed none.

Change: a batch has about 60 ms of the link; parts are read one for each Mbit/s at once, with turns that a part which is away doesn't keep; progress is read in four ranges; rows of ended jobs go after 10 s, also while a write takes 0.1 s; ends are confirmed by worker.

--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -288,7 +288,7 @@
 	layout, _ := n.layout(shard.Service)
 	workers := n.newFanout(shard, &layout)
 	o := owner.New(owner.Config{
-		Shard: shard, Layout: layout, Row: row, Fence: fence, Params: n.params(rec.Epoch),
+		Shard: shard, Layout: layout, Row: row, Fence: fence, ReadAtOnce: n.readAtOnce(), WriteMost: n.writeMost(), Params: n.params(rec.Epoch),
 	}, owner.Deps{
 		Tables: ownersStore{n.store, n}, Workers: workers, Advisers: n.peers, Machines: readMachines{n, shard.Service}, Directory: n.Directory, Shards: n,
 		EntryRefused: n.countRefused, Log: n.Log,
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -220,7 +220,7 @@
 	// owner silent: without this an overloaded shard of 120 workers, on hosts with links
 	// of 2 Mbit/s, changed its owner 44 times in 35 s and served nothing.
 	changesCount   = 10 * time.Second
-	changePatience = 1500 * time.Millisecond
+	changePatience = 2 * time.Second
 	patienceMost   = 4 * time.Second
 )
 
--- a/internal/owner/litter.go
+++ b/internal/owner/litter.go
@@ -13,13 +13,14 @@
 const (
 	// sweepRows is the most rows of one removal, each with a condition, beside the
 	// condition on the fence. One is made for sweepLeast rows, or for fewer that are there for
-	// sweepAnyway: a removal costs a write.
+	// sweepAnyway: a removal costs a write, and each takeover reads what is left.
 	sweepRows   = (tables.MaxEntries - 1) / 2
 	sweepLeast  = 10
-	sweepAnyway = time.Minute
-	// sweepWhenFaster keeps the removals out of the way of a slow store, which
-	// answers in 4 ms as a rule.
-	sweepWhenFaster = 40 * time.Millisecond
+	sweepAnyway = 10 * time.Second
+	// sweepWhenFaster keeps the removals out of the way of a slow store, which answers
+	// in 4 ms as a rule, and in 0.24 to 0.4 s when it is slow. On a busy link of 2 Mbit/s a
+	// write takes up to 0.1 s, and what isn't removed makes a takeover read more over it.
+	sweepWhenFaster = 150 * time.Millisecond
 )
 
 // litter are rows that nothing needs any more, until they are removed.
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -76,14 +78,17 @@
 	return nil
 }
 
-// readParts reads the jobs of all parts, each until that succeeds.
+// readParts reads the jobs of all parts, each until that succeeds. Each read has a turn, so
+// that few answers come at once; one that doesn't answer soon keeps no other from its turn,
+// since some parts may be away.
 func (o *Owner) readParts(ctx context.Context) <-chan partJobs {
 	read := make(chan partJobs, Parts)
 	o.group.Go(func() error {
 		g, ctx := errgroup.WithContext(ctx)
-		g.SetLimit(tables.ListParallel)
+		turns := make(chan struct{}, o.cfg.ReadAtOnce)
 		for _, part := range PartsOf(o.cfg.Shard.Service) {
 			g.Go(func() error {
+				defer takeTurn(ctx, turns)()
 				rows, version, err := o.listUntilRead(ctx, tables.ListRequest{Table: TableJobs(o.cfg.Shard), Part: part})
 				if err == nil {
 					read <- partJobs{part, rows, version}
@@ -100,6 +105,26 @@
 	return read
 }
 
+// turnTime is how long a read keeps its turn at most: an answer takes 4 ms as a rule.
+const turnTime = 50 * time.Millisecond
+
+// takeTurn waits for a turn, which ends when the returned function is called or turnTime
+// is over.
+func takeTurn(ctx context.Context, turns chan struct{}) (end func()) {
+	select {
+	case turns <- struct{}{}:
+	case <-ctx.Done():
+		return func() {}
+	}
+	var once sync.Once
+	release := func() { once.Do(func() { <-turns }) }
+	t := time.AfterFunc(turnTime, release)
+	return func() {
+		t.Stop()
+		release()
+	}
+}
+
 // awaitParts takes the parts as they are read, until all are or the time is over.
 // The feed needs the version of one.
 func (o *Owner) awaitParts(ctx context.Context, to *loadedRows, read <-chan partJobs, until time.Time) error {
@@ -127,14 +152,25 @@
 	return nil
 }
 
+// progressFrom are the keys from which a shard's progress is read, each to the next one:
+// together it is some hundred kilobytes, which owners on slow links have read by several
+// others.
+var progressFrom = []string{"", "4", "8", "c"}
+
 // loadProgress reads the progress of all jobs, also what is spilled of it, and the roster.
 func (o *Owner) loadProgress(ctx context.Context, to *loadedRows) error {
-	var progress []tables.Row
+	ranges := make([][]tables.Row, len(progressFrom))
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() (err error) {
-		progress, _, err = o.listUntilRead(ctx, tables.ListRequest{Table: TableProgress, Part: ProgressPart(o.cfg.Shard)})
-		return err
-	})
+	for i, from := range progressFrom {
+		req := tables.ListRequest{Table: TableProgress, Part: ProgressPart(o.cfg.Shard), From: from}
+		if i+1 < len(progressFrom) {
+			req.To = progressFrom[i+1]
+		}
+		g.Go(func() (err error) {
+			ranges[i], _, err = o.listUntilRead(ctx, req)
+			return err
+		})
+	}
 	g.Go(func() (err error) {
 		to.spilled, _, err = o.listUntilRead(ctx, spilledBy(o.cfg.Shard))
 		return err
@@ -142,7 +178,7 @@
 	if err := g.Wait(); err != nil {
 		return err
 	}
-	for _, r := range progress {
+	for _, r := range slices.Concat(ranges...) {
 		switch r.Key {
 		case fenceKey:
 		case rosterKey:
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -12,8 +12,10 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -59,8 +61,12 @@
 	Row tables.Row
 	// Fence is the shard's fence as it was read while Row was written; without a key it
 	// is not known. It saves a call of a takeover.
-	Fence  tables.Row
-	Params scheduler.Params
+	Fence tables.Row
+	// ReadAtOnce is how many parts of the jobs are read at once; 0: tables.ListParallel.
+	ReadAtOnce int
+	// WriteMost is how many bytes of progress one write should have at most; 0: any.
+	WriteMost int
+	Params    scheduler.Params
 }
 
 // Owner runs one shard.
@@ -101,6 +107,8 @@
 
 // New returns an Owner that has not been started.
 func New(cfg Config, deps Deps) *Owner {
+	cfg.ReadAtOnce = cmp.Or(cfg.ReadAtOnce, tables.ListParallel)
+	cfg.WriteMost = cmp.Or(cfg.WriteMost, math.MaxInt)
 	return &Owner{
 		cfg: cfg, Deps: deps, began: time.Now(), shard: scheduler.New(cfg.Params, time.Now(), deps.Log),
 		holding: make(map[string]bool), refused: newRefused(),
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -46,7 +46,7 @@
 // that went well.
 func (o *Owner) persistOnce(ctx context.Context) (retry time.Duration) {
 	o.mu.Lock()
-	batch := o.shard.Dirty(batchJobs)
+	batch := o.shard.Dirty(batchJobs, o.cfg.WriteMost)
 	o.mu.Unlock()
 	if batch.Empty() {
 		return 0
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -35,31 +35,47 @@
 	seen map[string]int64
 }
 
-// Dirty returns what has to be persisted, for at most maxJobs jobs: finished ones
-// first, since callers wait for that, and of these the most urgent. Ends are covered
-// only by a batch that takes all open changes.
-func (s *Shard) Dirty(maxJobs int) Batch {
+// Dirty returns what has to be persisted, for at most maxJobs jobs and of about maxBytes at
+// most: finished ones first, since callers wait for that, and of these the most urgent.
+// Ends of a worker are covered up to the first whose job has changes that are left out.
+func (s *Shard) Dirty(maxJobs, maxBytes int) Batch {
 	var b Batch
 	// What a moving job's progress is, its mark says until the move is settled.
 	open := slices.SortedFunc(maps.Values(s.dirty), compareDirty)
 	open = slices.DeleteFunc(open, func(j *job) bool { return j.moving })
+	bytes, taken := 0, make(map[string]bool)
 	for _, j := range open[:min(len(open), maxJobs)] {
-		b.Records = append(b.Records, Record{
+		r := Record{
 			Job: j.spec.ID, Queue: j.spec.Queue, Version: j.version, Value: s.encodeProgress(j, j.progress()), Final: j.state.Finished(), Change: j.changed,
-		})
-	}
-	if len(b.Records) < len(s.dirty) {
-		return b
+		}
+		if bytes += len(r.Value); bytes > maxBytes && len(b.Records) > 0 {
+			break
+		}
+		b.Records = append(b.Records, r)
+		taken[r.Job] = true
 	}
 	b.seen = make(map[string]int64)
 	for _, w := range s.order {
-		if n := w.lastTaken(); n > w.confirmedEnd {
+		if n := s.coveredEnd(w, taken); n > w.confirmedEnd {
 			b.seen[w.info.ID] = n
 		}
 	}
 	return b
 }
 
+// coveredEnd returns up to which number a worker's ends are persisted once the changes of
+// some jobs are. While a store is slow changes are left out of many batches in a row, and
+// ends that waited for a batch with all of them were confirmed by none.
+func (s *Shard) coveredEnd(w *worker, jobs map[string]bool) int64 {
+	n := w.lastTaken()
+	for _, e := range w.taken {
+		if s.dirty[e.job] != nil && !jobs[e.job] {
+			n = min(n, e.n-1)
+		}
+	}
+	return n
+}
+
 // encodeProgress returns the value of a job's progress row as of its last change.
 func (s *Shard) encodeProgress(j *job, p Progress) []byte {
 	p.Epoch, p.Change, p.Came = s.p.Epoch, j.changed, j.spec.Moves+1
@@ -118,6 +134,7 @@
 	for id, n := range b.seen {
 		if w := s.workers[id]; w != nil {
 			w.confirmedEnd = max(w.confirmedEnd, n)
+			w.taken = slices.DeleteFunc(w.taken, func(e takenEnd) bool { return e.n <= w.confirmedEnd })
 		}
 	}
 }
--- a/internal/scheduler/ended.go
+++ b/internal/scheduler/ended.go
@@ -40,6 +40,7 @@
 	// An earlier owner may have begun it without persisting that.
 	t.step.job.begun = true
 	s.touch(t.step.job)
+	w.taken = append(w.taken, takenEnd{e.N, e.Task.Job})
 	s.logEnd(now, w, r, e)
 	switch e.Outcome {
 	case cluster.OutcomeDone:
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -16,7 +16,7 @@
 //	seq, order, lastSeen, ok := s.HoldSent(now, worker.ID)
 //	s.Observe(now, worker.ID, seq, report)
 //	for _, c := range s.Schedule(now) { … } // carry out, and feed back the reply
-//	batch := s.Dirty(maxJobs)               // persist, then
+//	batch := s.Dirty(maxJobs, maxBytes)     // persist, then
 //	s.Persisted(now, batch, version)
 package scheduler
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -45,8 +45,10 @@
 	held         []cluster.RunEnd
 	lastEnd      int64 // the highest end taken
 	confirmedEnd int64 // the highest end that is persisted
-	health       health
-	leavesAt     time.Time
+	// taken are the ends that are not confirmed and of which a job has to be persisted.
+	taken    []takenEnd
+	health   health
+	leavesAt time.Time
 	// unlisted is set while the directory doesn't list the worker, since unlistedAt.
 	unlisted   bool
 	unlistedAt time.Time
@@ -57,6 +59,12 @@
 	entryInvalid bool
 }
 
+// takenEnd is an end that was taken, by its number and job.
+type takenEnd struct {
+	n   int64
+	job string
+}
+
 // ClockSlack is how many times as long as its own clock says a worker's lease
 // may last on ours: its steady clock may run slower by 2 %.
 const ClockSlack = 1.02
