--- a/internal/scheduler/health_test.go
+++ b/internal/scheduler/health_test.go
@@ -71,3 +71,28 @@
 	}
 	r.t.Errorf("nothing of %s runs", job)
 }
+
+// TestLastAttemptWaitsForAnotherWorker checks that a task does not use its last attempt on
+// the worker on which it failed while the others take nothing for a short while.
+//
+// Once in 300 plays a job was shown as failed where one worker failed all that it started
+// while another writer had spoilt the entries of the others for some seconds: a second
+// after the first failure the task was tried on the same worker again.
+func TestLastAttemptWaitsForAnotherWorker(t *testing.T) {
+	r := newRig(t, 2)
+	r.announce()
+	r.pass(200 * time.Millisecond)
+	r.s.EntryInvalid(r.now, "w1")
+	r.s.AddJob(r.now, batch("j", tasks(1, 1000)), nil, false)
+	r.round()
+	r.endOne("j", cluster.OutcomeFailed)
+	r.pass(2 * time.Second)
+	if len(r.running()) > 0 {
+		t.Errorf("the last attempt runs on the worker on which the first one failed")
+	}
+	r.announce()
+	r.pass(200 * time.Millisecond)
+	if n := len(r.workers["w1"].running); n != 1 {
+		t.Errorf("%d tasks run on the other worker, want 1", n)
+	}
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -185,19 +185,29 @@
 	return w.answers() && !w.info.Draining && !w.leaving && !w.entryInvalid && w.health.takes(now, w)
 }
 
-// avoidFor is how long a task that failed or crawled waits for another worker than
-// the one on which it did.
-const avoidFor = time.Second
+const (
+	// avoidFor is how long a task that failed or crawled waits for another worker than
+	// the one on which it did.
+	avoidFor = time.Second
+	// avoidLast is the same before its last attempt. Where the other workers take nothing
+	// for a while, a job in 300 failed with all its attempts on a worker that fails all.
+	avoidLast = 4 * time.Second
+)
 
 // bestWorkerFor returns the worker on which a task should start. One that has
 // failed or crawled goes elsewhere, and with its last attempt to a worker that is
 // proven if there is one, and to none on which a run has failed since.
 func (s *Shard) bestWorkerFor(now time.Time, t *task) *worker {
-	if t.leftOn == "" || now.Sub(t.leftAt) >= avoidFor {
+	isLast := len(t.failed) > 0 && !t.step.spec.LongRunning && t.step.job.spec.Policy.MaxAttempts-len(t.failed) <= 1
+	avoid := avoidFor
+	if isLast {
+		avoid = avoidLast
+	}
+	if t.leftOn == "" || now.Sub(t.leftAt) >= avoid {
 		return s.bestWorker(now, t.step, nil, anyWorker)
 	}
 	elsewhere := func(w *worker) bool { return w.info.ID != t.leftOn }
-	if t.step.spec.LongRunning || t.step.job.spec.Policy.MaxAttempts-len(t.failed) > 1 {
+	if !isLast {
 		return s.bestWorker(now, t.step, nil, elsewhere)
 	}
 	if w := s.bestWorker(now, t.step, nil, func(w *worker) bool { return elsewhere(w) && w.health.proven }); w != nil {
