The most urgent gang has room set aside for up to 15 s, and moves for load only after 4 s

Work that ends before the gang's time uses the room meanwhile. TestGangWaitsForLongTasks fails with 4 s.

--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -26,6 +26,9 @@
 	// moveAfter is how long a job waits for room before it may move: a move costs two
 	// writes, and room comes free all the time.
 	moveAfter = 400 * time.Millisecond
+	// moveGangAfter is the same for a job whose gang waits: advice on all workers of
+	// another shard takes up to two seconds.
+	moveGangAfter = 4 * time.Second
 	// moveFrom is the load from which jobs move away for want of room.
 	moveFrom = 1.0
 	// movesMost is how often a job may move.
@@ -48,7 +51,7 @@
 			continue
 		}
 		unfit := s.unfit(j)
-		if !unfit && (j.begun || s.load < moveFrom || !j.waitsSince(now, moveAfter)) {
+		if !unfit && (j.begun || s.load < moveFrom || !j.waitsTooLong(now)) {
 			continue
 		}
 		j.moving = true
@@ -123,11 +126,16 @@
 	}
 }
 
-// waitsSince reports whether a step of the job has waited for room for so long.
-func (j *job) waitsSince(now time.Time, d time.Duration) bool {
+// waitsTooLong reports whether a step of the job has waited for room for so long that the
+// job may move.
+func (j *job) waitsTooLong(now time.Time) bool {
 	return slices.ContainsFunc(j.reps, func(rep *repeat) bool {
 		return slices.ContainsFunc(rep.steps, func(st *step) bool {
-			return !st.waitingSince.IsZero() && now.Sub(st.waitingSince) >= d
+			after := moveAfter
+			if st.spec.Gang {
+				after = moveGangAfter
+			}
+			return !st.waitingSince.IsZero() && now.Sub(st.waitingSince) >= after
 		})
 	})
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -14,7 +14,7 @@
 
 // placeAll starts what can start, the most urgent first.
 func (s *Shard) placeAll(now time.Time) {
-	s.reserving = 0
+	s.reserving, s.gangReserving = 0, false
 	for _, j := range s.active {
 		if j.moving {
 			continue
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -26,6 +26,10 @@
 	// reserveMost is the longest wait for which room is set aside; beyond it, more is
 	// lost by keeping room empty than by waiting on.
 	reserveMost = 4 * time.Second
+	// reserveGangMost is the same for the most urgent gang of a shard, whose members find
+	// room at once only if it is kept: the tasks beside it take up to 15 s, and what ends
+	// before the gang's time may use the room meanwhile.
+	reserveGangMost = 15 * time.Second
 	// slackMargin is kept of the time for which a step may wait: the ends of others are
 	// known from reports that are up to 0.5 s old.
 	slackMargin = 300 * time.Millisecond
@@ -72,12 +76,20 @@
 
 // reserveGang sets room aside for all members of a gang.
 func (s *Shard) reserveGang(now time.Time, st *step) {
-	if s.reservedFor(now, st) >= len(st.tasks) || s.reserving >= reserveSteps {
+	if s.reservedFor(now, st) >= len(st.tasks) {
+		s.gangReserving = true
+		return
+	}
+	if s.reserving >= reserveSteps && s.gangReserving {
 		return
 	}
 	s.reserving++
 	s.release(st)
-	places := s.soonestRoom(now, st, len(st.tasks), reserveMost)
+	within := reserveMost
+	if !s.gangReserving {
+		s.gangReserving, within = true, reserveGangMost
+	}
+	places := s.soonestRoom(now, st, len(st.tasks), within)
 	if len(places) < len(st.tasks) {
 		return
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -145,6 +145,8 @@
 	watchedAt time.Time
 	// reserving is how many steps had room set aside in this round.
 	reserving int
+	// gangReserving is set once a gang has had room set aside in this round, or none was found.
+	gangReserving bool
 	// load is what Load returns, as of loadAt.
 	load   float64
 	loadAt time.Time
--- a/internal/scheduler/widegang_test.go
+++ b/internal/scheduler/widegang_test.go
@@ -129,3 +129,51 @@
 		t.Errorf("the gang asked about %d workers, want all %d: the good ones of those with room can't hold it", len(asked), workers)
 	}
 }
+
+// TestGangWaitsForLongTasks checks that a gang finds room among tasks that run for longer
+// than other work has room set aside for: one waited for 17 s in a shard whose tasks took
+// 6 s on average, with all good workers known after 2 s.
+func TestGangWaitsForLongTasks(t *testing.T) {
+	const workers, takes = 10, 80 // rounds of 0.1 s
+	r := newRig(t, workers)
+	r.announce()
+	r.pass(200 * time.Millisecond)
+	long := func(name string, i int) {
+		step := tasks(1, 2000)
+		step.EstimateMS = 100 * takes
+		job := batch(fmt.Sprintf("%s%d", name, i), step)
+		r.s.AddJob(r.now, job, nil, false)
+	}
+	born := make(map[cluster.TaskID]int)
+	gang := tasks(8, 4000)
+	gang.Gang, gang.EstimateMS = true, 1000
+	for i := range 4 * takes {
+		r.now = r.now.Add(100 * time.Millisecond)
+		if i%(takes/(2*workers)) == 0 {
+			long("l", i)
+		}
+		if i == takes {
+			r.s.AddJob(r.now, batch("j", gang), nil, false)
+		}
+		for _, id := range r.names() {
+			for k := range r.workers[id].running {
+				run := &r.workers[id].running[k]
+				if _, ok := born[run.Task]; !ok {
+					born[run.Task] = i
+				}
+				run.Percent = min(99, (i-born[run.Task])*100/takes)
+			}
+			for _, run := range append([]cluster.RunStatus(nil), r.workers[id].running...) {
+				if i-born[run.Task] >= takes {
+					r.end(id, run.Task, run.Run, cluster.OutcomeDone)
+				}
+			}
+		}
+		r.hold()
+		r.round()
+		if r.running()[cluster.TaskID{Job: "j"}] > 0 {
+			return
+		}
+	}
+	t.Errorf("the gang has not started within three times as long as the tasks beside it take")
+}
