--- a/internal/cell/helpers.go
+++ b/internal/cell/helpers.go
@@ -3,11 +3,8 @@
 package cell
 
 import (
-	"time"
-
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/fanout"
-	"switchbank.example/switchbank/internal/tables"
 )
 
 const (
@@ -23,38 +20,6 @@
 	helpersMost  = 32
 )
 
-const (
-	// writeTime is how long a write may keep a host's link busy: what waits behind it, such
-	// as signs of life, is that late. 49 jobs after an outage of the store were 150 kB,
-	// 0.6 s of a link of 2 Mbit/s, and the owner was taken for silent.
-	writeTime = 60 * time.Millisecond
-	// writeLeast and writeMost bound a write: some jobs at least, and the store's limit.
-	writeLeast = 8 << 10
-	writeMost  = 512 << 10
-)
-
-// readLeast is how many parts of the jobs a takeover reads at once at least, on a link that
-// two of them, of some 10 kB, keep busy for 80 ms; signs of life have to pass between them.
-const readLeast = 2
-
-// readAtOnce returns how many parts of the jobs a takeover should read at once: one for
-// each Mbit/s of the link.
-func (n *Node) readAtOnce() int {
-	if n.cfg.Limits.LinkMbps <= 0 {
-		return tables.ListParallel
-	}
-	return min(max(int(n.cfg.Limits.LinkMbps), readLeast), tables.ListParallel)
-}
-
-// writeMost returns how many bytes of progress one write should have at most.
-func (n *Node) writeMost() int {
-	if n.cfg.Limits.LinkMbps <= 0 {
-		return writeMost
-	}
-	bytes := n.cfg.Limits.LinkMbps * 1e6 / 8 * writeTime.Seconds()
-	return min(max(int(bytes), writeLeast), writeMost)
-}
-
 // newFanout returns the calls of workers for the owner of a shard.
 func (n *Node) newFanout(shard cluster.ShardID, layout *cluster.Layout) *fanout.Client {
 	return fanout.New(fanout.Config{
--- a/matrix/site/cell_test.go
+++ b/matrix/site/cell_test.go
@@ -85,9 +85,9 @@
 	return newWorldWith(t, shardedWorkers, perShard, func(w *world) { w.site.Configure(1, routes()...) })
 }
 
-// bothWorlds build a world whose service has one shard, one with several, and one whose
+// worlds build a world whose service has one shard, one with several, and one whose
 // nodes help each other.
-var bothWorlds = map[string]func(*testing.T) *world{"one shard": newWorld, "two shards": newShardedWorld, "by way of others": newHelpedWorld}
+var worlds = map[string]func(*testing.T) *world{"one shard": newWorld, "two shards": newShardedWorld, "by way of others": newHelpedWorld}
 
 // newHelpedWorld returns a world of nodes so small that their owners call workers, and
 // read, by way of the other nodes.
@@ -98,9 +98,9 @@
 	})
 }
 
-// playOnBoth plays in virtual time in each of bothWorlds.
-func playOnBoth(t *testing.T, play func(t *testing.T, w *world)) {
-	for name, build := range bothWorlds {
+// playInWorlds plays in virtual time in each of worlds.
+func playInWorlds(t *testing.T, play func(t *testing.T, w *world)) {
+	for name, build := range worlds {
 		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { play(t, build(t)) }) })
 	}
 }
--- a/matrix/site/leaving_test.go
+++ b/matrix/site/leaving_test.go
@@ -30,7 +30,7 @@
 // TestWorkerLeavesUnsaid checks that a worker whose entry has gone, though it answers,
 // gets nothing new, and that what was accepted ends all the same.
 func TestWorkerLeavesUnsaid(t *testing.T) {
-	playOnBoth(t, func(t *testing.T, w *world) {
+	playInWorlds(t, func(t *testing.T, w *world) {
 		defer w.close()
 		time.Sleep(4 * time.Second)
 		leaving := w.worker(0)
--- a/matrix/site/parts_test.go
+++ b/matrix/site/parts_test.go
@@ -31,7 +31,7 @@
 // TestProgressPartAway takes the parts of the shards' progress away: jobs go on, and
 // their ends are shown, since they are written elsewhere meanwhile.
 func TestProgressPartAway(t *testing.T) {
-	playOnBoth(t, playProgressAway)
+	playInWorlds(t, playProgressAway)
 }
 
 func playProgressAway(t *testing.T, w *world) {
@@ -56,7 +56,7 @@
 // TestSpilledProgressOutlivesOwner kills the owner while progress is spilled: the next
 // one goes on from it, and what was shown as ended stays ended.
 func TestSpilledProgressOutlivesOwner(t *testing.T) {
-	playOnBoth(t, playOwnerLostSpilling)
+	playInWorlds(t, playOwnerLostSpilling)
 }
 
 func playOwnerLostSpilling(t *testing.T, w *world) {
@@ -117,7 +117,7 @@
 // parts is away: the next owner goes on with what it can read, and leaves alone what
 // runs of the jobs that it can't read.
 func TestTakeoverWithPartsAway(t *testing.T) {
-	for name, build := range bothWorlds {
+	for name, build := range worlds {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { playTakeoverPartsAway(t, build(t), (*world).killOwner) })
 		})
--- a/matrix/site/silence_test.go
+++ b/matrix/site/silence_test.go
@@ -27,7 +27,7 @@
 // work: calls are answered soon after, nothing that runs is lost, and the shards keep
 // their owners.
 func TestSilentConnections(t *testing.T) {
-	playOnBoth(t, playSilence)
+	playInWorlds(t, playSilence)
 }
 
 func playSilence(t *testing.T, w *world) {
