--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -70,8 +70,12 @@
 	if st.advice.asking || now.Before(st.advice.retryAt) {
 		return false
 	}
-	names := s.adviceCandidates(now, st, n, mustFit)
-	if len(names) == 0 {
+	return s.askAbout(now, st, s.adviceCandidates(now, st, n, mustFit, func(candidate) bool { return true }))
+}
+
+// askAbout asks for advice on workers, if there are any and no call is open.
+func (s *Shard) askAbout(now time.Time, st *step, names []string) bool {
+	if len(names) == 0 || st.advice.asking || now.Before(st.advice.retryAt) {
 		return false
 	}
 	st.advice.asking = true
@@ -80,6 +84,13 @@
 	return true
 }
 
+// askOthers asks for advice on workers of which nothing is known, until those for n more
+// tasks of a gang should be found, whether they have room now or not.
+func (s *Shard) askOthers(now time.Time, st *step, n int) {
+	unknown := func(c candidate) bool { return !c.known }
+	s.askAbout(now, st, s.adviceCandidates(now, st, n, false, unknown))
+}
+
 // candidate is a worker that a call of the advice service may name.
 type candidate struct {
 	w *worker
@@ -90,22 +101,25 @@
 }
 
 // adviceCandidates picks the workers to ask about, until they are expected to
-// have room for n tasks.
-func (s *Shard) adviceCandidates(now time.Time, st *step, n int, mustFit bool) []string {
+// have room for n tasks, of those that are wanted.
+func (s *Shard) adviceCandidates(now time.Time, st *step, n int, mustFit bool, wanted func(candidate) bool) []string {
 	share := s.goodShare[st.job.spec.Queue]
 	if share == 0 {
 		share = firstGoodShare
 	}
-	wanted := float64(n)
+	enough := float64(n)
 	if st.spec.Gang {
-		wanted *= gangChoice
+		enough *= gangChoice
 	}
 	var names []string
 	expect := 0.0
 	for _, c := range s.candidates(now, st, mustFit) {
-		if len(names) == maxAsked || (len(names) >= minAsked && expect >= wanted) {
+		if len(names) == maxAsked || (len(names) >= minAsked && expect >= enough) {
 			break
 		}
+		if !wanted(c) {
+			continue
+		}
 		gain := float64(max(c.fits, 0))
 		if !c.known {
 			gain *= share * adviceCaution
--- a/internal/scheduler/widegang_test.go
+++ b/internal/scheduler/widegang_test.go
@@ -95,8 +95,15 @@
 }
 
 // TestGangAsksUntilItCanBeHeld checks that a gang asks about workers without room as long
-// as those that are known to be good could not hold it.
+// as those that are known to be good could not hold it with a choice. A gang of 66 tasks
+// knew 31 good ones that held little more than that, and found them never free at once.
 func TestGangAsksUntilItCanBeHeld(t *testing.T) {
+	for _, goodOneIn := range []int{2, 3} {
+		t.Run(fmt.Sprintf("one in %d is good", goodOneIn), func(t *testing.T) { gangAsks(t, goodOneIn) })
+	}
+}
+
+func gangAsks(t *testing.T, goodOneIn int) {
 	const workers, idle = 30, 10
 	r := newRig(t, workers)
 	r.announce()
@@ -118,7 +125,7 @@
 			var tickets []cluster.Ticket
 			for i, w := range c.Workers {
 				asked[w] = true
-				if i%3 == 0 {
+				if i%goodOneIn == 0 {
 					tickets = append(tickets, cluster.Ticket{Worker: w, Value: "t"})
 				}
 			}
