--- a/internal/scheduler/widegang_test.go
+++ b/internal/scheduler/widegang_test.go
@@ -104,7 +104,7 @@
 }
 
 func gangAsks(t *testing.T, goodOneIn int) {
-	const workers, idle = 30, 10
+	const workers, idle, members = 160, 10, 30
 	r := newRig(t, workers)
 	r.announce()
 	r.pass(200 * time.Millisecond)
@@ -114,7 +114,7 @@
 		r.s.AddJob(r.now, batch(fmt.Sprintf("l%d", i), long), nil, false)
 	}
 	r.pass(200 * time.Millisecond)
-	gang := tasks(8, 4000)
+	gang := tasks(members, 4000)
 	gang.Gang = true
 	job := batch("j", gang)
 	job.Policy.Advice = &cluster.AdviceCost{BaseMS: 400, PerWorkerMS: 6, ValidMS: 2500}
