--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"switchbank.example/switchbank/internal/cluster"
@@ -78,13 +77,8 @@
 	}
 	here := n.asCandidate()
 	here.owns--
-	best, hash := here, xxhash.Sum64String(shard.String())
-	n.peers.eachCandidate(here, func(c candidate) {
-		if c.compareFor(hash, best) < 0 {
-			best = c
-		}
-	})
-	if best.Name != n.me.Name && best.room() >= roomierBy*here.room() {
+	best, ok := n.peers.first(here, shard.String())
+	if ok && best.room() >= roomierBy*here.room() {
 		n.handOverTo(ctx, shard, o, best.member)
 	}
 }
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -147,6 +147,18 @@
 	}
 }
 
+// first returns the first of the other nodes in the order of successors under a key, such
+// as a shard's name; ok is false if there is none.
+func (p *peers) first(here candidate, key string) (best candidate, ok bool) {
+	hash := xxhash.Sum64String(key)
+	p.eachCandidate(here, func(c candidate) {
+		if !ok || c.compareFor(hash, best) < 0 {
+			best, ok = c, true
+		}
+	})
+	return best, ok
+}
+
 // witnesses returns a few peers that answered lately, other ones each time, to ask
 // about a node, and whether any other node is known at all.
 func (p *peers) witnesses(about string) (asked []member, others bool) {
--- a/internal/cell/reader.go
+++ b/internal/cell/reader.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/conns"
 	"switchbank.example/switchbank/internal/tables"
@@ -64,14 +62,8 @@
 	if n.cfg.Limits.LinkMbps <= 0 || n.cfg.Limits.LinkMbps >= readerBelow {
 		return m, false
 	}
-	var best candidate
-	hash := xxhash.Sum64String(key)
-	n.peers.eachCandidate(n.asCandidate(), func(c candidate) {
-		if best.Name == "" || c.compareFor(hash, best) < 0 {
-			best = c
-		}
-	})
-	return best.member, best.Name != "" && best.owns == 0
+	best, ok := n.peers.first(n.asCandidate(), key)
+	return best.member, ok && best.owns == 0
 }
 
 // readMachines is the list of machines for the owner of a shard of a service.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -106,8 +106,9 @@
 
 // waitGang sets room aside for a gang, and asks for advice until the workers that are
 // known to be good could hold gangChoice times as much, so that there is a choice which of
-// them become free, and again, since tickets run out, when they have the room. A gang that asked only about workers with room went on with the few it had found
-// first: one of 124 tasks knew 13 of some 66 good ones, and never started.
+// them become free, and again, since tickets run out, when they have the room. A gang that
+// asked only about workers with room went on with the few it had found first: one of 124
+// tasks knew 13 of some 66 good ones, and never started.
 func (s *Shard) waitGang(now time.Time, st *step) {
 	s.reserveGang(now, st)
 	if !st.needsTicket() {
