Sight: tasks that last and wait are told of in the log, with what keeps them from the workers

The log said that a worker was set aside, but neither when it was in use again nor that a task waited. SB1633 names a task that lasts and has waited for 2 s, 4 s and so on, and how many workers are out of the question for which reason; SB1634 says that a worker that was set aside is in use again; switchbank_workers_aside counts those that are not. No decision changes.

--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -35,6 +35,7 @@
 	total("switchbank_runs_preempted", func(c scheduler.Counts) int64 { return c.Preempted })
 	total("switchbank_runs_copied", func(c scheduler.Counts) int64 { return c.Copies })
 	total("switchbank_advice_calls", func(c scheduler.Counts) int64 { return c.AdviceCalls })
+	n.metrics.NewGauge("switchbank_workers_aside", n.workersAside)
 	total("switchbank_workers_set_aside", func(c scheduler.Counts) int64 { return c.SetAside })
 }
 
@@ -58,6 +59,17 @@
 	return sum
 }
 
+// workersAside returns how many workers of the shards that run here are set aside.
+func (n *Node) workersAside() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sum := 0
+	for _, o := range n.owned {
+		sum += o.Aside()
+	}
+	return float64(sum)
+}
+
 // Observe counts a caller's call and the time it took.
 func (n *Node) Observe(kind string, answer Answer, took time.Duration) {
 	n.metrics.GetOrCreateCounter(`switchbank_calls_total{kind="` + kind + `",answer="` + string(answer) + `"}`).Inc()
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -98,6 +98,8 @@
 	WorkerLeaving   = zap.String(Field, "SB1631")
 	JobMoved        = zap.String(Field, "SB1630")
 	EntryInvalid    = zap.String(Field, "SB1632")
+	TaskWaits       = zap.String(Field, "SB1633")
+	WorkerCleared   = zap.String(Field, "SB1634")
 )
 
 // The events of nodes on a platform.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -247,3 +247,10 @@
 	defer o.mu.Unlock()
 	return o.shard.Counts()
 }
+
+// Aside returns how many workers of the shard are set aside.
+func (o *Owner) Aside() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.shard.Aside()
+}
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -35,6 +35,8 @@
 	// failedFrom is the latest start of a run that has failed here.
 	failedFrom time.Time
 	asideUntil time.Time
+	// asideSince is when it was last set aside while it was used in full.
+	asideSince time.Time
 	asideFor   time.Duration
 	probing    bool
 	// proven is set while a run that began after all that failed has succeeded.
@@ -64,13 +66,15 @@
 
 // succeeded clears the worker of what spoke against it. A run that began before one
 // that failed says little of what has befallen the worker since, and one whose start
-// isn't known is taken for such.
-func (h *health) succeeded(r *run) {
+// isn't known is taken for such. It reports whether the worker is used in full again.
+func (h *health) succeeded(r *run) (cleared bool) {
 	h.last = streak{}
 	if h.fresh.failures > 0 && (r == nil || !r.startedAt.After(h.failedFrom)) {
-		return
+		return false
 	}
+	cleared = h.probing
 	h.fresh, h.probing, h.asideFor, h.proven = streak{}, false, 0, true
+	return cleared
 }
 
 // crawled notes that a step's tasks crawl here.
@@ -131,6 +135,9 @@
 	if now.Before(h.asideUntil) {
 		return
 	}
+	if !h.probing {
+		h.asideSince = now
+	}
 	h.asideFor = min(max(2*h.asideFor, asideFirst), asideMost)
 	h.asideUntil, h.probing = now.Add(h.asideFor), true
 	s.counts.SetAside++
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -78,6 +78,10 @@
 	leftOn string
 	leftAt time.Time
 	copied bool
+	// waitsFrom is since when the task could start but has no worker, and waitNotedAfter
+	// after which wait the log tells of it again.
+	waitsFrom      time.Time
+	waitNotedAfter time.Duration
 	// moved is how often the task was stopped because it stood still or crawled.
 	moved int
 	// took is how long the run took that succeeded, if it began from the start.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -204,6 +204,7 @@
 	s.paceFillers(now)
 	s.forgetFinished(now)
 	s.noteLoad(now)
+	s.noteWaits(now)
 }
 
 func (s *Shard) emit(c Command) { s.out = append(s.out, c) }
