--- a/internal/scheduler/lasting_test.go
+++ b/internal/scheduler/lasting_test.go
@@ -3,6 +3,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -122,6 +123,71 @@
 	}
 }
 
+// TestTaskThatLastsTakesWorkerSetAside lets all workers be set aside for 8 s, and checks
+// that a task that lasts runs on one of them all the same, while a batch job, which has
+// two attempts only, waits.
+//
+// On a day on which 70% of the workers failed 70% of what they started for 60 s, tasks that
+// last waited for up to 21 s for one that was not set aside:
+//
+//	SB1633 task waits waited=8.03s workers=48 aside=28 probing=2 rejected=6 unasked=9
+func TestTaskThatLastsTakesWorkerSetAside(t *testing.T) {
+	r := newRig(t, 1)
+	r.announce()
+	for i := 0; r.s.Counts().SetAside < 3; i++ {
+		id := fmt.Sprintf("fails%d", i)
+		r.s.AddJob(r.now, batch(id, tasks(1, 500)), nil, false)
+		for !r.runs(id) {
+			r.passAtWork(100 * time.Millisecond)
+		}
+		r.endOne(id, cluster.OutcomeFailed)
+		r.passAtWork(100 * time.Millisecond)
+	}
+	r.addLasting(batch("lasts", lasting(1, 500)))
+	r.s.AddJob(r.now, batch("waits", tasks(1, 500)), nil, false)
+	r.passAtWork(2 * time.Second)
+	if !r.runs("lasts") {
+		t.Error("the task that lasts does not run 2 s after it was handed in")
+	}
+	if r.runs("waits") {
+		t.Error("the batch job runs on a worker that is set aside")
+	}
+}
+
+// TestLongTrialDoesNotHoldWorkerUp lets a worker that was set aside run one long task, and
+// checks that others follow it before that has ended.
+//
+// What a worker was set aside for was judged by one run at a time, however long that took.
+func TestLongTrialDoesNotHoldWorkerUp(t *testing.T) {
+	r := newRig(t, 1)
+	r.announce()
+	for _, id := range []string{"a", "b"} {
+		r.s.AddJob(r.now, batch(id, tasks(1, 500)), nil, false)
+		r.passAtWork(200 * time.Millisecond)
+		r.endOne(id, cluster.OutcomeFailed)
+		r.passAtWork(100 * time.Millisecond)
+	}
+	long := tasks(1, 500)
+	long.EstimateMS = 60_000
+	for _, id := range []string{"c", "d", "e"} {
+		r.s.AddJob(r.now, batch(id, long), nil, false)
+	}
+	r.passAtWork(12 * time.Second)
+	if n := len(r.running()); n < 3 {
+		t.Errorf("%d tasks run 12 s after the worker was set aside for 2 s, want 3 or more", n)
+	}
+}
+
+// runs reports whether anything of a job runs.
+func (r *rig) runs(job string) bool {
+	for task := range r.running() {
+		if task.Job == job {
+			return true
+		}
+	}
+	return false
+}
+
 // lasting is a step of tasks that last.
 func lasting(n int, cpu int64) cluster.Step {
 	st := tasks(n, cpu)
