Workers that were set aside come back, and tasks that last take them if they must

Cause: a worker was set aside when runs of two jobs had failed there, got another task only once it was empty, and was cleared only by a success that began since. Tasks that last neither leave it empty nor succeed, and they fail by their own fault at any time. So workers that run them left the shard's room one after the other, and with them every task that could run only there. A second way to the same end: tickets of workers that had as many tasks of the step as they may kept it from asking about others.

Ruled out: the pause after a failure (0.3 s, whatever the number), a slow owner (a start 37 ms after an end in the record), a takeover (one epoch).

Changed: - a run that lasts and is at work 1 s after its start speaks for its worker, and its later failure is its own - what a worker was set aside for is judged by runs that began since; one of them holds up the next for 4 s at most - a task that lasts and has waited 1 s also takes a worker that is set aside - a step asks about workers on which one more of its tasks could run

In virtual time, before and after: tasks running 6 s after two of three failed 1, 3; batch jobs run on a worker beside a task that lasts 0, 5 of 5; tasks of a spread step 2, 3 of 3.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -136,7 +136,7 @@
 	var list []candidate
 	for _, w := range s.order {
 		ans, known := st.advice.answers[w.info.ID]
-		if (known && !ans.good) || (ans.good && now.Before(ans.expires)) || !s.usable(now, w, st) {
+		if (known && !ans.good) || (ans.good && now.Before(ans.expires)) || !s.couldHold(now, w, st) {
 			continue
 		}
 		fits := countFits(w, now, st)
--- a/internal/scheduler/ended.go
+++ b/internal/scheduler/ended.go
@@ -76,9 +76,7 @@
 
 // taskDone takes a success; the run may be nil.
 func (s *Shard) taskDone(now time.Time, w *worker, r *run, t *task) {
-	if w.health.succeeded(r) {
-		s.log.Info("worker in use again", events.WorkerCleared, zap.String("worker", w.info.ID), zap.Duration("after", now.Sub(w.health.asideSince)))
-	}
+	s.workerSucceeded(now, w, r)
 	if r != nil && !r.resumed {
 		t.took = now.Sub(r.startedAt)
 		s.learn(t.step, t.took)
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -23,6 +23,25 @@
 	// workers last some seconds, and each probe costs one failed run.
 	asideFirst = 2 * time.Second
 	asideMost  = 8 * time.Second
+	// settledAfter is from when after its start a task that lasts and is at work speaks
+	// for its worker, and fails by its own fault: workers fail what they start at once,
+	// while such tasks may fail at any time, some every few seconds on each worker.
+	settledAfter = time.Second
+	// trialMost is how long one run holds up the next task of a worker that was set
+	// aside: a run that lasts may never end, and the worker has room for others.
+	trialMost = 4 * time.Second
+	// asidePatience is how long a task that lasts waits for another worker before it
+	// takes one that is set aside: it has no attempts to lose, and its callers wait.
+	asidePatience = time.Second
+)
+
+// cause is why a worker was set aside.
+type cause string
+
+const (
+	tasksFail       cause = "its tasks fail"
+	tasksStandStill cause = "its tasks stand still"
+	tasksCrawl      cause = "its tasks crawl"
 )
 
 // health is the evidence for and against a worker. A job that fails on
@@ -30,15 +49,18 @@
 // aside, and tried again with one task at a time.
 type health struct {
 	// last are the failures since the last success, and fresh those since the last
-	// success of a run that began after all that failed.
+	// success of a run that began after all that failed; both since it was set aside.
 	last, fresh streak
 	// failedFrom is the latest start of a run that has failed here.
 	failedFrom time.Time
-	asideUntil time.Time
-	// asideSince is when it was last set aside while it was used in full.
-	asideSince time.Time
-	asideFor   time.Duration
-	probing    bool
+	// asideAt is when the worker was set aside last, asideUntil until when it gets
+	// nothing, and asideSince since when it has not been used in full.
+	asideAt, asideUntil, asideSince time.Time
+	asideFor                        time.Duration
+	cause                           cause
+	// probing is set from when the worker is set aside until a run speaks for it that
+	// began since.
+	probing bool
 	// proven is set while a run that began after all that failed has succeeded.
 	proven bool
 	// slow is when a step was last seen to crawl here, by step.
@@ -69,6 +91,9 @@
 // isn't known is taken for such. It reports whether the worker is used in full again.
 func (h *health) succeeded(r *run) (cleared bool) {
 	h.last = streak{}
+	if h.probing && h.cause == tasksFail && !h.judgedBy(r) {
+		return false
+	}
 	if h.fresh.failures > 0 && (r == nil || !r.startedAt.After(h.failedFrom)) {
 		return false
 	}
@@ -77,6 +102,15 @@
 	return cleared
 }
 
+// judgedBy reports whether a run tells whether what the worker was set aside for is over:
+// it began since.
+func (h *health) judgedBy(r *run) bool { return r != nil && r.startedAt.After(h.asideAt) }
+
+// settled reports whether a run that lasts has shown that its worker is sound.
+func (r *run) settled(now time.Time) bool {
+	return r.task.step.spec.LongRunning && r.percent == 100 && now.Sub(r.startedAt) >= settledAfter
+}
+
 // crawled notes that a step's tasks crawl here.
 func (h *health) crawled(now time.Time, st *step) {
 	if h.slow == nil {
@@ -105,17 +139,49 @@
 	}
 }
 
-// takes reports whether the worker may be given another task.
+// takes reports whether the worker may be given another task: while it is probed, one
+// that ends, settles or goes on for a while before the next.
 func (h *health) takes(now time.Time, w *worker) bool {
+	if !h.probing {
+		return true
+	}
 	if now.Before(h.asideUntil) {
 		return false
 	}
-	return !h.probing || len(w.runs) == 0
+	for _, r := range w.runs {
+		if h.judgedBy(r) && !r.settled(now) && now.Sub(r.startedAt) < trialMost {
+			return false
+		}
+	}
+	return true
+}
+
+// workerSucceeded takes a run that speaks for its worker; the run may be nil.
+func (s *Shard) workerSucceeded(now time.Time, w *worker, r *run) {
+	if w.health.succeeded(r) {
+		s.log.Info("worker in use again", events.WorkerCleared, zap.String("worker", w.info.ID),
+			zap.Duration("after", now.Sub(w.health.asideSince)))
+	}
+}
+
+// noteSettled takes a run that lasts as a success of its worker once it has settled:
+// it may never end so. It says nothing of the worker's speed.
+func (s *Shard) noteSettled(now time.Time, w *worker, r *run) {
+	if r.spoke || !r.settled(now) {
+		return
+	}
+	r.spoke = true
+	if !w.health.probing || w.health.cause != tasksCrawl {
+		s.workerSucceeded(now, w, r)
+	}
 }
 
 // workerFailed counts the failure of a run of a job, which may be the worker's; the
 // run may be nil.
 func (s *Shard) workerFailed(now time.Time, w *worker, r *run, job string) {
+	if r != nil && r.settled(now) {
+		return
+	}
 	h := &w.health
 	if r != nil && r.startedAt.After(h.failedFrom) {
 		h.failedFrom = r.startedAt
@@ -123,14 +189,14 @@
 	h.last.add(job)
 	h.fresh.add(job)
 	h.proven = false
-	if h.probing || h.last.speaksAgainst(failuresAside) || h.fresh.speaksAgainst(freshAside) {
-		s.setAside(now, w, "its tasks fail")
+	if (h.probing && h.judgedBy(r)) || h.last.speaksAgainst(failuresAside) || h.fresh.speaksAgainst(freshAside) {
+		s.setAside(now, w, tasksFail)
 	}
 }
 
 // setAside gives a worker no more tasks for a while, longer each time until one
-// succeeds there.
-func (s *Shard) setAside(now time.Time, w *worker, cause string) {
+// succeeds there. What comes then is judged anew.
+func (s *Shard) setAside(now time.Time, w *worker, why cause) {
 	h := &w.health
 	if now.Before(h.asideUntil) {
 		return
@@ -139,8 +205,9 @@
 		h.asideSince = now
 	}
 	h.asideFor = min(max(2*h.asideFor, asideFirst), asideMost)
-	h.asideUntil, h.probing = now.Add(h.asideFor), true
+	h.asideAt, h.asideUntil, h.probing, h.cause = now, now.Add(h.asideFor), true, why
 	s.counts.SetAside++
-	s.log.Warn("worker set aside", events.WorkerAside, zap.String("worker", w.info.ID), zap.String("cause", cause),
+	s.log.Warn("worker set aside", events.WorkerAside, zap.String("worker", w.info.ID), zap.String("cause", string(why)),
 		zap.Int("failures", h.fresh.failures), zap.Int("jobs", len(h.fresh.jobs)), zap.Duration("for", h.asideFor))
+	h.last, h.fresh, h.slow = streak{}, streak{}, nil
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -78,10 +78,10 @@
 	leftOn string
 	leftAt time.Time
 	copied bool
-	// waitsFrom is since when the task could start but has no worker, and waitNotedAfter
+	// waitsFrom is since when the task could start but has no worker, and waitNoted
 	// after which wait the log tells of it again.
-	waitsFrom      time.Time
-	waitNotedAfter time.Duration
+	waitsFrom time.Time
+	waitNoted time.Duration
 	// moved is how often the task was stopped because it stood still or crawled.
 	moved int
 	// took is how long the run took that succeeded, if it began from the start.
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -69,6 +69,7 @@
 		r.percent, r.percentAt = e.Percent, now
 	}
 	r.usage = e.Usage
+	s.noteSettled(now, w, r)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -61,6 +61,9 @@
 	}
 	placed := 0
 	for _, t := range waiting {
+		if t.waitsFrom.IsZero() {
+			t.waitsFrom = now
+		}
 		w := s.bestWorkerFor(now, t)
 		if w == nil {
 			if t.leftOn != "" {
@@ -91,7 +94,7 @@
 		if s.ask(now, st, left, true) || st.advice.asking {
 			return
 		}
-		if !s.anyTicket(now, st) && s.ask(now, st, left, false) {
+		if !s.ticketHelps(now, st) && s.ask(now, st, left, false) {
 			return
 		}
 	}
@@ -163,29 +166,59 @@
 	return n
 }
 
-// anyTicket reports whether the step holds a valid ticket.
-func (s *Shard) anyTicket(now time.Time, st *step) bool {
-	for id := range st.advice.answers {
-		if _, ok := st.ticket(now, id); ok {
+// ticketHelps reports whether the step holds a valid ticket for a worker on which one more
+// of its tasks could run once others have ended or been stopped. Those of workers with as
+// many of its tasks as they may have kept a step from asking about any others.
+func (s *Shard) ticketHelps(now time.Time, st *step) bool {
+	for _, w := range s.order {
+		if _, ok := st.ticket(now, w.info.ID); ok && s.couldHold(now, w, st) {
 			return true
 		}
 	}
 	return false
 }
 
+// couldHold reports whether one more task of the step could run on a worker if all that
+// runs there, but for what lasts, had ended.
+func (s *Shard) couldHold(now time.Time, w *worker, st *step) bool {
+	return s.mayHold(now, w, st) && s.spreadAllows(w, st, 0) && w.info.Capacity.Sub(w.lasting()).Fits(st.spec.Room())
+}
+
 // usable reports whether a worker may run tasks of the step, room and tickets aside.
 // One that runs what no known job explains may not: how much room that takes isn't
 // known, and after a takeover not even how much the worker has.
 func (s *Shard) usable(now time.Time, w *worker, st *step) bool {
-	return w.takesNew(now) && len(w.foreign) == 0 &&
+	return s.suits(w, st) && w.health.takes(now, w)
+}
+
+// suits is usable for a worker whose health is left aside.
+func (s *Shard) suits(w *worker, st *step) bool {
+	return w.stays() && len(w.foreign) == 0 &&
 		w.info.Service == st.job.spec.Service &&
 		(st.spec.Label == "" || w.info.HasLabel(st.spec.Label)) &&
 		w.info.Capacity.Fits(st.spec.Room())
 }
 
+// mayHold is usable for a step whose tasks, where they last and have waited for a while,
+// may also run on workers that are set aside.
+func (s *Shard) mayHold(now time.Time, w *worker, st *step) bool {
+	return s.suits(w, st) && (w.health.takes(now, w) || (st.spec.LongRunning && st.waited(now) >= asidePatience))
+}
+
+// waited returns for how long the step has waited for room.
+func (st *step) waited(now time.Time) time.Duration {
+	if st.waitingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(st.waitingSince)
+}
+
 // takesNew reports whether anything new may start on the worker, room aside.
-func (w *worker) takesNew(now time.Time) bool {
-	return w.answers() && !w.info.Draining && !w.leaving && !w.entryInvalid && w.health.takes(now, w)
+func (w *worker) takesNew(now time.Time) bool { return w.stays() && w.health.takes(now, w) }
+
+// stays reports whether the worker answers, and neither leaves nor has an invalid entry.
+func (w *worker) stays() bool {
+	return w.answers() && !w.info.Draining && !w.leaving && !w.entryInvalid
 }
 
 const (
@@ -197,10 +230,22 @@
 	avoidLast = 4 * time.Second
 )
 
-// bestWorkerFor returns the worker on which a task should start. One that has
-// failed or crawled goes elsewhere, and with its last attempt to a worker that is
-// proven if there is one, and to none on which a run has failed since.
+// bestWorkerFor returns the worker on which a task should start. One that lasts and has
+// waited takes one that is set aside if there is no other: tasks that are to be at work
+// within seconds waited for 21 s while 30 of 48 workers were (70% of them failed what
+// they started for 60 s).
 func (s *Shard) bestWorkerFor(now time.Time, t *task) *worker {
+	w := s.bestSoundWorkerFor(now, t)
+	if w == nil && t.step.spec.LongRunning && now.Sub(t.waitsFrom) >= asidePatience {
+		return s.bestOf(now, t.step, nil, func(w *worker) bool { return s.suits(w, t.step) })
+	}
+	return w
+}
+
+// bestSoundWorkerFor returns the worker on which a task should start, of those that aren't
+// set aside. A task that has failed or crawled goes elsewhere, and with its last attempt to
+// a worker that is proven if there is one, and to none on which a run has failed since.
+func (s *Shard) bestSoundWorkerFor(now time.Time, t *task) *worker {
 	isLast := len(t.failed) > 0 && !t.step.spec.LongRunning && t.step.job.spec.Policy.MaxAttempts-len(t.failed) <= 1
 	avoid := avoidFor
 	if isLast {
@@ -216,7 +261,7 @@
 	if w := s.bestWorker(now, t.step, nil, func(w *worker) bool { return elsewhere(w) && w.health.proven }); w != nil {
 		return w
 	}
-	return s.bestWorker(now, t.step, nil, func(w *worker) bool { return elsewhere(w) && w.health.fresh.failures == 0 })
+	return s.bestWorker(now, t.step, nil, func(w *worker) bool { return elsewhere(w) && w.health.fresh.failures == 0 && !w.health.probing })
 }
 
 // anyWorker allows all workers.
@@ -226,12 +271,17 @@
 // start: near its data, then where the least room is left over. Extra is room
 // that this decision has already given away, by worker.
 func (s *Shard) bestWorker(now time.Time, st *step, extra map[*worker]int, allowed func(*worker) bool) *worker {
+	return s.bestOf(now, st, extra, func(w *worker) bool { return allowed(w) && s.usable(now, w, st) })
+}
+
+// bestOf is bestWorker among the workers that are allowed.
+func (s *Shard) bestOf(now time.Time, st *step, extra map[*worker]int, allowed func(*worker) bool) *worker {
 	var best *worker
 	bestScore := 0.0
 	room := st.spec.Room()
 	for _, w := range s.order {
 		// Most workers of a busy shard are full, and each step that waits tries all.
-		if !w.info.Capacity.Sub(w.used).Fits(room) || !allowed(w) || !s.usable(now, w, st) {
+		if !w.info.Capacity.Sub(w.used).Fits(room) || !allowed(w) {
 			continue
 		}
 		if st.needsTicket() {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -61,7 +61,7 @@
 	var bestRuns []*run
 	bestCost := 0.0
 	for _, w := range s.order {
-		if !s.usable(now, w, st) || !s.spreadAllows(w, st, timesFits(w.reserved[st].amount, st.spec.Room())) {
+		if !s.mayHold(now, w, st) || !s.spreadAllows(w, st, timesFits(w.reserved[st].amount, st.spec.Room())) {
 			continue
 		}
 		if st.needsTicket() {
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -148,7 +148,7 @@
 func (s *Shard) soonestRoom(now time.Time, st *step, n int, within time.Duration) []place {
 	var list []place
 	for _, w := range s.order {
-		if !s.usable(now, w, st) || (st.needsTicket() && !st.advice.answers[w.info.ID].good) {
+		if !s.mayHold(now, w, st) || (st.needsTicket() && !st.advice.answers[w.info.ID].good) {
 			continue
 		}
 		for _, in := range s.roomTimes(now, w, st, n, within) {
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -101,10 +101,10 @@
 func (s *Shard) noteStepWaits(now time.Time, st *step) {
 	for _, t := range st.startable(now) {
 		if t.waitsFrom.IsZero() {
-			t.waitsFrom, t.waitNotedAfter = now, waitNoted
+			t.waitsFrom = now
 		}
-		if waited := now.Sub(t.waitsFrom); waited >= t.waitNotedAfter {
-			t.waitNotedAfter *= 2
+		if waited := now.Sub(t.waitsFrom); waited >= max(waitNoted, t.waitNoted) {
+			t.waitNoted = 2 * waited
 			s.logWait(now, t, waited)
 		}
 	}
