Stand-in: tasks that last and fail by themselves, and a check that they run again

A job's Spec may say fails_after=MS: each run of a task that lasts fails after a time drawn from its task and number, of that mean.

--- a/standin/site/task.go
+++ b/standin/site/task.go
@@ -3,6 +3,9 @@
 package site
 
 import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -34,7 +37,9 @@
 	takes time.Duration
 	fails bool
 	lasts bool
-	cpu   int64
+	// failsAfter is the mean time after which a task that lasts fails; 0: never.
+	failsAfter time.Duration
+	cpu        int64
 }
 
 // parseSpec reads a job's Spec; what it doesn't say stays as it is by default.
@@ -54,11 +59,31 @@
 			if err == nil {
 				spec.cpu = n
 			}
+		case strings.HasPrefix(f, "fails_after="):
+			n, err := strconv.Atoi(f[len("fails_after="):])
+			if err == nil {
+				spec.failsAfter = time.Duration(n) * time.Millisecond
+			}
 		}
 	}
 	return spec
 }
 
+// life returns after what time the run of a task that lasts fails; 0: never. It is drawn
+// from the task and the run, so that plays repeat.
+func (t *taskRun) life() time.Duration {
+	if t.spec.failsAfter == 0 {
+		return 0
+	}
+	h := fnv.New64a()
+	_, err := fmt.Fprintf(h, "%s %d", t.task, t.run)
+	if err != nil {
+		panic("site: a hash takes all bytes: " + err.Error())
+	}
+	rng := rand.New(rand.NewPCG(h.Sum64(), 0)) //nolint:gosec // The same run must have the same life in each play.
+	return time.Duration(rng.ExpFloat64() * float64(t.spec.failsAfter))
+}
+
 // percent returns how far the run has come.
 func (t *taskRun) percent() int {
 	if t.spec.lasts {
@@ -77,7 +102,11 @@
 		switch {
 		case w.deadline > 0 && w.clock() > w.deadline:
 			w.end(t, "lapsed")
-		case t.stuck || t.spec.lasts:
+		case t.stuck:
+		case t.spec.lasts:
+			if life := t.life(); life > 0 && time.Since(t.startedAt) > life {
+				w.end(t, "failed")
+			}
 		case w.faults.FailAll || (t.spec.fails && time.Since(t.startedAt) > t.spec.takes/2):
 			w.end(t, "failed")
 		case t.percent() >= 100:
--- a/standin/site/verdict.go
+++ b/standin/site/verdict.go
@@ -26,6 +26,9 @@
 	// HeldUp reports whether orders that reached a worker at a time may have been on
 	// their way for seconds, so that their tickets ran out; nil: never.
 	HeldUp func(worker string, at time.Time) bool
+	// Lasting are jobs of one step whose tasks last, with times in which there was room
+	// for them and no fault.
+	Lasting []Lasting
 }
 
 // verdict is what the sights up to one have shown.
@@ -44,6 +47,9 @@
 	for _, e := range s.Sights() {
 		v.judge(e)
 	}
+	for _, l := range c.Lasting {
+		v.wrong = append(v.wrong, l.Breaches(s.Sights())...)
+	}
 	return v.wrong
 }
 
