Nothing shortens the time for which a worker is set aside

Cause: a worker that is no longer probed was taken before the time aside was looked at, so that an old run's success opened it at once. What crawls or stands still on a probed worker speaks against it whenever it began, as before: that is seen now, and ends with the run.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -139,15 +139,17 @@
 	}
 }
 
-// takes reports whether the worker may be given another task: while it is probed, one
-// that ends, settles or goes on for a while before the next.
+// takes reports whether the worker may be given another task. Nothing shortens the time
+// for which it is set aside: where the successes of old runs on slow workers did, the mean
+// worth of eight days with such workers was 0.04 lower on two sites. While the worker is
+// probed, each task has to end, to settle or to go on for a while before the next.
 func (h *health) takes(now time.Time, w *worker) bool {
-	if !h.probing {
-		return true
-	}
 	if now.Before(h.asideUntil) {
 		return false
 	}
+	if !h.probing {
+		return true
+	}
 	for _, r := range w.runs {
 		if h.judgedBy(r) && !r.settled(now) && now.Sub(r.startedAt) < trialMost {
 			return false
@@ -195,7 +197,8 @@
 }
 
 // setAside gives a worker no more tasks for a while, longer each time until one
-// succeeds there. What comes then is judged anew.
+// succeeds there. Failures are then counted anew; what crawls there still speaks
+// against it.
 func (s *Shard) setAside(now time.Time, w *worker, why cause) {
 	h := &w.health
 	if now.Before(h.asideUntil) {
@@ -209,5 +212,5 @@
 	s.counts.SetAside++
 	s.log.Warn("worker set aside", events.WorkerAside, zap.String("worker", w.info.ID), zap.String("cause", string(why)),
 		zap.Int("failures", h.fresh.failures), zap.Int("jobs", len(h.fresh.jobs)), zap.Duration("for", h.asideFor))
-	h.last, h.fresh, h.slow = streak{}, streak{}, nil
+	h.last, h.fresh = streak{}, streak{}
 }
--- a/internal/scheduler/slow.go
+++ b/internal/scheduler/slow.go
@@ -50,17 +50,13 @@
 		if w.silent || !w.answered {
 			continue
 		}
-		stalled, since := 0, 0
+		stalled := 0
 		for _, r := range sortedRuns(w.runs) {
-			if !s.watchRun(now, w, r) {
-				continue
-			}
-			stalled++
-			if w.health.judgedBy(r) {
-				since++
+			if s.watchRun(now, w, r) {
+				stalled++
 			}
 		}
-		if stalled >= stalledRuns || (since > 0 && w.health.probing) {
+		if stalled >= stalledRuns || (stalled > 0 && w.health.probing) {
 			s.setAside(now, w, tasksStandStill)
 		}
 		if slow := w.health.slowNow(now); slow >= slowSteps || (slow > 0 && w.health.probing) {
@@ -77,7 +73,7 @@
 	}
 	standsStill = now.Sub(r.percentAt) > stalledAfter && w.clockAt.After(r.percentAt.Add(stalledAfter/2))
 	crawls := !standsStill && s.crawls(now, r)
-	if crawls && (!w.health.probing || w.health.judgedBy(r)) {
+	if crawls {
 		w.health.crawled(now, r.task.step)
 	}
 	if standsStill || crawls {
