--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -25,6 +25,7 @@
 	workers map[string]*fake
 	// lasts are the jobs whose tasks last.
 	lasts map[string]bool
+	log   *zap.Logger
 	// commands are those that the last round gave.
 	commands []scheduler.Command
 }
@@ -44,7 +45,7 @@
 const testLease = 8 * time.Second
 
 func newRig(t *testing.T, workers int) *rig {
-	r := &rig{t: t, now: time.Unix(1_000, 0), workers: make(map[string]*fake), lasts: make(map[string]bool)}
+	r := &rig{t: t, now: time.Unix(1_000, 0), workers: make(map[string]*fake), lasts: make(map[string]bool), log: zap.NewNop()}
 	for i := range workers {
 		r.workers[fmt.Sprintf("w%d", i)] = &fake{}
 	}
@@ -58,7 +59,7 @@
 	r.s = scheduler.New(scheduler.Params{
 		Epoch: r.epoch, Lease: testLease, StopTime: 200 * time.Millisecond, Uncertain: 10 * time.Second,
 		KeepFinished: time.Minute,
-	}, r.now, zap.NewNop())
+	}, r.now, r.log)
 	r.s.ExpectWorkers(r.names())
 }
 
