--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -59,11 +60,17 @@
 		s.placeGang(now, st, waiting)
 		return
 	}
-	placed := 0
 	for _, t := range waiting {
 		if t.waitsFrom.IsZero() {
 			t.waitsFrom = now
 		}
+	}
+	if st.spec.LongRunning {
+		// By their order alone the first ones took each place, and the last ones none.
+		slices.SortStableFunc(waiting, func(a, b *task) int { return a.waitsFrom.Compare(b.waitsFrom) })
+	}
+	placed := 0
+	for _, t := range waiting {
 		w := s.bestWorkerFor(now, t)
 		if w == nil {
 			if t.leftOn != "" {
--- a/internal/scheduler/search_test.go
+++ b/internal/scheduler/search_test.go
@@ -97,7 +97,8 @@
 //	41.0 j3.0.0.1 has been away for 6.1s
 //
 // And while a step asked for advice no room was set aside for it; where room was, none was
-// made by stopping less urgent work for up to 4 s, which is longer than tickets hold (91).
+// made by stopping less urgent work for up to 4 s, which is longer than tickets hold
+// (91, once tasks of a step go by how long they have waited).
 //
 // SEARCH_SEED=n plays one seed and prints its story, SEARCH_PLAYS=n the first n of them,
 // and MODEL=full many.
