--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -97,21 +97,40 @@
 		s.waitGang(now, st)
 		return
 	}
-	if st.needsTicket() {
-		if s.ask(now, st, left, true) || st.advice.asking {
-			return
-		}
-		if !s.ticketHelps(now, st) && s.ask(now, st, left, false) {
-			return
-		}
+	asks := st.needsTicket() && s.asks(now, st, left)
+	if st.spec.LongRunning {
+		s.makeRoom(now, st, left, asks)
+		return
+	}
+	if asks {
+		return
 	}
 	slack := s.slack(now, st)
-	s.reserve(now, st, left, slack)
+	within := reserveMost
+	if slack >= 0 {
+		within = min(slack-slackMargin, reserveMost)
+	}
+	s.reserve(now, st, left, within)
 	// What is late already stops nobody's work, which would be late for it in turn: mean
 	// worth of six days of a full service 0.866, and 0.860 without.
-	if st.spec.LongRunning || slack >= 0 {
+	if slack >= 0 {
+		s.preempt(now, st, left)
+	}
+}
+
+// asks reports whether a step that waits has a call for advice open now.
+func (s *Shard) asks(now time.Time, st *step, left int) bool {
+	return s.ask(now, st, left, true) || st.advice.asking || (!s.ticketHelps(now, st) && s.ask(now, st, left, false))
+}
+
+// makeRoom sets room aside for tasks that last, or stops less urgent work for them if none
+// comes free at once. While advice is asked for, others would take the room meanwhile.
+func (s *Shard) makeRoom(now time.Time, st *step, left int, asks bool) {
+	if !asks {
+		s.reserve(now, st, left, stopsFrom)
 		s.preempt(now, st, left)
 	}
+	s.reserve(now, st, left, reserveMost)
 }
 
 // waitGang sets room aside for a gang, and asks for advice until the workers that are
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -26,6 +26,9 @@
 	// reserveMost is the longest wait for which room is set aside; beyond it, more is
 	// lost by keeping room empty than by waiting on.
 	reserveMost = 4 * time.Second
+	// stopsFrom is the wait from which a task that lasts stops less urgent work instead: it
+	// is to be at work again within seconds, and its tickets hold for a few.
+	stopsFrom = time.Second
 	// reserveGangMost is the same for the most urgent gang of a shard, whose members find
 	// room at once only if it is kept: the tasks beside it take up to 15 s, and what ends
 	// before the gang's time may use the room meanwhile.
@@ -57,9 +60,8 @@
 	return now.Add(other.estimate()).After(res.at)
 }
 
-// reserve sets room aside for n waiting tasks of a step, as far as it comes free before
-// they would be late. What is late already waits for up to reserveMost.
-func (s *Shard) reserve(now time.Time, st *step, n int, slack time.Duration) {
+// reserve sets room aside for n waiting tasks of a step, as far as it comes free in time.
+func (s *Shard) reserve(now time.Time, st *step, n int, within time.Duration) {
 	if s.reserving >= reserveSteps {
 		return
 	}
@@ -67,10 +69,6 @@
 		return
 	}
 	s.reserving++
-	within := reserveMost
-	if slack >= 0 {
-		within = min(slack-slackMargin, reserveMost)
-	}
 	for _, p := range s.soonestRoom(now, st, n, within) {
 		p.w.reserve(st, now.Add(reserveFor), now.Add(p.in))
 	}
