--- a/internal/scheduler/batch_test.go
+++ b/internal/scheduler/batch_test.go
@@ -86,3 +86,54 @@
 		}
 	}
 }
+
+// TestOldChangeIsPersistedBehindUrgentOnes lets each batch have room for fewer changes than
+// the urgent jobs make, and checks that a change of another job is persisted in the end.
+//
+// Batches took the most urgent changes each time. One of a less urgent job was left out of
+// all of them while the store was slow; its worker's ends were not confirmed from there on,
+// and a worker lists 500 ends at most.
+func TestOldChangeIsPersistedBehindUrgentOnes(t *testing.T) {
+	const urgent, most, rounds = 6, 5, 100
+	r := newRig(t, 20)
+	r.announce()
+	for i := range urgent + 1 {
+		step := tasks(rounds+1, 10)
+		job := batch(fmt.Sprintf("j%02d", i), step)
+		if i == urgent {
+			job.Policy.Priority = 3
+		}
+		r.s.AddJob(r.now, job, nil, false)
+	}
+	r.pass(300 * time.Millisecond)
+	old := fmt.Sprintf("j%02d", urgent)
+	for round := range rounds {
+		for i := range urgent {
+			r.endOneOf(fmt.Sprintf("j%02d", i))
+		}
+		if round == 0 {
+			r.endOneOf(old)
+		}
+		r.pass(100 * time.Millisecond)
+		b := r.s.Dirty(most, anyBytes)
+		r.s.Persisted(r.now, b, 1)
+		for _, rec := range b.Records {
+			if rec.Job == old && round > 0 {
+				return
+			}
+		}
+	}
+	t.Errorf("a change of the least urgent job was left out of %d batches", rounds)
+}
+
+// endOneOf lets one run of a job succeed.
+func (r *rig) endOneOf(job string) {
+	for _, id := range r.names() {
+		for _, s := range r.workers[id].running {
+			if s.Task.Job == job {
+				r.end(id, s.Task, s.Run, cluster.OutcomeDone)
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/fulllist_test.go
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/scheduler"
+)
+
+// TestFullListOfEndsTellsNothingOfOthers lets a run end while its worker has 500 older ends
+// that are not confirmed, and checks that its task doesn't start again.
+//
+// A worker lists 500 ends at once. A run that was neither among them nor among those that
+// run was taken to be gone, while it had ended and was not listed yet: done tasks ran twice.
+// One end of a job in a part of the store that is away keeps all later ones of the worker
+// from being confirmed, so that so many come together in a minute.
+func TestFullListOfEndsTellsNothingOfOthers(t *testing.T) {
+	const listed = 500
+	r := newRig(t, 1)
+	r.announce()
+	r.s.AddJob(r.now, batch("j", tasks(1, 500)), nil, false)
+	r.pass(300 * time.Millisecond)
+	if len(r.running()) != 1 {
+		t.Fatal("the task does not run")
+	}
+	var ends []cluster.RunEnd
+	for n := range int64(listed) {
+		ends = append(ends, cluster.RunEnd{N: n + 1, Task: cluster.TaskID{Job: "old", Index: int(n)}, Run: 1, Outcome: cluster.OutcomeDone})
+	}
+	starts := 0
+	for range 10 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		seq, _, _, _ := r.s.HoldSent(r.now, "w0")
+		r.s.Observe(r.now, "w0", seq, cluster.Report{ClockMS: r.now.UnixMilli(), Ended: ends})
+		starts += len(commandsOf[scheduler.Start](r.s.Schedule(r.now)))
+	}
+	if starts != 0 {
+		t.Errorf("the task was started %d times again while its end may not be listed yet", starts)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/heldback_test.go
@@ -0,0 +1,324 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/scheduler"
+)
+
+// TestTaskThatLastsIsHelpedToStart lets a task that lasts come to a worker on which nothing
+// comes on, beside a sound one, and checks that it is at work on the sound one soon.
+//
+// Only runs that end were watched for standing still: this one stayed at 0% for good, and
+// counted as away, so that no other task of its step could leave a worker either.
+func TestTaskThatLastsIsHelpedToStart(t *testing.T) {
+	const within = 10 * time.Second
+	r := newRig(t, 2)
+	r.announce()
+	r.s.AddJob(r.now, batch("j", lasting(1, 500)), nil, false)
+	r.pass(200 * time.Millisecond)
+	stuck := r.workerOf("j")
+	if stuck == "" {
+		t.Fatal("the task does not run")
+	}
+	for end := r.now.Add(within); r.now.Before(end); {
+		r.pass(100 * time.Millisecond)
+		r.workers[other(stuck)].setPercent(100)
+	}
+	if w := r.workerOf("j"); w != other(stuck) {
+		t.Errorf("the task runs on %q %v after it stood still on %q", w, within, stuck)
+	}
+}
+
+// TestTaskThatLastsAndIsSlowToStartIsLeftAlone lets a task that lasts be at work only after
+// two seconds in which its percent does not rise, and checks that it isn't stopped.
+func TestTaskThatLastsAndIsSlowToStartIsLeftAlone(t *testing.T) {
+	r := newRig(t, 2)
+	r.announce()
+	r.s.AddJob(r.now, batch("j", lasting(1, 500)), nil, false)
+	r.pass(2 * time.Second)
+	for _, f := range r.workers {
+		f.setPercent(100)
+	}
+	r.pass(20 * time.Second)
+	if n := r.s.Counts().Stops; n != 0 {
+		t.Errorf("%d runs were stopped, want none", n)
+	}
+}
+
+// TestSpeculativeTaskWhoseCopyIsLostIsHelped lets a speculative task stand still, and the
+// worker of its copy die. The task stands still on the first worker all the same, so it has
+// to start elsewhere.
+//
+// A task got one copy in its life; one that stood still was copied or left alone, so that
+// after the copy was lost nothing helped it any more.
+func TestSpeculativeTaskWhoseCopyIsLostIsHelped(t *testing.T) {
+	r := newRig(t, 3)
+	r.announce()
+	step := tasks(1, 500)
+	step.Speculative = true
+	r.s.AddJob(r.now, batch("j", step), nil, false)
+	r.pass(200 * time.Millisecond)
+	first := r.workerOf("j")
+	r.pass(2 * time.Second)
+	if n := len(r.workersOf("j")); n != 2 {
+		t.Fatalf("%d runs of a task that stands still, want 2", n)
+	}
+	for _, w := range r.workersOf("j") {
+		if w != first {
+			r.s.WorkerOver(r.now, w, "its machine is down")
+			delete(r.workers, w)
+		}
+	}
+	r.pass(5 * time.Second)
+	for _, w := range r.workersOf("j") {
+		if w != first {
+			return
+		}
+	}
+	t.Errorf("5 s after its copy was lost, the task runs on %v only, where it stands still", r.workersOf("j"))
+}
+
+// TestBothRunsOfTaskStandStill lets a speculative task and its copy both stand still, and
+// checks that it comes to the third worker, which is sound.
+//
+// With two runs of a task, neither was helped.
+func TestBothRunsOfTaskStandStill(t *testing.T) {
+	r := newRig(t, 3)
+	r.announce()
+	step := tasks(1, 500)
+	step.Speculative = true
+	r.s.AddJob(r.now, batch("j", step), nil, false)
+	r.pass(2 * time.Second)
+	still := r.workersOf("j")
+	if len(still) != 2 {
+		t.Fatalf("%d runs of a task that stands still, want 2", len(still))
+	}
+	for range 60 {
+		r.pass(100 * time.Millisecond)
+		for _, w := range r.workersOf("j") {
+			if w != still[0] && w != still[1] {
+				return
+			}
+		}
+	}
+	t.Errorf("6 s later the task runs on %v, where it stands still, and not on the sound worker", r.workersOf("j"))
+}
+
+// TestTaskLeavesWorkerThatIsBusy lets one of two workers answer all starts as busy while one
+// job waits, and checks that it runs on the other soon.
+//
+// A worker that takes no start is set aside once two jobs have met that. A job that was alone
+// chose the same worker each 50 ms for as long as that went on, with room on the other.
+func TestTaskLeavesWorkerThatIsBusy(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang=%v", gang), func(t *testing.T) {
+			const within = 3 * time.Second
+			r := newRig(t, 3)
+			r.announce()
+			step := tasks(2, 500)
+			step.Gang = gang
+			r.s.AddJob(r.now, batch("j", step), nil, false)
+			for end := r.now.Add(within); r.now.Before(end); {
+				r.now = r.now.Add(100 * time.Millisecond)
+				r.hold()
+				r.roundWithBusy("w0")
+			}
+			if n := len(r.running()); n != 2 {
+				t.Errorf("%d of 2 tasks run %v after the job came", n, within)
+			}
+		})
+	}
+}
+
+// TestInheritedJobMovesOnceAllHaveAnswered lets a worker answer a new owner only after its
+// takeover has ended by time, and checks that a job which can't run here may then move.
+//
+// Whether all workers had answered was noted once, at the end of the takeover. After one that
+// ended by time, no job of an earlier owner moved any more, whatever was learned later.
+func TestInheritedJobMovesOnceAllHaveAnswered(t *testing.T) {
+	r := newRig(t, 2)
+	r.announce()
+	r.workers["w1"].mute = true
+	step := tasks(1, 500)
+	step.Label = "none here has it"
+	r.s.AddJob(r.now, batch("j", step), nil, true)
+	r.pass(12 * time.Second)
+	if n := len(r.s.Moves(r.now, 1)); n != 0 {
+		t.Fatalf("%d jobs move while a worker may still tell of their runs", n)
+	}
+	r.workers["w1"].mute = false
+	r.pass(2 * time.Second)
+	if n := len(r.s.Moves(r.now, 1)); n != 1 {
+		t.Errorf("%d jobs move once all workers have answered, want 1", n)
+	}
+}
+
+// TestFillerIsTriedAgain lets a serving task go over its target once, for which the filler
+// beside it is held, and then stay at 0.7 of it. The filler works on in the end.
+//
+// A filler got more only once the tail was under 0.6 of the target. A serving task whose own
+// tail is above that kept it held for good.
+func TestFillerIsTriedAgain(t *testing.T) {
+	r := newRig(t, 1)
+	r.announce()
+	serving, filler := lasting(1, 500), tasks(1, 500)
+	serving.LatencyTargetMS, filler.Fills = 100, true
+	r.addLasting(batch("serves", serving))
+	r.s.AddJob(r.now, batch("fills", filler), nil, false)
+	pace := 100
+	tail := func(ms int64, d time.Duration) {
+		for end := r.now.Add(d); r.now.Before(end); {
+			r.passAtWork(100 * time.Millisecond)
+			for i, e := range r.workers["w0"].running {
+				if e.Task.Job == "serves" {
+					r.workers["w0"].running[i].Usage = ms
+				}
+			}
+			for _, c := range commandsOf[scheduler.Pace](r.commands) {
+				pace = c.Percent
+			}
+		}
+	}
+	tail(50, time.Second)
+	tail(150, 5*time.Second)
+	if pace != 0 {
+		t.Fatalf("the filler's pace is %d beside a task over its target, want 0", pace)
+	}
+	tail(70, 10*time.Second)
+	if pace == 0 {
+		t.Error("the filler is still held 10 s after the tail fell to 0.7 of the target")
+	}
+}
+
+// workersOf returns the workers on which something of a job runs, in order.
+func (r *rig) workersOf(job string) []string {
+	var list []string
+	for _, id := range r.names() {
+		for _, e := range r.workers[id].running {
+			if e.Task.Job == job {
+				list = append(list, id)
+			}
+		}
+	}
+	return list
+}
+
+// workerOf returns the first worker on which something of a job runs, or "".
+func (r *rig) workerOf(job string) string {
+	if list := r.workersOf(job); len(list) > 0 {
+		return list[0]
+	}
+	return ""
+}
+
+// other returns the other one of two workers.
+func other(worker string) string {
+	if worker == "w0" {
+		return "w1"
+	}
+	return "w0"
+}
+
+// setPercent sets how far all runs on a worker have come.
+func (f *fake) setPercent(percent int) {
+	for i := range f.running {
+		f.running[i].Percent = percent
+	}
+}
+
+// roundWithBusy takes one round, in which one worker takes no start.
+func (r *rig) roundWithBusy(busy string) {
+	for _, c := range r.s.Schedule(r.now) {
+		switch c := c.(type) {
+		case scheduler.Start:
+			if c.Worker == busy {
+				r.s.StartReplied(r.now, c.Worker, c.Task, c.Run, cluster.ReplyBusy)
+				continue
+			}
+			r.workers[c.Worker].running = append(r.workers[c.Worker].running, cluster.RunStatus{Task: c.Task, Run: c.Run})
+			r.s.StartReplied(r.now, c.Worker, c.Task, c.Run, cluster.ReplyOK)
+		case scheduler.Stop:
+			r.end(c.Worker, c.Task, c.Run, cluster.OutcomeStopped)
+			r.s.StopReplied(r.now, c.Worker, c.Task, c.Run, cluster.ReplyOK)
+		}
+	}
+}
+
+// TestGangThatNeverFitsHoldsNoOtherBack lets a gang that no worker could hold wait in a
+// shard that is full of tasks of six seconds, and checks that a less urgent gang, which
+// fits, starts as soon as it does without the first.
+//
+// Room is kept for up to 15 s for the first gang of a round only, and one that never finds
+// any took that place in each round: the second gang waited for as long as the first did.
+func TestGangThatNeverFitsHoldsNoOtherBack(t *testing.T) {
+	for _, beside := range []bool{false, true} {
+		t.Run(fmt.Sprintf("beside=%v", beside), func(t *testing.T) {
+			const within = 20 * time.Second
+			r := newRig(t, 4)
+			r.announce()
+			f := &fullShard{rig: r}
+			f.work(6 * time.Second)
+			if beside {
+				wide := tasks(5, 3000)
+				wide.Gang = true
+				job := batch("wide", wide)
+				job.Policy.Priority = 0
+				r.s.AddJob(r.now, job, nil, false)
+			}
+			fits := tasks(4, 3000)
+			fits.Gang = true
+			job := batch("fits", fits)
+			job.Policy.Priority = 1
+			r.s.AddJob(r.now, job, nil, false)
+			for end := r.now.Add(within); r.now.Before(end) && !r.runs("fits"); {
+				f.work(100 * time.Millisecond)
+			}
+			if !r.runs("fits") {
+				t.Errorf("the gang that fits does not run %v after it came", within)
+			}
+		})
+	}
+}
+
+// fullShard is a rig that is full of tasks of six seconds, of which more always wait.
+type fullShard struct {
+	*rig
+	added int
+	done  map[cluster.TaskID]float64
+}
+
+// work lets all workers work for a time.
+func (f *fullShard) work(d time.Duration) {
+	const percent = 100.0 / 60 // in a tenth of a second
+	if f.done == nil {
+		f.done = make(map[cluster.TaskID]float64)
+	}
+	for end := f.now.Add(d); f.now.Before(end); {
+		if f.now.UnixMilli()%300 == 0 {
+			f.added++
+			step := tasks(1, 2000)
+			step.EstimateMS = 6000
+			f.s.AddJob(f.now, batch(fmt.Sprintf("small%d", f.added), step), nil, false)
+		}
+		f.pass(100 * time.Millisecond)
+		for _, id := range f.names() {
+			w := f.workers[id]
+			for i := range w.running {
+				e := &w.running[i]
+				f.done[e.Task] += percent
+				e.Percent = int(min(100, f.done[e.Task]))
+			}
+			for _, e := range append([]cluster.RunStatus(nil), w.running...) {
+				if e.Percent == 100 {
+					f.end(id, e.Task, e.Run, cluster.OutcomeDone)
+				}
+			}
+		}
+	}
+}
