A speculative task is helped again once its copy is lost, or both runs stand still

Whether a task has a copy is now what runs, not what was once started: one that stands still after its copy was lost gets another, and of two runs that both stand still one is stopped, so that the other gets a copy elsewhere.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -77,7 +77,6 @@
 	// that another one comes first.
 	leftOn string
 	leftAt time.Time
-	copied bool
 	// waitsFrom is since when the task could start but has no worker, and waitNoted
 	// after which wait the log tells of it again.
 	waitsFrom time.Time
--- a/internal/scheduler/slow.go
+++ b/internal/scheduler/slow.go
@@ -75,7 +75,7 @@
 	if s.retryStop(now, r) || !watched(r) {
 		return false
 	}
-	standsStill = now.Sub(r.percentAt) > stalledAfter && w.clockAt.After(r.percentAt.Add(stalledAfter/2))
+	standsStill = r.standsStill(now)
 	crawls := !standsStill && s.crawls(now, r)
 	if crawls && (!w.health.probing || w.health.judgedBy(r)) {
 		w.health.crawled(now, r.task.step)
@@ -102,6 +102,16 @@
 	return r.state == runRunning && !spec.LongRunning && !spec.Fills && r.pace == fullPace && r.percent < 100
 }
 
+// standsStill reports whether a run's percent has not risen for a time in which its worker reported.
+func (r *run) standsStill(now time.Time) bool {
+	return now.Sub(r.percentAt) > stalledAfter && r.worker.clockAt.After(r.percentAt.Add(stalledAfter/2))
+}
+
+// allStandStill reports whether all runs of a task stand still, and none is being stopped.
+func (t *task) allStandStill(now time.Time) bool {
+	return !slices.ContainsFunc(t.runs, func(r *run) bool { return r.stopping || !watched(r) || !r.standsStill(now) })
+}
+
 // retryStop repeats a stop that was not acknowledged, and reports whether the run is stopping.
 func (s *Shard) retryStop(now time.Time, r *run) bool {
 	if r.stopping && !r.stopped && now.Sub(r.stopSent) >= stopRetry {
@@ -167,11 +177,11 @@
 // task starts again elsewhere.
 func (s *Shard) helpSlow(now time.Time, r *run, standsStill bool) {
 	t, st := r.task, r.task.step
-	if t.done || len(t.runs) > 1 || (st.spec.Gang && !standsStill) {
+	if t.done || (len(t.runs) > 1 && !t.allStandStill(now)) || (st.spec.Gang && !standsStill) {
 		return
 	}
 	attemptsLeft := st.job.spec.Policy.MaxAttempts - len(t.failed)
-	if st.spec.Speculative && attemptsLeft > 1 {
+	if st.spec.Speculative && attemptsLeft > 1 && len(t.runs) == 1 {
 		s.copyRun(now, t, r)
 		return
 	}
@@ -188,19 +198,20 @@
 	s.breakGang(now, r, "a member "+cause)
 }
 
-// copyRun starts a second run of a speculative task on another worker.
+// copyRun starts a second run of a speculative task on another worker, also if an earlier
+// copy has been lost.
 func (s *Shard) copyRun(now time.Time, t *task, slow *run) {
-	if t.copied || t.done || t.step.job.state.Finished() {
+	if len(t.runs) > 1 || t.done || now.Before(t.notBefore) || t.step.job.state.Finished() {
 		return
 	}
-	w := s.bestWorker(now, t.step, nil, func(w *worker) bool { return w != slow.worker })
+	left := func(w *worker) bool { return w.info.ID == t.leftOn && now.Sub(t.leftAt) < avoidFor }
+	w := s.bestWorker(now, t.step, nil, func(w *worker) bool { return w != slow.worker && !left(w) })
 	if w == nil {
 		if t.step.needsTicket() {
 			s.ask(now, t.step, 1, true)
 		}
 		return
 	}
-	t.copied = true
 	s.counts.Copies++
 	s.start(now, t, w)
 }
