A worker that took no start gets no other for a while

A worker that answers starts as busy was avoided only once two jobs had met that. A job that was alone tried the same one each 50 ms for as long as it went on, with others empty; a gang was broken up by it each time.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -188,12 +188,12 @@
 // One that runs what no known job explains may not: how much room that takes isn't
 // known, and after a takeover not even how much the worker has.
 func (s *Shard) usable(now time.Time, w *worker, st *step) bool {
-	return s.suits(w, st) && w.health.takes(now, w)
+	return s.suits(now, w, st) && w.health.takes(now, w)
 }
 
 // suits is usable for a worker whose health is left aside.
-func (s *Shard) suits(w *worker, st *step) bool {
-	return w.stays() && len(w.foreign) == 0 &&
+func (s *Shard) suits(now time.Time, w *worker, st *step) bool {
+	return w.stays() && len(w.foreign) == 0 && !now.Before(w.refusesUntil) &&
 		w.info.Service == st.job.spec.Service &&
 		(st.spec.Label == "" || w.info.HasLabel(st.spec.Label)) &&
 		w.info.Capacity.Fits(st.spec.Room())
@@ -202,7 +202,7 @@
 // mayHold is usable for a step whose tasks, where they last and have waited for a while,
 // may also run on workers that are set aside.
 func (s *Shard) mayHold(now time.Time, w *worker, st *step) bool {
-	return s.suits(w, st) && (w.health.takes(now, w) || (st.spec.LongRunning && st.waited(now) >= asidePatience))
+	return s.suits(now, w, st) && (w.health.takes(now, w) || (st.spec.LongRunning && st.waited(now) >= asidePatience))
 }
 
 // waited returns for how long the step has waited for room.
@@ -237,7 +237,7 @@
 func (s *Shard) bestWorkerFor(now time.Time, t *task) *worker {
 	w := s.bestSoundWorkerFor(now, t)
 	if w == nil && t.step.spec.LongRunning && now.Sub(t.waitsFrom) >= asidePatience {
-		return s.bestOf(now, t.step, nil, func(w *worker) bool { return s.suits(w, t.step) })
+		return s.bestOf(now, t.step, nil, func(w *worker) bool { return s.suits(now, w, t.step) })
 	}
 	return w
 }
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -23,6 +23,7 @@
 	isLeaving                // it drains, leaves, or its entry names no worker to use
 	isAside                  // it is set aside
 	isProbing                // it was set aside, and what it got since is still being judged
+	refuses                  // it took no start a short while ago
 	hasForeignRuns           // what runs there isn't known
 	isUnfit                  // another service, no such label, or too small
 	isRejected               // advice has rejected it
@@ -35,7 +36,7 @@
 
 // obstacleNames are the names of the obstacles in the log.
 var obstacleNames = [numberObstacles]string{
-	"usable", "away", "leaving", "aside", "probing", "unknown_runs", "unfit", "rejected", "unasked", "ticket_over", "spread", "full",
+	"usable", "away", "leaving", "aside", "probing", "refuses", "unknown_runs", "unfit", "rejected", "unasked", "ticket_over", "spread", "full",
 }
 
 // obstacleTo returns what keeps a task of a step from a worker.
@@ -50,6 +51,8 @@
 		return isAside
 	case !h.takes(now, w):
 		return isProbing
+	case now.Before(w.refusesUntil):
+		return refuses
 	case len(w.foreign) > 0:
 		return hasForeignRuns
 	case !s.usable(now, w, st):
