--- a/internal/scheduler/heldback_test.go
+++ b/internal/scheduler/heldback_test.go
@@ -159,6 +159,26 @@
 	}
 }
 
+// TestInheritedJobMovesOnceMachinesAreListed lets the machines be listed only after the
+// takeover has ended by time, and checks the same.
+func TestInheritedJobMovesOnceMachinesAreListed(t *testing.T) {
+	r := newRig(t, 2)
+	r.takeOverUnlisted()
+	r.announce()
+	step := tasks(1, 500)
+	step.Label = "none here has it"
+	r.s.AddJob(r.now, batch("j", step), nil, true)
+	r.pass(12 * time.Second)
+	if n := len(r.s.Moves(r.now, 1)); n != 0 {
+		t.Fatalf("%d jobs move while a worker may still tell of their runs", n)
+	}
+	r.s.ExpectWorkers(r.names())
+	r.pass(2 * time.Second)
+	if n := len(r.s.Moves(r.now, 1)); n != 1 {
+		t.Errorf("%d jobs move once all workers have answered, want 1", n)
+	}
+}
+
 // TestFillerIsTriedAgain lets a serving task go over its target once, for which the filler
 // beside it is held, and then stay at 0.7 of it. The filler works on in the end.
 //
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -54,12 +54,17 @@
 
 // takeOver begins with a new owner, which knows nothing but what it is told.
 func (r *rig) takeOver() {
+	r.takeOverUnlisted()
+	r.s.ExpectWorkers(r.names())
+}
+
+// takeOverUnlisted is takeOver while the machines can't be listed.
+func (r *rig) takeOverUnlisted() {
 	r.epoch++
 	r.s = scheduler.New(scheduler.Params{
 		Epoch: r.epoch, Lease: testLease, StopTime: 200 * time.Millisecond, Uncertain: 10 * time.Second,
 		KeepFinished: time.Minute,
 	}, r.now, zap.NewNop())
-	r.s.ExpectWorkers(r.names())
 }
 
 func (r *rig) names() []string {
