Jobs of earlier owners may move once all workers have answered, whenever that is

Whether all is known of what an earlier owner began was worked out once, at the end of the takeover. If that ended by time, or before the machines could be listed, such jobs stayed for the rest of the ownership, also where no worker can run them. It is now asked until it holds.

--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -23,8 +23,8 @@
 	// while the store is away.
 	listed   bool
 	expected map[string]bool
-	// complete is set once every worker has answered: then all is known of what an
-	// earlier owner began. Otherwise a worker may still report it later.
+	// complete is set once every worker has answered, be it after the takeover: then all is
+	// known of what an earlier owner began. Until then a worker may still report it.
 	complete bool
 }
 
@@ -34,7 +34,7 @@
 
 // ExpectWorkers notes which workers are alive according to the platform's machines.
 func (s *Shard) ExpectWorkers(ids []string) {
-	if !s.takeover.open || s.takeover.listed {
+	if s.takeover.listed {
 		return
 	}
 	s.takeover.listed = true
@@ -46,11 +46,16 @@
 
 // settle ends the takeover once nothing is uncertain.
 func (s *Shard) settle(now time.Time) {
-	if !s.takeover.open || s.uncertain(now) {
+	if !s.takeover.open {
+		// A takeover that ended by time is complete once the last worker has answered.
+		s.takeover.complete = s.takeover.complete || s.allKnown()
+		return
+	}
+	if s.uncertain(now) {
 		return
 	}
 	s.takeover.open = false
-	s.takeover.complete = s.takeover.listed && s.allAnswered()
+	s.takeover.complete = s.allKnown()
 	s.log.Info("takeover complete", events.TakeoverDone, zap.Int64("epoch", s.p.Epoch), zap.Int("workers", len(s.order)),
 		zap.Bool("machines_listed", s.takeover.listed), zap.Duration("took", now.Sub(s.began)))
 	for _, j := range s.active {
@@ -75,6 +80,9 @@
 	return !s.allAnswered()
 }
 
+// allKnown reports whether the workers alive are known, and all have answered.
+func (s *Shard) allKnown() bool { return s.takeover.listed && s.allAnswered() }
+
 // allAnswered reports whether every worker that is known or expected has answered.
 func (s *Shard) allAnswered() bool {
 	for id := range s.takeover.expected {
