--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -26,6 +26,9 @@
 	// the figure of the last half second.
 	paceCalm  = 1500 * time.Millisecond
 	paceEvery = 600 * time.Millisecond
+	// paceTrial is how long a filler is held entirely before it is tried at minPace while
+	// the tail is under paceHigh: the serving task's own may never be under paceLow.
+	paceTrial = 4 * time.Second
 )
 
 // paceFillers slows tasks that fill beside serving tasks whose latency nears its target.
@@ -76,6 +79,9 @@
 		}
 	default:
 		r.calmFrom = now
+		if r.pace == 0 && now.Sub(r.paceSent) >= paceTrial {
+			pace = minPace
+		}
 	}
 	if pace == r.pace {
 		return
