--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -11,6 +11,10 @@
 	"switchbank.example/switchbank/internal/events"
 )
 
+// endsListed is how many ends a worker lists at once. Behind a full list there may be more,
+// so that a run which is not in it may have ended.
+const endsListed = 500
+
 // Observe takes a worker's report, the answer to the hold with that number.
 func (s *Shard) Observe(now time.Time, id string, seq int64, report cluster.Report) {
 	w := s.workers[id]
@@ -38,7 +42,9 @@
 		listed[runKey{e.Task, e.Run}] = true
 		s.running(now, w, e)
 	}
-	s.missing(now, w, seq, listed)
+	if len(report.Ended) < endsListed {
+		s.missing(now, w, seq, listed)
+	}
 	s.recount(w)
 	if first {
 		s.log.Info("worker taken over", events.WorkerTaken, zap.String("worker", id), zap.Int64("epoch", s.p.Epoch), zap.Int("runs", len(w.runs)))
