A change that was left out of twenty batches comes first

Batches took finished and urgent jobs each time, so that with more changes than a batch has room for, one of another job was never persisted, and the ends of its worker never confirmed from there on.

--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -35,8 +35,14 @@
 	seen map[string]int64
 }
 
+// leftOutMost is how many batches may leave a job's changes out before these come first:
+// while the store is slow there may always be more urgent ones, and a worker's ends are
+// confirmed only up to the first whose job has changes that are left out.
+const leftOutMost = 20
+
 // Dirty returns what has to be persisted, for at most maxJobs jobs and of about maxBytes at
-// most: finished ones first, since callers wait for that, and of these the most urgent.
+// most: what was left out of many batches first, then finished ones, since callers wait for
+// that, and of these the most urgent.
 // Ends of a worker are covered up to the first whose job has changes that are left out.
 func (s *Shard) Dirty(maxJobs, maxBytes int) Batch {
 	var b Batch
@@ -54,6 +60,9 @@
 		b.Records = append(b.Records, r)
 		taken[r.Job] = true
 	}
+	for _, j := range open[len(b.Records):] {
+		j.leftOut++
+	}
 	b.seen = make(map[string]int64)
 	for _, w := range s.order {
 		if n := s.coveredEnd(w, taken); n > w.confirmedEnd {
@@ -88,6 +97,12 @@
 
 // compareDirty orders jobs by how soon their progress should be persisted.
 func compareDirty(a, b *job) int {
+	if old := a.leftOut >= leftOutMost; old != (b.leftOut >= leftOutMost) {
+		if old {
+			return -1
+		}
+		return 1
+	}
 	if a.state.Finished() != b.state.Finished() {
 		if a.state.Finished() {
 			return -1
@@ -141,6 +156,7 @@
 
 // recordSaved notes that a record is durable.
 func (s *Shard) recordSaved(now time.Time, j *job, r Record) {
+	j.leftOut = 0
 	if r.Change == j.changed {
 		delete(s.dirty, r.Job)
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -30,6 +30,8 @@
 	finishedAt time.Time
 	version    int64 // of the progress row
 	changed    int64 // rises with each change that has to be persisted
+	// leftOut is how many batches have left its changes out.
+	leftOut int
 	// left is how many tasks have not succeeded.
 	left int
 }
