--- a/internal/cell/ping.go
+++ b/internal/cell/ping.go
@@ -26,11 +26,11 @@
 	pingUntried = 64
 	// retryFirst is how soon a node that failed to answer is pinged again, and then after
 	// twice that, and so on up to retryMost: that it did not answer may tell of this node,
-	// which would else take it for down until its turn comes in the rounds.
+	// which would else take it for down until its turn comes in the rounds. It goes on for
+	// good: two nodes that were cut off from each other for long have no other way back.
 	retryFirst = 500 * time.Millisecond
-	retryMost  = 4 * time.Second
-	// forgetAfter is when a peer that never answers is pinged no more, unless the
-	// store names it again.
+	retryMost  = 16 * time.Second
+	// forgetAfter is when a peer that never answers is left out of the rounds.
 	forgetAfter = 20 * time.Second
 )
 
@@ -73,13 +73,10 @@
 // isRetried reports whether it is time to ping a node again that failed to answer, and
 // notes that this is done. The caller holds the mu of the peers.
 func (q *peer) isRetried(now time.Time) bool {
-	if q.firstFail.IsZero() || q.retryIn > retryMost {
+	if q.firstFail.IsZero() || now.Sub(q.retriedAt) < q.retryIn {
 		return false
 	}
-	if now.Sub(q.retriedAt) < q.retryIn {
-		return false
-	}
-	q.retriedAt, q.retryIn = now, 2*q.retryIn
+	q.retriedAt, q.retryIn = now, min(2*q.retryIn, retryMost)
 	return true
 }
 
