--- a/internal/scheduler/move_test.go
+++ b/internal/scheduler/move_test.go
@@ -3,6 +3,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -134,3 +135,31 @@
 		}
 	})
 }
+
+// TestJobsThatStayKeepNoOtherFromMoving lets six jobs wait that no worker here can run, and
+// asks for two at a time, for which no other shard is found. Each is offered in turn.
+//
+// The first ones were offered each time: jobs that no shard could run kept all others of
+// theirs from moving for good.
+func TestJobsThatStayKeepNoOtherFromMoving(t *testing.T) {
+	const jobs, atOnce = 6, 2
+	r := newRig(t, 1)
+	r.announce()
+	for i := range jobs {
+		step := tasks(1, 500)
+		step.Label = "none here has it"
+		r.s.AddJob(r.now, batch(fmt.Sprintf("j%d", i), step), nil, false)
+	}
+	r.pass(time.Second)
+	offered := make(map[string]bool)
+	for range jobs {
+		r.pass(200 * time.Millisecond)
+		for _, m := range r.s.Moves(r.now, atOnce) {
+			offered[m.Job.ID] = true
+			r.s.Stays(m.Job.ID)
+		}
+	}
+	if len(offered) != jobs {
+		t.Errorf("%d of %d jobs were offered to other shards: %v", len(offered), jobs, offered)
+	}
+}
