--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -25,6 +25,8 @@
 	inherited bool
 	// moving is set while the job may be on its way to another shard.
 	moving bool
+	// offered is when the job was last offered to other shards.
+	offered time.Time
 	// finalSaved is set once the final state is in the store.
 	finalSaved bool
 	finishedAt time.Time
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -37,30 +37,47 @@
 
 // Moves returns jobs of which nothing runs and which would better run elsewhere, at most
 // n: those that have not begun, and others if the workers here can't run their next steps.
-// Each must be answered by Moved or Stays; until then nothing of it starts.
+// Each must be answered by Moved or Stays; until then nothing of it starts. Those that
+// stayed go behind the others: there may be no better shard for them at all.
 func (s *Shard) Moves(now time.Time, n int) []Move {
 	if s.takeover.open {
 		return nil
 	}
 	var list []Move
-	for _, j := range s.active {
+	for _, c := range s.mayMoveNow(now) {
 		if len(list) == n {
 			break
 		}
+		j := c.job
+		j.moving, j.offered = true, now
+		m := Move{Job: j.spec, Version: j.version, Mark: s.moveMark(j), Unfit: c.unfit}
+		if j.begun {
+			m.Carried = s.encodeProgress(j, j.progress())
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+// mover is a job that may move; unfit is as in Move.
+type mover struct {
+	job   *job
+	unfit bool
+}
+
+// mayMoveNow returns the jobs that may move, those first that were offered the longest ago.
+func (s *Shard) mayMoveNow(now time.Time) []mover {
+	var list []mover
+	for _, j := range s.active {
 		if !s.mayMove(j) {
 			continue
 		}
 		unfit := s.unfit(j)
-		if !unfit && (j.begun || s.load < moveFrom || !j.waitsTooLong(now)) {
-			continue
+		if unfit || (!j.begun && s.load >= moveFrom && j.waitsTooLong(now)) {
+			list = append(list, mover{j, unfit})
 		}
-		j.moving = true
-		m := Move{Job: j.spec, Version: j.version, Mark: s.moveMark(j), Unfit: unfit}
-		if j.begun {
-			m.Carried = s.encodeProgress(j, j.progress())
-		}
-		list = append(list, m)
 	}
+	slices.SortStableFunc(list, func(a, b mover) int { return a.job.offered.Compare(b.job.offered) })
 	return list
 }
 
