Moves of a shard's jobs don't wait for each other's parts of the store

A shard moved its jobs one after the other and waited for each pin until it was read, though nothing had been written yet: one part that was away kept the job from starting where it was, and all others of the shard from moving. The pin is read once, the moves of a round go side by side, and only a write of unknown outcome is settled for as long as that takes.

--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -50,13 +51,15 @@
 		o.mu.Lock()
 		moves, load := o.shard.Moves(time.Now(), movesAtOnce), o.shard.Load()
 		o.mu.Unlock()
+		var round sync.WaitGroup
 		for _, m := range moves {
 			if to, ok := o.Shards.Better(o.cfg.Shard, load, m); ok {
-				o.move(ctx, m, to)
+				round.Go(func() { o.move(ctx, m, to) })
 			} else {
 				o.stays(m.Job.ID)
 			}
 		}
+		round.Wait()
 	}
 	return nil
 }
@@ -83,12 +86,14 @@
 	}
 }
 
-// move moves a job to another shard, or finds out that it stays.
+// move moves a job to another shard, or finds out that it stays. Its time is bounded, as
+// other moves wait for it, and the job may have room here meanwhile.
 func (o *Owner) move(ctx context.Context, m scheduler.Move, to cluster.ShardID) {
-	pin, here := o.readPin(ctx, m.Job.ID)
+	pin, here, err := o.seePin(ctx, m.Job.ID)
 	if !here {
 		if ctx.Err() == nil {
-			o.Log.Warn("job not moved", events.JobMoved, zap.String("job", m.Job.ID), zap.String("cause", "its pin names another shard"))
+			o.Log.Warn("job not moved", events.JobMoved, zap.String("job", m.Job.ID),
+				zap.String("cause", "its pin names another shard, or can't be read"), zap.Error(err))
 			o.stays(m.Job.ID)
 		}
 		return
@@ -102,11 +107,23 @@
 	job.Moves++
 	job.Epoch, job.Carried = 0, m.Carried
 	moved, err := o.repin(ctx, job, pin)
+	if err != nil && tables.IsUnknown(err) {
+		o.group.Go(func() error {
+			o.endMove(ctx, job, to, m.Unfit, !o.staysPinned(ctx, job.ID), err)
+			return nil
+		})
+		return
+	}
+	o.endMove(ctx, job, to, m.Unfit, moved, err)
+}
+
+// endMove notes whether a job has moved.
+func (o *Owner) endMove(ctx context.Context, job cluster.Job, to cluster.ShardID, unfit, moved bool, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	o.Log.Info("job moves", events.JobMoved, zap.String("job", job.ID), zap.Stringer("from", o.cfg.Shard), zap.Stringer("to", to),
-		zap.Bool("moved", moved), zap.Bool("unfit", m.Unfit), zap.Int("moves", job.Moves), zap.Error(err))
+		zap.Bool("moved", moved), zap.Bool("unfit", unfit), zap.Int("moves", job.Moves), zap.Error(err))
 	if !moved {
 		o.returns(job.ID)
 		return
@@ -152,7 +169,7 @@
 }
 
 // repin writes the rows of a marked job for its new shard, on condition of its pin, and
-// reports whether the job is there.
+// reports whether the job is there. Where the error is an unknown outcome, that is open.
 func (o *Owner) repin(ctx context.Context, job cluster.Job, pin tables.Row) (moved bool, err error) {
 	txn, err := AcceptJob([]cluster.Job{job})
 	if err != nil {
@@ -164,29 +181,29 @@
 	txn.If = append(txn.If, tables.Row{Table: from, Part: part, Key: job.ID + cancelSuffix})
 	txn.Remove = []tables.Row{{Table: from, Part: part, Key: job.ID}}
 	res, err := o.Tables.Commit(ctx, txn)
-	switch {
-	case err == nil:
-		// Without an unknown try on its way, what is refused stays so.
-		return res.Committed, nil
-	case !tables.IsUnknown(err):
-		return false, err
-	}
-	return !o.staysPinned(ctx, job.ID), err
+	// Without an unknown try on its way, what is refused stays so.
+	return err == nil && res.Committed, err
 }
 
 // readPin reads a job's pin until it is answered; found is false if the pin doesn't
 // name this shard.
 func (o *Owner) readPin(ctx context.Context, id string) (pin tables.Row, found bool) {
 	for ctx.Err() == nil {
-		row, ok, err := tables.Get(ctx, o.Tables, TablePins, PartOf(o.cfg.Shard.Service, id), id)
+		pin, found, err := o.seePin(ctx, id)
 		if err == nil {
-			return row, ok && o.isPinnedHere(row)
+			return pin, found
 		}
 		tables.Sleep(ctx, settlePause)
 	}
 	return tables.Row{}, false
 }
 
+// seePin is readPin tried once.
+func (o *Owner) seePin(ctx context.Context, id string) (pin tables.Row, found bool, err error) {
+	row, ok, err := tables.Get(ctx, o.Tables, TablePins, PartOf(o.cfg.Shard.Service, id), id)
+	return row, err == nil && ok && o.isPinnedHere(row), err
+}
+
 // isPinnedHere reports whether a job's pin names this shard. One that can't be read is
 // taken for it, since the job's row is here, and replaced.
 func (o *Owner) isPinnedHere(row tables.Row) bool {
