--- a/internal/scheduler/heldback_test.go
+++ b/internal/scheduler/heldback_test.go
@@ -342,3 +342,23 @@
 		}
 	}
 }
+
+// TestFillerThatStandsStillStartsElsewhere lets a task that fills come to a worker on which
+// nothing comes on, beside a sound one, and checks that it comes to that one.
+//
+// What fills gets what others leave, so that it may stand still for a while, and was not
+// watched at all: it stayed for good where nothing came on.
+func TestFillerThatStandsStillStartsElsewhere(t *testing.T) {
+	const within = 12 * time.Second
+	r := newRig(t, 2)
+	r.announce()
+	step := tasks(1, 500)
+	step.Fills = true
+	r.s.AddJob(r.now, batch("j", step), nil, false)
+	r.pass(200 * time.Millisecond)
+	stuck := r.workerOf("j")
+	r.pass(within)
+	if w := r.workerOf("j"); w != other(stuck) {
+		t.Errorf("the filler runs on %q %v after it stood still on %q", w, within, stuck)
+	}
+}
