--- a/internal/scheduler/slow.go
+++ b/internal/scheduler/slow.go
@@ -12,6 +12,10 @@
 	// reports every half second, restoring a checkpoint takes up to 0.6 s, and a
 	// percent of the longest task 0.25 s.
 	stalledAfter = 1300 * time.Millisecond
+	// fillerStill is the same for a run that fills: it gets what others leave, which may be
+	// little for a while. It doubles each time the task is moved, up to stillDoubled times.
+	fillerStill  = 8 * time.Second
+	stillDoubled = 3
 	// slowFactor is how many times as long as its siblings a run may look to need
 	// before it is moved or copied: on sound workers the longest of a step takes
 	// 1.9 times as long as the median (4,083 tasks of a calm day), and slow workers
@@ -72,7 +76,15 @@
 // watchRun helps a run that stands still or crawls on its worker, and reports
 // whether it stands still.
 func (s *Shard) watchRun(now time.Time, w *worker, r *run) (standsStill bool) {
-	if s.retryStop(now, r) || !watched(r) {
+	if s.retryStop(now, r) {
+		return false
+	}
+	if r.staysBehind(now) {
+		// That says nothing of the worker.
+		s.startElsewhere(now, r, "does not come on")
+		return false
+	}
+	if !watched(r) {
 		return false
 	}
 	standsStill = r.standsStill(now)
@@ -112,6 +124,20 @@
 	return !slices.ContainsFunc(t.runs, func(r *run) bool { return r.stopping || !watched(r) || !r.standsStill(now) })
 }
 
+// staysBehind reports whether a run that fills has not come on for so long that it should
+// start elsewhere, though it isn't held.
+func (r *run) staysBehind(now time.Time) bool {
+	spec := r.task.step.spec
+	if !spec.Fills || spec.LongRunning || r.state != runRunning || r.pace <= 0 || r.percent == 100 {
+		return false
+	}
+	patience, since := fillerStill<<min(r.task.moved, stillDoubled), r.percentAt
+	if r.paceSent.After(since) {
+		since = r.paceSent
+	}
+	return now.Sub(since) > patience && r.worker.clockAt.After(since.Add(patience/2))
+}
+
 // retryStop repeats a stop that was not acknowledged, and reports whether the run is stopping.
 func (s *Shard) retryStop(now time.Time, r *run) bool {
 	if r.stopping && !r.stopped && now.Sub(r.stopSent) >= stopRetry {
@@ -188,11 +214,17 @@
 	if !standsStill && t.moved >= mostMoves {
 		return
 	}
-	t.moved++
 	cause := "crawls"
 	if standsStill {
 		cause = "stands still"
 	}
+	s.startElsewhere(now, r, cause)
+}
+
+// startElsewhere stops a run so that its task starts again, on another worker if it can.
+func (s *Shard) startElsewhere(now time.Time, r *run, cause string) {
+	t := r.task
+	t.moved++
 	t.leftOn, t.leftAt = r.worker.info.ID, now
 	s.stop(now, r, cause)
 	s.breakGang(now, r, "a member "+cause)
