--- a/internal/scheduler/heldback_test.go
+++ b/internal/scheduler/heldback_test.go
@@ -362,3 +362,34 @@
 		t.Errorf("the filler runs on %q %v after it stood still on %q", w, within, stuck)
 	}
 }
+
+// TestFillerHeldForGoodStartsElsewhere lets a serving task stay over its target, for which
+// the filler beside it is held, and then lets a second worker come. The filler goes there.
+//
+// It was held for as long as the serving task was over its target, whatever the cause.
+func TestFillerHeldForGoodStartsElsewhere(t *testing.T) {
+	const within = 15 * time.Second
+	r := newRig(t, 1)
+	r.announce()
+	serving, filler := lasting(1, 500), tasks(1, 500)
+	serving.LatencyTargetMS, filler.Fills = 100, true
+	r.addLasting(batch("serves", serving))
+	r.s.AddJob(r.now, batch("fills", filler), nil, false)
+	over := func(d time.Duration) {
+		for end := r.now.Add(d); r.now.Before(end); {
+			r.pass(100 * time.Millisecond)
+			for i, e := range r.workers["w0"].running {
+				if e.Task.Job == "serves" {
+					r.workers["w0"].running[i].Usage, r.workers["w0"].running[i].Percent = 150, 100
+				}
+			}
+		}
+	}
+	over(3 * time.Second)
+	r.workers["w1"] = &fake{}
+	r.announce()
+	over(within)
+	if w := r.workerOf("fills"); w != "w1" {
+		t.Errorf("the filler runs on %q %v after another worker came, want w1", w, within)
+	}
+}
