--- a/internal/scheduler/slow.go
+++ b/internal/scheduler/slow.go
@@ -124,11 +124,11 @@
 	return !slices.ContainsFunc(t.runs, func(r *run) bool { return r.stopping || !watched(r) || !r.standsStill(now) })
 }
 
-// staysBehind reports whether a run that fills has not come on for so long that it should
-// start elsewhere, though it isn't held.
+// staysBehind reports whether a run that fills has not come on, or has been held, for so
+// long that it should start elsewhere.
 func (r *run) staysBehind(now time.Time) bool {
 	spec := r.task.step.spec
-	if !spec.Fills || spec.LongRunning || r.state != runRunning || r.pace <= 0 || r.percent == 100 {
+	if !spec.Fills || spec.LongRunning || r.state != runRunning || r.pace == paceUnknown || r.percent == 100 {
 		return false
 	}
 	patience, since := fillerStill<<min(r.task.moved, stillDoubled), r.percentAt
