--- a/internal/scheduler/heldback_test.go
+++ b/internal/scheduler/heldback_test.go
@@ -3,6 +3,7 @@
 package scheduler_test
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -309,8 +310,12 @@
 // fullShard is a rig that is full of tasks of six seconds, of which more always wait.
 type fullShard struct {
 	*rig
-	added int
-	done  map[cluster.TaskID]float64
+	// cpu is what each of them takes; 0: half of a worker.
+	cpu int64
+	// everyMS is how often one comes; 0: three in 0.9 s.
+	everyMS int64
+	added   int
+	done    map[cluster.TaskID]float64
 }
 
 // work lets all workers work for a time.
@@ -320,9 +325,9 @@
 		f.done = make(map[cluster.TaskID]float64)
 	}
 	for end := f.now.Add(d); f.now.Before(end); {
-		if f.now.UnixMilli()%300 == 0 {
+		if f.now.UnixMilli()%cmp.Or(f.everyMS, 300) == 0 {
 			f.added++
-			step := tasks(1, 2000)
+			step := tasks(1, cmp.Or(f.cpu, 2000))
 			step.EstimateMS = 6000
 			f.s.AddJob(f.now, batch(fmt.Sprintf("small%d", f.added), step), nil, false)
 		}
@@ -331,11 +336,15 @@
 			w := f.workers[id]
 			for i := range w.running {
 				e := &w.running[i]
+				if f.lasts[e.Task.Job] {
+					e.Percent = 100
+					continue
+				}
 				f.done[e.Task] += percent
 				e.Percent = int(min(100, f.done[e.Task]))
 			}
 			for _, e := range append([]cluster.RunStatus(nil), w.running...) {
-				if e.Percent == 100 {
+				if e.Percent == 100 && !f.lasts[e.Task.Job] {
 					f.end(id, e.Task, e.Run, cluster.OutcomeDone)
 				}
 			}
@@ -393,3 +402,36 @@
 		t.Errorf("the filler runs on %q %v after another worker came, want w1", w, within)
 	}
 }
+
+// TestStepsThatFindNoRoomHoldNoOtherBack lets more steps wait than may have room set aside in
+// a round, for which there never is any beside tasks that last, and checks that a less urgent
+// one, which only needs some small tasks to end, starts as soon as it does without them.
+//
+// They counted among the steps that have room set aside though none was found for them, in
+// each round, so that the small tasks took all room that came free.
+func TestStepsThatFindNoRoomHoldNoOtherBack(t *testing.T) {
+	for _, beside := range []int{0, 10} {
+		t.Run(fmt.Sprintf("beside=%d", beside), func(t *testing.T) {
+			const within = 20 * time.Second
+			r := newRig(t, 4)
+			r.announce()
+			each := lasting(4, 1000)
+			each.MaxPerWorker = 1
+			r.addLasting(batch("lasts", each))
+			f := &fullShard{rig: r, cpu: 750, everyMS: 400}
+			f.work(8 * time.Second)
+			for i := range beside {
+				job := batch(fmt.Sprintf("never%d", i), tasks(1, 3500))
+				job.Policy.Priority = 1
+				r.s.AddJob(r.now, job, nil, false)
+			}
+			r.s.AddJob(r.now, batch("fits", tasks(1, 2900)), nil, false)
+			for end := r.now.Add(within); r.now.Before(end) && !r.runs("fits"); {
+				f.work(100 * time.Millisecond)
+			}
+			if !r.runs("fits") {
+				t.Errorf("the task that fits does not run %v after it came", within)
+			}
+		})
+	}
+}
