A step for which no room was found is looked at again after half a second

Room is set aside for the eight most urgent steps of a round. Those that never find any took all of these turns, so that small tasks took what came free.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -59,6 +59,8 @@
 	keptOn []*worker
 	// waitingSince is when the step last began to wait for room; zero: it doesn't.
 	waitingSince time.Time
+	// noRoomAt is when no room was found last that could be set aside for the step.
+	noRoomAt time.Time
 }
 
 // task is one task of a step.
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -23,6 +23,9 @@
 	// reserveSteps is how many steps may have room set aside in one round, the most
 	// urgent first: each looks at all runs of the shard.
 	reserveSteps = 8
+	// reserveAgain is when a step for which none was found is looked at again: those that
+	// never find any would else take the turns of all others.
+	reserveAgain = 500 * time.Millisecond
 	// reserveMost is the longest wait for which room is set aside; beyond it, more is
 	// lost by keeping room empty than by waiting on.
 	reserveMost = 4 * time.Second
@@ -60,7 +63,7 @@
 // reserve sets room aside for n waiting tasks of a step, as far as it comes free before
 // they would be late. What is late already waits for up to reserveMost.
 func (s *Shard) reserve(now time.Time, st *step, n int, slack time.Duration) {
-	if s.reserving >= reserveSteps {
+	if s.reserving >= reserveSteps || now.Sub(st.noRoomAt) < reserveAgain {
 		return
 	}
 	if n -= s.reservedFor(now, st); n <= 0 {
@@ -71,7 +74,11 @@
 	if slack >= 0 {
 		within = min(slack-slackMargin, reserveMost)
 	}
-	for _, p := range s.soonestRoom(now, st, n, within) {
+	places := s.soonestRoom(now, st, n, within)
+	if len(places) == 0 {
+		st.noRoomAt = now
+	}
+	for _, p := range places {
 		p.w.reserve(st, now.Add(reserveFor), now.Add(p.in))
 	}
 }
