--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -167,7 +167,10 @@
 		r.task.step.advice.discard(id)
 	case cluster.ReplyBusy, cluster.ReplyInvalid:
 		s.workerFailed(now, r.worker, r, r.task.id.Job)
-		r.worker.refusesUntil = now.Add(s.p.StopTime + refusedPause)
+		if reply == cluster.ReplyBusy {
+			// An invalid order may be the job's own fault.
+			r.worker.refusesUntil = now.Add(s.p.StopTime + refusedPause)
+		}
 	case cluster.ReplyNotSent:
 		s.HoldFailed(now, id, "connection not made")
 	case cluster.ReplyFence, cluster.ReplyOld, cluster.ReplyLate, cluster.ReplyRoom:
@@ -180,7 +183,7 @@
 // rejectedPause keeps a task whose start was rejected from being tried again at once.
 const rejectedPause = 50 * time.Millisecond
 
-// refusedPause is how much longer than a stop a worker that took no start gets no other:
+// refusedPause is how much longer than a stop a worker that was busy gets no other start:
 // a task whose worker refuses has to go elsewhere, and a gang again as soon as its other
 // members are stopped.
 const refusedPause = 300 * time.Millisecond
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -23,7 +23,7 @@
 	isLeaving                // it drains, leaves, or its entry names no worker to use
 	isAside                  // it is set aside
 	isProbing                // it was set aside, and what it got since is still being judged
-	refuses                  // it took no start a short while ago
+	refuses                  // it was busy a short while ago
 	hasForeignRuns           // what runs there isn't known
 	isUnfit                  // another service, no such label, or too small
 	isRejected               // advice has rejected it
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -52,7 +52,7 @@
 	taken    []takenEnd
 	health   health
 	leavesAt time.Time
-	// refusesUntil is until when nothing new starts there, since it took no start.
+	// refusesUntil is until when nothing new starts there, since it was busy.
 	refusesUntil time.Time
 	// unlisted is set while the directory doesn't list the worker, since unlistedAt.
 	unlisted   bool
