--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -172,7 +172,7 @@
 	if r.spoke || !r.settled(now) {
 		return
 	}
-	r.spoke = true
+	r.spoke, r.task.moved = true, 0
 	if !w.health.probing || w.health.cause != tasksCrawl {
 		s.workerSucceeded(now, w, r)
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -25,11 +25,15 @@
 	inherited bool
 	// moving is set while the job may be on its way to another shard.
 	moving bool
+	// offered is when the job was last offered to other shards.
+	offered time.Time
 	// finalSaved is set once the final state is in the store.
 	finalSaved bool
 	finishedAt time.Time
 	version    int64 // of the progress row
 	changed    int64 // rises with each change that has to be persisted
+	// leftOut is how many batches have left its changes out.
+	leftOut int
 	// left is how many tasks have not succeeded.
 	left int
 }
@@ -55,6 +59,10 @@
 	keptOn []*worker
 	// waitingSince is when the step last began to wait for room; zero: it doesn't.
 	waitingSince time.Time
+	// noRoomAt is when no room was found last that could be set aside for the step, and
+	// noRoomWithin how soon it should have come free.
+	noRoomAt     time.Time
+	noRoomWithin time.Duration
 }
 
 // task is one task of a step.
@@ -77,7 +85,6 @@
 	// that another one comes first.
 	leftOn string
 	leftAt time.Time
-	copied bool
 	// waitsFrom is since when the task could start but has no worker, and waitNoted
 	// after which wait the log tells of it again.
 	waitsFrom time.Time
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -55,12 +55,17 @@
 
 // takeOver begins with a new owner, which knows nothing but what it is told.
 func (r *rig) takeOver() {
+	r.takeOverUnlisted()
+	r.s.ExpectWorkers(r.names())
+}
+
+// takeOverUnlisted is takeOver while the machines can't be listed.
+func (r *rig) takeOverUnlisted() {
 	r.epoch++
 	r.s = scheduler.New(scheduler.Params{
 		Epoch: r.epoch, Lease: testLease, StopTime: 200 * time.Millisecond, Uncertain: 10 * time.Second,
 		KeepFinished: time.Minute,
 	}, r.now, r.log)
-	r.s.ExpectWorkers(r.names())
 }
 
 func (r *rig) names() []string {
@@ -82,7 +87,7 @@
 	}
 }
 
-// hold lets every worker that isn't mute report.
+// hold lets every worker that isn't mute report; what lasts is at work.
 func (r *rig) hold() {
 	for _, id := range r.names() {
 		f := r.workers[id]
@@ -98,6 +103,11 @@
 			r.t.Fatalf("fence %d, epoch %d", order.Fence, r.epoch)
 		}
 		f.seen = max(f.seen, lastSeen)
+		for i := range f.running {
+			if e := &f.running[i]; r.lasts[e.Task.Job] {
+				e.Percent = 100
+			}
+		}
 		f.ended = slices.DeleteFunc(f.ended, func(e cluster.RunEnd) bool { return e.N <= f.seen })
 		r.s.Observe(r.now, id, seq, cluster.Report{
 			ClockMS: r.now.UnixMilli(), Running: slices.Clone(f.running), Ended: slices.Clone(f.ended),
--- a/internal/scheduler/slow.go
+++ b/internal/scheduler/slow.go
@@ -12,6 +12,13 @@
 	// reports every half second, restoring a checkpoint takes up to 0.6 s, and a
 	// percent of the longest task 0.25 s.
 	stalledAfter = 1300 * time.Millisecond
+	// fillerStill is the same for a run that fills: it gets what others leave, which may be
+	// little for a while; and lastingStill for one that lasts and is not at work yet, which
+	// takes up to a second on a sound worker. Both double each time the task is moved, up to
+	// stillDoubled times.
+	fillerStill  = 8 * time.Second
+	lastingStill = 4 * time.Second
+	stillDoubled = 3
 	// slowFactor is how many times as long as its siblings a run may look to need
 	// before it is moved or copied: on sound workers the longest of a step takes
 	// 1.9 times as long as the median (4,083 tasks of a calm day), and slow workers
@@ -68,10 +75,18 @@
 // watchRun helps a run that stands still or crawls on its worker, and reports
 // whether it stands still.
 func (s *Shard) watchRun(now time.Time, w *worker, r *run) (standsStill bool) {
-	if s.retryStop(now, r) || !watched(r) {
+	if s.retryStop(now, r) {
 		return false
 	}
-	standsStill = now.Sub(r.percentAt) > stalledAfter && w.clockAt.After(r.percentAt.Add(stalledAfter/2))
+	if r.staysBehind(now) {
+		// That says nothing of the worker.
+		s.startElsewhere(now, r, "does not come on")
+		return false
+	}
+	if !watched(r) {
+		return false
+	}
+	standsStill = r.standsStill(now)
 	crawls := !standsStill && s.crawls(now, r)
 	if crawls {
 		w.health.crawled(now, r.task.step)
@@ -98,6 +113,35 @@
 	return r.state == runRunning && !spec.LongRunning && !spec.Fills && r.pace == fullPace && r.percent < 100
 }
 
+// standsStill reports whether a run's percent has not risen for a time in which its worker reported.
+func (r *run) standsStill(now time.Time) bool {
+	return now.Sub(r.percentAt) > stalledAfter && r.worker.clockAt.After(r.percentAt.Add(stalledAfter/2))
+}
+
+// allStandStill reports whether all runs of a task stand still, and none is being stopped.
+func (t *task) allStandStill(now time.Time) bool {
+	return !slices.ContainsFunc(t.runs, func(r *run) bool { return r.stopping || !watched(r) || !r.standsStill(now) })
+}
+
+// staysBehind reports whether a run that fills has not come on, or has been held, or one
+// that lasts has not come to work, for so long that it should start elsewhere.
+func (r *run) staysBehind(now time.Time) bool {
+	spec := r.task.step.spec
+	if (!spec.Fills && !spec.LongRunning) || r.state != runRunning || r.pace == paceUnknown || r.percent == 100 {
+		return false
+	}
+	patience := fillerStill
+	if !spec.Fills {
+		patience = lastingStill
+	}
+	patience <<= min(r.task.moved, stillDoubled)
+	since := r.percentAt
+	if r.paceSent.After(since) {
+		since = r.paceSent
+	}
+	return now.Sub(since) > patience && r.worker.clockAt.After(since.Add(patience/2))
+}
+
 // retryStop repeats a stop that was not acknowledged, and reports whether the run is stopping.
 func (s *Shard) retryStop(now time.Time, r *run) bool {
 	if r.stopping && !r.stopped && now.Sub(r.stopSent) >= stopRetry {
@@ -163,40 +207,47 @@
 // task starts again elsewhere.
 func (s *Shard) helpSlow(now time.Time, r *run, standsStill bool) {
 	t, st := r.task, r.task.step
-	if t.done || len(t.runs) > 1 || (st.spec.Gang && !standsStill) {
+	if t.done || (len(t.runs) > 1 && !t.allStandStill(now)) || (st.spec.Gang && !standsStill) {
 		return
 	}
 	attemptsLeft := st.job.spec.Policy.MaxAttempts - len(t.failed)
-	if st.spec.Speculative && attemptsLeft > 1 {
+	if st.spec.Speculative && attemptsLeft > 1 && len(t.runs) == 1 {
 		s.copyRun(now, t, r)
 		return
 	}
 	if !standsStill && t.moved >= mostMoves {
 		return
 	}
-	t.moved++
 	cause := "crawls"
 	if standsStill {
 		cause = "stands still"
 	}
+	s.startElsewhere(now, r, cause)
+}
+
+// startElsewhere stops a run so that its task starts again, on another worker if it can.
+func (s *Shard) startElsewhere(now time.Time, r *run, cause string) {
+	t := r.task
+	t.moved++
 	t.leftOn, t.leftAt = r.worker.info.ID, now
 	s.stop(now, r, cause)
 	s.breakGang(now, r, "a member "+cause)
 }
 
-// copyRun starts a second run of a speculative task on another worker.
+// copyRun starts a second run of a speculative task on another worker, also if an earlier
+// copy has been lost.
 func (s *Shard) copyRun(now time.Time, t *task, slow *run) {
-	if t.copied || t.done || t.step.job.state.Finished() {
+	if len(t.runs) > 1 || t.done || now.Before(t.notBefore) || t.step.job.state.Finished() {
 		return
 	}
-	w := s.bestWorker(now, t.step, nil, func(w *worker) bool { return w != slow.worker })
+	left := func(w *worker) bool { return w.info.ID == t.leftOn && now.Sub(t.leftAt) < avoidFor }
+	w := s.bestWorker(now, t.step, nil, func(w *worker) bool { return w != slow.worker && !left(w) })
 	if w == nil {
 		if t.step.needsTicket() {
 			s.ask(now, t.step, 1, true)
 		}
 		return
 	}
-	t.copied = true
 	s.counts.Copies++
 	s.start(now, t, w)
 }
