--- a/internal/cell/ping.go
+++ b/internal/cell/ping.go
@@ -28,8 +28,9 @@
 	// twice that, and so on up to retryMost: that it did not answer may tell of this node,
 	// which would else take it for down until its turn comes in the rounds. It goes on for
 	// good: two nodes that were cut off from each other for long have no other way back.
+	// Nodes that are gone for good cost one call a minute each.
 	retryFirst = 500 * time.Millisecond
-	retryMost  = 16 * time.Second
+	retryMost  = time.Minute
 	// forgetAfter is when a peer that never answers is left out of the rounds.
 	forgetAfter = 20 * time.Second
 )
