--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -270,10 +270,12 @@
 	}
 }
 
-// open returns the connection to a helper. The caller holds mu.
+// open returns the connection to a helper. One that has just failed fails its call as well,
+// which notes that: opened anew here, its helper would go on without being suspected, and
+// calls that had failed on the old one would be handed to it again. The caller holds mu.
 func (c *Client) open(h Helper) *stream {
 	s := c.streams[h.Name]
-	if s == nil || s.ctx.Err() != nil {
+	if s == nil {
 		s = openStream(c.ctx, c.Client, h, func() time.Duration { return c.patienceWith(h.Name) })
 		c.streams[h.Name] = s
 	}
