--- a/internal/scheduler/search_test.go
+++ b/internal/scheduler/search_test.go
@@ -257,6 +257,9 @@
 	if !p.takeoverAt.IsZero() && p.now.After(p.takeoverAt) {
 		p.takeoverAt = time.Time{}
 		p.nobodyUntil = p.now.Add(p.between(tick, 4*time.Second))
+		if p.nobodyUntil.After(p.calmFrom) {
+			p.calmFrom, p.finalFrom = p.nobodyUntil, p.nobodyUntil.Add(calmTime)
+		}
 		p.calls = nil
 		p.tellStory("the owner is gone")
 	}
--- a/matrix/site/cell_test.go
+++ b/matrix/site/cell_test.go
@@ -299,6 +299,8 @@
 	Gang       bool   `json:"Gang,omitempty"`
 	Lasts      bool   `json:"LongRunning,omitempty"`
 	Label      string `json:"Constraints,omitempty"`
+	// MostPerWorker is the most tasks of the step on one worker; 0: no bound.
+	MostPerWorker int `json:"AntiAffinity,omitempty"`
 }
 
 // submit hands a job in until it is accepted or the tries are used up.
