--- a/internal/scheduler/lasting_test.go
+++ b/internal/scheduler/lasting_test.go
@@ -178,6 +178,98 @@
 	}
 }
 
+// TestTasksOfStepThatLastTakeTurns lets four tasks of a step that last have two places, and
+// checks that each runs as they fail in turn.
+//
+// A place that came free went to the first of the waiting tasks by its number that had not
+// just failed there; the others stayed away as long as those before them failed:
+//
+//	34.9 run ended task=j3.0.0.1 outcome=failed
+//	35.6 run ended task=j3.0.0.0 outcome=failed
+//	36.6 starting run task=j3.0.0.0
+//	39.9 starting run task=j3.0.0.0
+func TestTasksOfStepThatLastTakeTurns(t *testing.T) {
+	r := newRig(t, 2)
+	r.announce()
+	step := lasting(4, 1000)
+	step.MaxPerWorker = 1
+	r.addLasting(batch("j", step))
+	ran := make(map[cluster.TaskID]bool)
+	for i := range 8 {
+		r.passAtWork(2 * time.Second)
+		for task := range r.running() {
+			ran[task] = true
+		}
+		id := fmt.Sprintf("w%d", i%2)
+		for _, e := range r.workers[id].running {
+			r.end(id, e.Task, e.Run, cluster.OutcomeFailed)
+		}
+	}
+	if len(ran) != 4 {
+		t.Errorf("%d of 4 tasks have run while those at work failed 8 times", len(ran))
+	}
+}
+
+// TestTaskThatLastsHasRoomMade lets a task that lasts wait for a worker that is full of a
+// batch task, behind which others wait, while tickets hold for less time than one takes. The
+// task that lasts runs soon.
+//
+// Room was set aside for it where a run was expected to end within 4 s, and nothing was
+// stopped; by then its tickets had run out, and while it asked again no room was kept:
+//
+//	14.7 advice given asked=3 good=3
+//	17.8 task waits waited=4s asking=true rejected=2 ticket_over=3
+//	18.0 starting run task=j10.0.0.3 (a batch)
+//	18.5 advice given asked=3 good=3
+//	19.7 task waits waited=2s rejected=2 full=3
+func TestTaskThatLastsHasRoomMade(t *testing.T) {
+	const (
+		takes = 2500 * time.Millisecond
+		asks  = time.Second
+		valid = 1500 * time.Millisecond
+	)
+	r := newRig(t, 1)
+	r.announce()
+	full := tasks(40, 4000)
+	full.EstimateMS = takes.Milliseconds()
+	r.s.AddJob(r.now, batch("full", full), nil, false)
+	job := batch("j", lasting(1, 4000))
+	job.Policy.Advice = &cluster.AdviceCost{BaseMS: float64(asks.Milliseconds()), ValidMS: valid.Milliseconds()}
+	r.addLasting(job)
+	var open []scheduler.Advise
+	var asked time.Time
+	for end := r.now.Add(runsAgain); r.now.Before(end) && !r.runs("j"); {
+		r.pass(tick)
+		r.workFor(tick, takes)
+		if calls := commandsOf[scheduler.Advise](r.commands); len(calls) > 0 {
+			open, asked = calls, r.now
+		}
+		for _, c := range open {
+			if r.now.Sub(asked) >= asks {
+				r.s.Advised(r.now, c.Step, c.Workers, []cluster.Ticket{{Worker: "w0", Value: "t"}}, valid, nil)
+				open = nil
+			}
+		}
+	}
+	if !r.runs("j") {
+		t.Errorf("the task that lasts does not run %v after it was handed in", runsAgain)
+	}
+}
+
+// workFor lets all that doesn't last come on for a time, of that which it takes.
+func (r *rig) workFor(d, takes time.Duration) {
+	for id, f := range r.workers {
+		for i := range f.running {
+			f.running[i].Percent += int(100 * d / takes)
+		}
+		for _, e := range append([]cluster.RunStatus(nil), f.running...) {
+			if e.Percent >= 100 && !r.lasts[e.Task.Job] {
+				r.end(id, e.Task, e.Run, cluster.OutcomeDone)
+			}
+		}
+	}
+}
+
 // runs reports whether anything of a job runs.
 func (r *rig) runs(job string) bool {
 	for task := range r.running() {
