--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/scheduler"
 )
 
@@ -26,10 +27,12 @@
 	avoidAdviser = time.Second
 )
 
-// adviceQueue spreads the calls of the advice service over the nodes, since the
+// AdviceQueue spreads the calls of the advice service over the nodes, since the
 // service takes the calls of one node in turn. The most urgent call goes first.
-type adviceQueue struct {
-	o *Owner
+type AdviceQueue struct {
+	ctx      context.Context //nolint:containedctx // The calls end with the owner, not with who adds them.
+	advisers func() []Adviser
+	answered func(scheduler.Advise, Advice)
 
 	mu      sync.Mutex
 	pending []scheduler.Advise
@@ -56,12 +59,22 @@
 // isDear reports whether a call keeps cheap ones waiting for too long.
 func isDear(a scheduler.Advise) bool { return a.Takes >= dearCall }
 
-func newAdviceQueue(o *Owner) *adviceQueue {
-	return &adviceQueue{o: o, load: make(map[string]*adviserLoad)}
+// Advice is the answer to a call of the advice service.
+type Advice struct {
+	Tickets []cluster.Ticket
+	// ValidFor is for how long the tickets hold; 0: for as long as the queue's policy says.
+	ValidFor time.Duration
+	Err      error
 }
 
-// add takes in a call, to be sent as soon as a node can take it.
-func (q *adviceQueue) add(a scheduler.Advise) {
+// NewAdviceQueue returns an empty queue. Its calls go to the nodes that advisers names, in
+// the order of preference, end with ctx, and their answers go to answered.
+func NewAdviceQueue(ctx context.Context, advisers func() []Adviser, answered func(scheduler.Advise, Advice)) *AdviceQueue {
+	return &AdviceQueue{ctx: ctx, advisers: advisers, answered: answered, load: make(map[string]*adviserLoad)}
+}
+
+// Add takes in a call, to be sent as soon as a node can take it.
+func (q *AdviceQueue) Add(a scheduler.Advise) {
 	q.mu.Lock()
 	at, _ := slices.BinarySearchFunc(q.pending, a, func(x, y scheduler.Advise) int {
 		if x.Rank.Before(y.Rank) {
@@ -71,17 +84,17 @@
 	})
 	q.pending = slices.Insert(q.pending, at, a)
 	q.mu.Unlock()
-	q.dispatch()
+	q.Dispatch()
 }
 
-// dispatch sends what can be sent now.
-func (q *adviceQueue) dispatch() {
+// Dispatch sends what can be sent now.
+func (q *AdviceQueue) Dispatch() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.pending) == 0 {
 		return
 	}
-	advisers, now := q.o.Advisers.Advisers(q.o.cfg.Shard), time.Now()
+	advisers, now := q.advisers(), time.Now()
 	avoidAll := q.avoidsAll(advisers, now)
 	rest := q.pending[:0]
 	for _, a := range q.pending {
@@ -91,24 +104,21 @@
 			continue
 		}
 		load.count(a, 1)
-		go q.call(q.o.ctx, adviser, load, a)
+		go q.call(q.ctx, adviser, load, a)
 	}
 	q.pending = rest
 }
 
 // pick returns the node that can take the call soonest, or nil; nodes that are left
 // alone count only if all are. The caller holds mu.
-func (q *adviceQueue) pick(advisers []Adviser, dear bool, now time.Time, avoidAll bool) (Adviser, *adviserLoad) {
+func (q *AdviceQueue) pick(advisers []Adviser, dear bool, now time.Time, avoidAll bool) (Adviser, *adviserLoad) {
 	var best Adviser
 	var bestLoad *adviserLoad
-	forCheap := 0
-	if len(advisers) > 1 {
-		forCheap = int(float64(len(advisers))*cheapShare + 0.5)
-	}
+	alone := forCheap(len(advisers))
 	for i, a := range advisers {
 		l := q.loadOf(a)
 		full := l.dear > 0 || l.cheap >= cheapDepth || (dear && l.cheap > 0)
-		if full || (now.Before(l.avoidUntil) && !avoidAll) || (dear && i < forCheap) {
+		if full || (now.Before(l.avoidUntil) && !avoidAll) || (dear && i < alone) {
 			continue
 		}
 		if best == nil || l.cheap < bestLoad.cheap {
@@ -118,8 +128,16 @@
 	return best, bestLoad
 }
 
+// forCheap returns how many of n nodes, the first ones, dear calls leave alone.
+func forCheap(n int) int {
+	if n <= 1 {
+		return 0
+	}
+	return int(float64(n)*cheapShare + 0.5)
+}
+
 // loadOf returns the load of a node. The caller holds mu.
-func (q *adviceQueue) loadOf(a Adviser) *adviserLoad {
+func (q *AdviceQueue) loadOf(a Adviser) *adviserLoad {
 	l := q.load[a.Name()]
 	if l == nil {
 		l = &adviserLoad{}
@@ -130,7 +148,7 @@
 
 // avoidsAll reports whether the last call of every node failed, which tells nothing
 // about any one of them: the service or the network was at fault. The caller holds mu.
-func (q *adviceQueue) avoidsAll(advisers []Adviser, now time.Time) bool {
+func (q *AdviceQueue) avoidsAll(advisers []Adviser, now time.Time) bool {
 	for _, a := range advisers {
 		if !now.Before(q.loadOf(a).avoidUntil) {
 			return false
@@ -140,7 +158,7 @@
 }
 
 // call makes one call through a node, and hands the answer to the scheduler.
-func (q *adviceQueue) call(ctx context.Context, adviser Adviser, load *adviserLoad, a scheduler.Advise) {
+func (q *AdviceQueue) call(ctx context.Context, adviser Adviser, load *adviserLoad, a scheduler.Advise) {
 	c, cancel := context.WithTimeout(ctx, a.Takes*2+adviceSlack)
 	tickets, validFor, err := adviser.Advise(c, a.Step, a.Workers)
 	cancel()
@@ -153,6 +171,6 @@
 		load.avoidUntil = time.Now().Add(avoidAdviser)
 	}
 	q.mu.Unlock()
-	q.o.do(func(s *scheduler.Shard, now time.Time) { s.Advised(now, a.Step, a.Workers, tickets, validFor, err) })
-	q.dispatch()
+	q.answered(a, Advice{tickets, validFor, err})
+	q.Dispatch()
 }
--- /dev/null
+++ b/internal/owner/advice_test.go
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/owner"
+	"switchbank.example/switchbank/internal/scheduler"
+)
+
+// adviser is a node whose calls are taken one at a time.
+type adviser struct {
+	name string
+	// turn has one entry, for the call that the service answers.
+	turn chan struct{}
+	// sent is when the call for each job was sent.
+	sent *sync.Map
+}
+
+// The times that a cheap and a dear call take.
+const cheapTakes, dearTakes = 20 * time.Millisecond, 500 * time.Millisecond
+
+func (a *adviser) Name() string { return a.name }
+
+func (a *adviser) Advise(_ context.Context, step scheduler.StepID, _ []string) ([]cluster.Ticket, time.Duration, error) {
+	a.sent.Store(step.Job, time.Now())
+	a.turn <- struct{}{}
+	defer func() { <-a.turn }()
+	takes := cheapTakes
+	if step.Job == "lasts" {
+		takes = dearTakes
+	}
+	time.Sleep(takes)
+	return nil, time.Second, nil
+}
+
+// TestUrgentDearCallIsNotPassedOver lets cheap calls of the advice service keep all nodes
+// busy, and checks that a dear call which is more urgent is sent soon.
+//
+// A dear call went only to a node without any call open, and cheap ones that were less
+// urgent took each place meanwhile: after a time of many failures, tasks that last waited
+// 3.8 s for a call that takes 0.5 s.
+//
+//	83.85 starting run (the step's first task; its call of the moment is answered)
+//	86.71 task waits waited=4.15s asking=true unasked=43
+//	87.67 advice given asked=10 good=6
+func TestUrgentDearCallIsNotPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(2 * dearTakes) // until the open calls have ended
+		}()
+		var sent sync.Map
+		var nodes []owner.Adviser
+		for i := range 3 {
+			nodes = append(nodes, &adviser{name: fmt.Sprintf("n%d", i), turn: make(chan struct{}, 1), sent: &sent})
+		}
+		var q *owner.AdviceQueue
+		var n atomic.Int64
+		cheap := func() {
+			job := fmt.Sprintf("j%d", n.Add(1))
+			q.Add(scheduler.Advise{Step: scheduler.StepID{Job: job}, Takes: cheapTakes, Rank: scheduler.Rank{Priority: 1}})
+		}
+		q = owner.NewAdviceQueue(ctx, func() []owner.Adviser { return nodes }, func(a scheduler.Advise, _ owner.Advice) {
+			if a.Takes == cheapTakes {
+				cheap()
+			}
+		})
+		for range 12 {
+			cheap()
+		}
+		time.Sleep(time.Second)
+		handedIn := time.Now()
+		q.Add(scheduler.Advise{Step: scheduler.StepID{Job: "lasts"}, Takes: dearTakes, Rank: scheduler.Rank{Priority: -1}})
+		time.Sleep(time.Second)
+		at, ok := sent.Load("lasts")
+		if !ok {
+			t.Fatal("the dear call has not been sent after a second")
+		}
+		if waited := at.(time.Time).Sub(handedIn); waited > 5*cheapTakes {
+			t.Errorf("the dear call was sent after %v, want %v at most", waited, 5*cheapTakes)
+		}
+	})
+}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -40,7 +40,7 @@
 		for _, c := range commands {
 			o.carryOut(ctx, c)
 		}
-		o.advice.dispatch()
+		o.advice.Dispatch()
 		notify(o.persist)
 		tables.Sleep(ctx, max(scheduleGap, scheduleRest*took))
 	}
@@ -66,7 +66,7 @@
 	case scheduler.Look:
 		go o.look(ctx, c.Worker)
 	case scheduler.Advise:
-		o.advice.add(c)
+		o.advice.Add(c)
 	}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -89,7 +89,7 @@
 	// fenceVersion is the version of the fence that this owner has written.
 	fenceVersion int64
 
-	advice  *adviceQueue
+	advice  *AdviceQueue
 	replies ReplyTimes
 	litter  litter
 	spill   spill
@@ -139,7 +139,7 @@
 		return lost
 	}
 	o.group, o.ctx = errgroup.WithContext(ctx)
-	o.advice = newAdviceQueue(o)
+	o.advice = NewAdviceQueue(o.ctx, func() []Adviser { return o.Advisers.Advisers(o.cfg.Shard) }, o.advised)
 	if err := o.load(o.ctx); err != nil {
 		return err
 	}
@@ -182,6 +182,11 @@
 	notify(o.wake)
 }
 
+// advised hands the answer of the advice service to the scheduler.
+func (o *Owner) advised(call scheduler.Advise, a Advice) {
+	o.do(func(s *scheduler.Shard, now time.Time) { s.Advised(now, call.Step, call.Workers, a.Tickets, a.ValidFor, a.Err) })
+}
+
 func notify(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
