A node is kept for a dear call for advice that waits

Cause: a dear call goes to a node without any call open, and cheap ones that were less urgent took each place meanwhile.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -101,6 +101,9 @@
 		adviser, load := q.pick(advisers, isDear(a), now, avoidAll)
 		if adviser == nil {
 			rest = append(rest, a)
+			if isDear(a) {
+				advisers = q.keepOne(advisers, now, avoidAll)
+			}
 			continue
 		}
 		load.count(a, 1)
@@ -128,6 +131,24 @@
 	return best, bestLoad
 }
 
+// keepOne leaves out the node that can take a dear call next, so that the less urgent cheap
+// calls behind it in the queue go elsewhere: they kept a dear one waiting for 3 s, for as
+// long as there were any. The caller holds mu.
+func (q *AdviceQueue) keepOne(advisers []Adviser, now time.Time, avoidAll bool) []Adviser {
+	kept, least := -1, cheapDepth+1
+	for i, a := range advisers {
+		l := q.loadOf(a)
+		if i < forCheap(len(advisers)) || l.dear > 0 || l.cheap >= least || (now.Before(l.avoidUntil) && !avoidAll) {
+			continue
+		}
+		kept, least = i, l.cheap
+	}
+	if kept < 0 {
+		return advisers
+	}
+	return slices.Delete(slices.Clone(advisers), kept, kept+1)
+}
+
 // forCheap returns how many of n nodes, the first ones, dear calls leave alone.
 func forCheap(n int) int {
 	if n <= 1 {
