--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -30,7 +30,7 @@
 // AdviceQueue spreads the calls of the advice service over the nodes, since the
 // service takes the calls of one node in turn. The most urgent call goes first.
 type AdviceQueue struct {
-	ctx      context.Context //nolint:containedctx // The calls end with the owner, not with who adds them.
+	ctx      context.Context // the calls end with the owner, not with who adds them
 	advisers func() []Adviser
 	answered func(scheduler.Advise, Advice)
 
