--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -95,14 +95,14 @@
 		return
 	}
 	advisers, now := q.advisers(), time.Now()
-	avoidAll := q.avoidsAll(advisers, now)
+	avoidAll, alone := q.avoidsAll(advisers, now), leftAlone(advisers)
 	rest := q.pending[:0]
 	for _, a := range q.pending {
-		adviser, load := q.pick(advisers, isDear(a), now, avoidAll)
+		adviser, load := q.pick(advisers, isDear(a), alone, now, avoidAll)
 		if adviser == nil {
 			rest = append(rest, a)
 			if isDear(a) {
-				advisers = q.keepOne(advisers, now, avoidAll)
+				advisers = q.keepOne(advisers, alone, now, avoidAll)
 			}
 			continue
 		}
@@ -114,14 +114,13 @@
 
 // pick returns the node that can take the call soonest, or nil; nodes that are left
 // alone count only if all are. The caller holds mu.
-func (q *AdviceQueue) pick(advisers []Adviser, dear bool, now time.Time, avoidAll bool) (Adviser, *adviserLoad) {
+func (q *AdviceQueue) pick(advisers []Adviser, dear bool, alone map[string]bool, now time.Time, avoidAll bool) (Adviser, *adviserLoad) {
 	var best Adviser
 	var bestLoad *adviserLoad
-	alone := forCheap(len(advisers))
-	for i, a := range advisers {
+	for _, a := range advisers {
 		l := q.loadOf(a)
 		full := l.dear > 0 || l.cheap >= cheapDepth || (dear && l.cheap > 0)
-		if full || (now.Before(l.avoidUntil) && !avoidAll) || (dear && i < alone) {
+		if full || (now.Before(l.avoidUntil) && !avoidAll) || (dear && alone[a.Name()]) {
 			continue
 		}
 		if best == nil || l.cheap < bestLoad.cheap {
@@ -132,13 +131,13 @@
 }
 
 // keepOne leaves out the node that can take a dear call next, so that the less urgent cheap
-// calls behind it in the queue go elsewhere: they kept a dear one waiting for 3 s, for as
-// long as there were any. The caller holds mu.
-func (q *AdviceQueue) keepOne(advisers []Adviser, now time.Time, avoidAll bool) []Adviser {
+// calls behind it in the queue go elsewhere: a dear call goes to a node without any open
+// call, of which there is none while cheap ones keep coming. The caller holds mu.
+func (q *AdviceQueue) keepOne(advisers []Adviser, alone map[string]bool, now time.Time, avoidAll bool) []Adviser {
 	kept, least := -1, cheapDepth+1
 	for i, a := range advisers {
 		l := q.loadOf(a)
-		if i < forCheap(len(advisers)) || l.dear > 0 || l.cheap >= least || (now.Before(l.avoidUntil) && !avoidAll) {
+		if alone[a.Name()] || l.dear > 0 || l.cheap >= least || (now.Before(l.avoidUntil) && !avoidAll) {
 			continue
 		}
 		kept, least = i, l.cheap
@@ -149,12 +148,16 @@
 	return slices.Delete(slices.Clone(advisers), kept, kept+1)
 }
 
-// forCheap returns how many of n nodes, the first ones, dear calls leave alone.
-func forCheap(n int) int {
-	if n <= 1 {
-		return 0
+// leftAlone returns the names of the nodes that dear calls leave alone, the first ones.
+func leftAlone(advisers []Adviser) map[string]bool {
+	alone := make(map[string]bool)
+	if len(advisers) <= 1 {
+		return alone
+	}
+	for _, a := range advisers[:int(float64(len(advisers))*cheapShare+0.5)] {
+		alone[a.Name()] = true
 	}
-	return int(float64(n)*cheapShare + 0.5)
+	return alone
 }
 
 // loadOf returns the load of a node. The caller holds mu.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -25,7 +25,7 @@
 	inherited bool
 	// moving is set while the job may be on its way to another shard.
 	moving bool
-	// offered is when the job was last offered to other shards.
+	// offered is when the job was last offered to other shards, or taken if it wasn't.
 	offered time.Time
 	// finalSaved is set once the final state is in the store.
 	finalSaved bool
@@ -59,10 +59,8 @@
 	keptOn []*worker
 	// waitingSince is when the step last began to wait for room; zero: it doesn't.
 	waitingSince time.Time
-	// noRoomAt is when no room was found last that could be set aside for the step, and
-	// noRoomWithin how soon it should have come free.
-	noRoomAt     time.Time
-	noRoomWithin time.Duration
+	// noRoomAt is when no room was found last that could be set aside for the step.
+	noRoomAt time.Time
 }
 
 // task is one task of a step.
@@ -85,10 +83,10 @@
 	// that another one comes first.
 	leftOn string
 	leftAt time.Time
-	// waitsFrom is since when the task could start but has no worker, and waitNoted
+	// waitsFrom is since when the task could start but has no worker, and noteAgainAt
 	// after which wait the log tells of it again.
-	waitsFrom time.Time
-	waitNoted time.Duration
+	waitsFrom   time.Time
+	noteAgainAt time.Duration
 	// moved is how often the task was stopped because it stood still or crawled.
 	moved int
 	// took is how long the run took that succeeded, if it began from the start.
@@ -148,7 +146,7 @@
 		progress = s.carried(&spec)
 	}
 	spec.Carried = nil
-	j := &job{spec: spec, rank: rankOf(&spec, now), state: cluster.StatePending, inherited: uncertain}
+	j := &job{spec: spec, rank: rankOf(&spec, now), state: cluster.StatePending, inherited: uncertain, offered: now}
 	s.jobs[spec.ID] = j
 	if progress != nil && progress.State.Finished() {
 		j.state, j.begun, j.version = progress.State, true, progress.version
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -65,7 +65,8 @@
 	unfit bool
 }
 
-// mayMoveNow returns the jobs that may move, those first that were offered the longest ago.
+// mayMoveNow returns the jobs that may move: those first that this shard can never run,
+// and of each kind those that were offered, or taken, the longest ago.
 func (s *Shard) mayMoveNow(now time.Time) []mover {
 	var list []mover
 	for _, j := range s.active {
@@ -77,7 +78,15 @@
 			list = append(list, mover{j, unfit})
 		}
 	}
-	slices.SortStableFunc(list, func(a, b mover) int { return a.job.offered.Compare(b.job.offered) })
+	slices.SortStableFunc(list, func(a, b mover) int {
+		if a.unfit != b.unfit {
+			if a.unfit {
+				return -1
+			}
+			return 1
+		}
+		return a.job.offered.Compare(b.job.offered)
+	})
 	return list
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -127,7 +127,10 @@
 // comes free at once. While advice is asked for, others would take the room meanwhile.
 func (s *Shard) makeRoom(now time.Time, st *step, left int, asks bool) {
 	if !asks {
-		s.reserve(now, st, left, stopsFrom)
+		if st.waited(now) < stopsFrom {
+			// Later it isn't counted on: what is overdue seems to end at once, each time.
+			s.reserve(now, st, left, stopsFrom)
+		}
 		s.preempt(now, st, left)
 	}
 	s.reserve(now, st, left, reserveMost)
@@ -272,7 +275,7 @@
 // set aside. A task that has failed or crawled goes elsewhere, and with its last attempt to
 // a worker that is proven if there is one, and to none on which a run has failed since.
 func (s *Shard) bestSoundWorkerFor(now time.Time, t *task) *worker {
-	isLast := len(t.failed) > 0 && !t.step.spec.LongRunning && t.step.job.spec.Policy.MaxAttempts-len(t.failed) <= 1
+	isLast := len(t.failed) > 0 && !t.step.spec.LongRunning && t.attemptsLeft() <= 1
 	avoid := avoidFor
 	if isLast {
 		avoid = avoidLast
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -65,7 +65,7 @@
 
 // reserve sets room aside for n waiting tasks of a step, as far as it comes free in time.
 func (s *Shard) reserve(now time.Time, st *step, n int, within time.Duration) {
-	if s.reserving >= reserveSteps || (now.Sub(st.noRoomAt) < reserveAgain && within <= st.noRoomWithin) {
+	if s.reserving >= reserveSteps || (!st.spec.LongRunning && now.Sub(st.noRoomAt) < reserveAgain) {
 		return
 	}
 	if n -= s.reservedFor(now, st); n <= 0 {
@@ -74,7 +74,7 @@
 	s.reserving++
 	places := s.soonestRoom(now, st, n, within)
 	if len(places) == 0 {
-		st.noRoomAt, st.noRoomWithin = now, within
+		st.noRoomAt = now
 	}
 	for _, p := range places {
 		p.w.reserve(st, now.Add(reserveFor), now.Add(p.in))
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -89,7 +89,7 @@
 // add notes a run on a worker.
 func (s *Shard) add(now time.Time, t *task, n int64, w *worker, state runState) *run {
 	r := &run{task: t, n: n, worker: w, state: state, startedAt: now, percentAt: now, knownAt: w.holds, pace: fullPace}
-	t.runs, t.waitsFrom, t.waitNoted = append(t.runs, r), time.Time{}, 0
+	t.runs, t.waitsFrom, t.noteAgainAt = append(t.runs, r), time.Time{}, 0
 	t.lastRun = max(t.lastRun, n)
 	t.step.gangRun = max(t.step.gangRun, n)
 	w.runs[r.key()] = r
--- a/internal/scheduler/slow.go
+++ b/internal/scheduler/slow.go
@@ -78,7 +78,7 @@
 	if s.retryStop(now, r) {
 		return false
 	}
-	if r.staysBehind(now) {
+	if r.staysBehind() {
 		// That says nothing of the worker.
 		s.startElsewhere(now, r, "does not come on")
 		return false
@@ -101,12 +101,16 @@
 // other runs have to wait until its life or lease is over.
 func (s *Shard) copySilent(now time.Time, w *worker) {
 	for _, r := range sortedRuns(w.runs) {
-		if spec := r.task.step.spec; spec.Speculative && !spec.LongRunning && len(r.task.runs) == 1 {
+		if spec := r.task.step.spec; spec.Speculative && !spec.LongRunning && r.task.attemptsLeft() > 1 {
 			s.copyRun(now, r.task, r)
 		}
 	}
 }
 
+// attemptsLeft returns how many more runs of a task may fail. A copy must leave one to the
+// run that it is made of.
+func (t *task) attemptsLeft() int { return t.step.job.spec.Policy.MaxAttempts - len(t.failed) }
+
 // watched reports whether a run's progress says something of its worker.
 func watched(r *run) bool {
 	spec := r.task.step.spec
@@ -125,7 +129,7 @@
 
 // staysBehind reports whether a run that fills has not come on, or has been held, or one
 // that lasts has not come to work, for so long that it should start elsewhere.
-func (r *run) staysBehind(now time.Time) bool {
+func (r *run) staysBehind() bool {
 	spec := r.task.step.spec
 	if (!spec.Fills && !spec.LongRunning) || r.state != runRunning || r.pace == paceUnknown || r.percent == 100 {
 		return false
@@ -139,7 +143,8 @@
 	if r.paceSent.After(since) {
 		since = r.paceSent
 	}
-	return now.Sub(since) > patience && r.worker.clockAt.After(since.Add(patience/2))
+	// A report that is older says nothing: the run may have come to work since.
+	return r.worker.clockAt.After(since.Add(patience))
 }
 
 // retryStop repeats a stop that was not acknowledged, and reports whether the run is stopping.
@@ -210,8 +215,7 @@
 	if t.done || (len(t.runs) > 1 && !t.allStandStill(now)) || (st.spec.Gang && !standsStill) {
 		return
 	}
-	attemptsLeft := st.job.spec.Policy.MaxAttempts - len(t.failed)
-	if st.spec.Speculative && attemptsLeft > 1 && len(t.runs) == 1 {
+	if st.spec.Speculative && t.attemptsLeft() > 1 && len(t.runs) == 1 {
 		s.copyRun(now, t, r)
 		return
 	}
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -10,9 +10,9 @@
 	"switchbank.example/switchbank/internal/events"
 )
 
-// waitNoted is after which wait a task that lasts is told of in the log, and then again
+// firstNoted is after which wait a task that lasts is told of in the log, and then again
 // after each doubling: such a task should be at work again within seconds.
-const waitNoted = 2 * time.Second
+const firstNoted = 2 * time.Second
 
 // obstacle is the first reason for which a worker doesn't get a task.
 type obstacle uint8
@@ -39,23 +39,19 @@
 	"usable", "away", "leaving", "aside", "probing", "refuses", "unknown_runs", "unfit", "rejected", "unasked", "ticket_over", "spread", "full",
 }
 
-// obstacleTo returns what keeps a task of a step from a worker.
+// obstacleTo returns what keeps a task of a step from a worker. Its health counts last,
+// since a task that lasts takes workers that are set aside after a while.
 func (s *Shard) obstacleTo(now time.Time, w *worker, st *step) obstacle {
-	h := &w.health
 	switch {
 	case !w.answers():
 		return isAway
-	case w.info.Draining || w.leaving || w.entryInvalid:
+	case !w.stays():
 		return isLeaving
-	case now.Before(h.asideUntil):
-		return isAside
-	case !h.takes(now, w):
-		return isProbing
 	case now.Before(w.refusesUntil):
 		return refuses
 	case len(w.foreign) > 0:
 		return hasForeignRuns
-	case !s.usable(now, w, st):
+	case !s.suits(now, w, st):
 		return isUnfit
 	case !s.spreadAllows(w, st, 0):
 		return hasItsStep
@@ -63,8 +59,13 @@
 	if o := st.adviceObstacle(now, w); o != noObstacle {
 		return o
 	}
-	if !w.free(now, st).Fits(st.spec.Room()) {
+	switch {
+	case !w.free(now, st).Fits(st.spec.Room()):
 		return isFull
+	case now.Before(w.health.asideUntil):
+		return isAside
+	case !w.health.takes(now, w):
+		return isProbing
 	}
 	return noObstacle
 }
@@ -104,10 +105,10 @@
 func (s *Shard) noteStepWaits(now time.Time, st *step) {
 	for _, t := range st.startable(now) {
 		if t.waitsFrom.IsZero() {
-			t.waitsFrom = now
+			continue // its turn has come since the last round
 		}
-		if waited := now.Sub(t.waitsFrom); waited >= max(waitNoted, t.waitNoted) {
-			t.waitNoted = 2 * waited
+		if waited := now.Sub(t.waitsFrom); waited >= max(firstNoted, t.noteAgainAt) {
+			t.noteAgainAt = 2 * waited
 			s.logWait(now, t, waited)
 		}
 	}
