--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// move moves a job to another shard, or finds out that it stays. Its time is bounded, as
-// other moves wait for it, and the job may have room here meanwhile.
+// move moves a job to another shard, or finds out that it stays. It reads the pin once: the
+// next moves wait for it, and nothing of the job starts here until it is answered.
 func (o *Owner) move(ctx context.Context, m scheduler.Move, to cluster.ShardID) {
 	pin, here, err := o.seePin(ctx, m.Job.ID)
 	if !here {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -66,7 +66,7 @@
 		}
 	}
 	if st.spec.LongRunning {
-		// By their order alone the first ones took each place, and the last ones none.
+		// The first ones by number would take each place, and the last ones none.
 		slices.SortStableFunc(waiting, func(a, b *task) int { return a.waitsFrom.Compare(b.waitsFrom) })
 	}
 	placed := 0
--- a/internal/scheduler/search_test.go
+++ b/internal/scheduler/search_test.go
@@ -145,6 +145,8 @@
 		91:  "no room was set aside while the step asked for advice",
 		667: "a step that found no room was not looked at for half a second, and a gang took what came free",
 		878: "as 667",
+		// Not traced to its end; it passes since room is looked for in each round.
+		24019: "twelve tasks share six workers, and places stay empty while advice is asked anew",
 	} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			if wrong, story := playSeed(t, seed, true); wrong != "" {
