A gang leaves the worker on which a member of it failed

What callers saw: a gang whose job could be done was shown as failed, since one worker failed whatever it was given and all attempts of the gang came to it.

Cause: a single task that failed goes elsewhere for 1 to 4 s; a gang's members were placed without a look at where one had failed. The worker isn't set aside while all its failures are of one job, since they may be the job's.

Ruled out: setting a worker aside for failures of one job (a job that can't be done would set aside one worker an attempt).

Change: for 4 s after a member failed on a worker, the gang's members go elsewhere; then it may come back. TestGangLeavesWorkerThatFails failed first (failed_runs=[100001 100002], both on w0).

--- a/internal/scheduler/ended.go
+++ b/internal/scheduler/ended.go
@@ -101,6 +101,7 @@
 	if st.spec.Gang {
 		// A gang's run fails once, however many members say so.
 		t = st.tasks[0]
+		st.failedHere(now, w)
 	}
 	if slices.Contains(t.failed, n) {
 		return
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -57,6 +57,8 @@
 	advice  advice
 	// keptOn are the workers on which room is set aside for the step, or was.
 	keptOn []*worker
+	// failedOn is when a member of a gang last failed, by worker.
+	failedOn map[string]time.Time
 	// waitingSince is when the step last began to wait for room; zero: it doesn't.
 	waitingSince time.Time
 	// noRoomAt is when no room was found last that could be set aside for the step.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -222,12 +222,27 @@
 
 // suits is usable for a worker whose health is left aside.
 func (s *Shard) suits(now time.Time, w *worker, st *step) bool {
-	return w.stays() && len(w.foreign) == 0 && !now.Before(w.refusesUntil) &&
+	return w.stays() && len(w.foreign) == 0 && !st.avoids(now, w) && !now.Before(w.refusesUntil) &&
 		w.info.Service == st.job.spec.Service &&
 		(st.spec.Label == "" || w.info.HasLabel(st.spec.Label)) &&
 		w.info.Capacity.Fits(st.spec.Room())
 }
 
+// failedHere notes that a member of a gang failed on a worker.
+func (st *step) failedHere(now time.Time, w *worker) {
+	if st.failedOn == nil {
+		st.failedOn = make(map[string]time.Time)
+	}
+	st.failedOn[w.info.ID] = now
+}
+
+// avoids reports whether a member of the gang has failed on the worker lately. One worker
+// that fails all that it starts used up all attempts of a gang, which came back to it.
+func (st *step) avoids(now time.Time, w *worker) bool {
+	at, failed := st.failedOn[w.info.ID]
+	return failed && now.Sub(at) < avoidLast
+}
+
 // mayHold is usable for a step whose tasks, where they last and have waited for a while,
 // may also run on workers that are set aside.
 func (s *Shard) mayHold(now time.Time, w *worker, st *step) bool {
