A start has a last moment after which no worker takes it

Change: a start's deadline is 1.2 s after its decision, on the worker's clock. The lease is renewed by holds as before; a deadline never shortens it.

Before: TestStalledOrderDoesNotAct fails in the world of two shards ("starts on i-1, which drains since 5s"). After: it passes in all three.

The stand-in network can hold bytes on their way, past the sender's close.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -402,7 +402,7 @@
 	s.log.Info("starting run", events.RunStarted, zap.Stringer("task", t.id), zap.Int64("run", n), zap.String("worker", w.info.ID),
 		zap.Bool("resumed", r.resumed), zap.Duration("due_in", st.job.rank.Due.Sub(now)))
 	s.emit(Start{cluster.StartOrder{
-		Order: s.renewing(now, w), Task: t.id, Run: n, Spec: st.job.spec.Spec, Checkpoint: t.checkpoint, Ticket: ticket,
+		Order: s.starting(now, w), Task: t.id, Run: n, Spec: st.job.spec.Spec, Checkpoint: t.checkpoint, Ticket: ticket,
 	}})
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -138,8 +138,25 @@
 
 // renewing returns the head of an order that renews the worker's lease.
 func (s *Shard) renewing(now time.Time, w *worker) cluster.Order {
+	return s.orderWithin(now, w, s.p.Lease)
+}
+
+// startWithin is how long after its decision a worker takes a start. An order that the
+// owner has given up may still be on its way, over a connection that has taken it, and
+// would begin a run on a worker that has said meanwhile that it leaves. It is twice as long
+// as the longest wait for an answer, so that starts on slow links are not refused.
+const startWithin = 1200 * time.Millisecond
+
+// starting returns the head of an order to start a run. Its deadline is the last moment at
+// which the worker takes it; the lease, which a deadline never shortens, is renewed by holds.
+func (s *Shard) starting(now time.Time, w *worker) cluster.Order {
+	return s.orderWithin(now, w, min(startWithin, s.p.Lease))
+}
+
+// orderWithin returns the head of an order with a deadline, on the worker's clock.
+func (s *Shard) orderWithin(now time.Time, w *worker, d time.Duration) cluster.Order {
 	o := s.orderTo(w)
-	o.DeadlineMS = w.clock + now.Sub(w.clockAt).Milliseconds() + s.p.Lease.Milliseconds()
+	o.DeadlineMS = w.clock + now.Sub(w.clockAt).Milliseconds() + d.Milliseconds()
 	w.deadline = max(w.deadline, o.DeadlineMS)
 	return o
 }
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -35,6 +35,8 @@
 	conns     map[*conn]bool
 	// cut holds the directed pairs between which nothing passes, "*" for all.
 	cut map[link]bool
+	// stalled holds the directed pairs between which bytes are on their way for now.
+	stalled map[link]bool
 	// paused holds the hosts that neither send nor receive now.
 	paused map[string]chan struct{}
 	// in and out are what each host receives and sends over its link.
@@ -49,7 +51,7 @@
 func New() *Network {
 	return &Network{
 		listeners: make(map[string]*listener), conns: make(map[*conn]bool),
-		cut: make(map[link]bool), paused: make(map[string]chan struct{}),
+		cut: make(map[link]bool), stalled: make(map[link]bool), paused: make(map[string]chan struct{}),
 		in: make(map[string]*lane), out: make(map[string]*lane), quotas: make(map[string]*quota),
 	}
 }
@@ -78,6 +80,37 @@
 	}
 }
 
+// Stall holds what one host sends to another on its way: it is taken from the sender, also
+// from one that closes its connection then, and arrives once Release is called.
+func (n *Network) Stall(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stalled[link{from, to}] = true
+}
+
+// Release lets what Stall has held arrive.
+func (n *Network) Release(from, to string) {
+	n.mu.Lock()
+	delete(n.stalled, link{from, to})
+	var held []*conn
+	for c := range n.conns {
+		if c.local == from && c.remote == to {
+			held = append(held, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range held {
+		go c.deliver()
+	}
+}
+
+// isStalled reports whether what one host sends to another is held on its way.
+func (n *Network) isStalled(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stalled[link{from, to}]
+}
+
 // IsCut reports whether nothing passes from one host to another.
 func (n *Network) IsCut(from, to string) bool {
 	n.mu.Lock()
@@ -220,6 +253,11 @@
 	once          sync.Once
 	// silent is set when what is written gets lost for good.
 	silent atomic.Bool
+
+	mu sync.Mutex
+	// held is what is on its way, and closing is set once the sender has closed meanwhile.
+	held    []byte
+	closing bool
 }
 
 func (n *Network) conn(c net.Conn, local, remote string) *conn {
@@ -244,6 +282,9 @@
 	if c.silent.Load() || c.n.IsCut(c.local, c.remote) {
 		return len(b), nil
 	}
+	if c.hold(b) {
+		return len(b), nil
+	}
 	written := 0
 	for {
 		chunk := b[written:min(len(b), written+maxChunk)]
@@ -257,7 +298,44 @@
 	}
 }
 
+// hold keeps what is written while the way is stalled, and reports whether it did.
+func (c *conn) hold(b []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.held) == 0 && !c.n.isStalled(c.local, c.remote) {
+		return false
+	}
+	c.held = append(c.held, b...)
+	return true
+}
+
+// deliver passes on what was held, and closes the connection if its sender has.
+func (c *conn) deliver() {
+	c.mu.Lock()
+	held, closing := c.held, c.closing
+	c.held, c.closing = nil, false
+	c.mu.Unlock()
+	if len(held) > 0 {
+		// A receiver that has gone takes nothing.
+		_, _ = c.Conn.Write(held)
+	}
+	if closing {
+		_ = c.Close()
+	}
+}
+
+// closeLater leaves the closing of a connection to deliver while something is on its way.
+func (c *conn) closeLater() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = c.closing || len(c.held) > 0
+	return len(c.held) > 0
+}
+
 func (c *conn) Close() error {
+	if c.closeLater() {
+		return nil
+	}
 	c.once.Do(func() {
 		close(c.closed)
 		c.n.mu.Lock()
