Tasks that last ask about workers that come in turn, and keep their room meanwhile

A step had one call for advice open at a time, so each worker was asked about once the call about the one before had ended (0.8 s a call, six calls of one worker each), and until its answer came, room there was kept for nobody: a gang took a worker 0.1 s after it had come, which then can't be stopped for 5.4 s.

Ruled out: turns among the tasks (the longest away went first each time), and workers set aside (the log's reasons are spread, rejected and unasked).

Change: a step that lasts may have three calls open, each about workers that no open one names, and keeps room on workers while they are asked about.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -17,7 +17,9 @@
 // never changes; only their tickets run out.
 type advice struct {
 	answers map[string]answer
-	asking  bool
+	// asked are the workers that open calls name, and calls how many are open.
+	asked   map[string]bool
+	calls   int
 	retryAt time.Time
 }
 
@@ -39,6 +41,10 @@
 	// firstGoodShare is assumed of a queue until its first answers are in;
 	// sites have from 0.35 to 0.7.
 	firstGoodShare = 0.4
+	// callsLasting is how many calls a step of tasks that last may have open: workers that
+	// come into use one after the other were each asked about once the call before had
+	// ended, and one task was away for 7.7 s beside room.
+	callsLasting = 3
 	// adviceRetry is the pause after a call that failed.
 	adviceRetry = 60 * time.Millisecond
 	// prefetchSlack is how much earlier than needed the next step's advice is asked for.
@@ -75,18 +81,33 @@
 // ask asks for advice on workers for n tasks of a step, unless a call is open.
 // With mustFit, only workers that have room for a task are named.
 func (s *Shard) ask(now time.Time, st *step, n int, mustFit bool) bool {
-	if st.advice.asking || now.Before(st.advice.retryAt) {
+	if !st.mayAsk(now) {
 		return false
 	}
 	return s.askAbout(now, st, s.adviceCandidates(now, st, n, mustFit, func(candidate) bool { return true }))
 }
 
+// mayAsk reports whether the step may have another call open now.
+func (st *step) mayAsk(now time.Time) bool {
+	most := 1
+	if st.spec.LongRunning {
+		most = callsLasting
+	}
+	return st.advice.calls < most && !now.Before(st.advice.retryAt)
+}
+
 // askAbout asks for advice on workers, if there are any and no call is open.
 func (s *Shard) askAbout(now time.Time, st *step, names []string) bool {
-	if len(names) == 0 || st.advice.asking || now.Before(st.advice.retryAt) {
+	if len(names) == 0 || !st.mayAsk(now) {
 		return false
 	}
-	st.advice.asking = true
+	if st.advice.asked == nil {
+		st.advice.asked = make(map[string]bool)
+	}
+	for _, id := range names {
+		st.advice.asked[id] = true
+	}
+	st.advice.calls++
 	s.counts.AdviceCalls++
 	s.emit(Advise{Step: st.id, Workers: names, Takes: st.job.spec.Policy.Advice.Duration(len(names)), Rank: st.job.rank})
 	return true
@@ -144,7 +165,7 @@
 	var list []candidate
 	for _, w := range s.order {
 		ans, known := st.advice.answers[w.info.ID]
-		if (known && !ans.good) || (ans.good && now.Before(ans.expires.Add(-st.renewBefore()))) || !s.couldHold(now, w, st) {
+		if st.advice.asked[w.info.ID] || (known && !ans.good) || (ans.good && now.Before(ans.expires.Add(-st.renewBefore()))) || !s.couldHold(now, w, st) {
 			continue
 		}
 		fits := countFits(w, now, st)
@@ -199,7 +220,10 @@
 		return
 	}
 	st := j.reps[id.Repeat].steps[id.Step]
-	st.advice.asking = false
+	st.advice.calls--
+	for _, w := range asked {
+		delete(st.advice.asked, w)
+	}
 	if err != nil {
 		st.advice.retryAt = now.Add(adviceRetry)
 		s.log.Info("advice not given", events.AdviceFailed, zap.String("job", id.Job), zap.Int("step", id.Step), zap.Error(err))
@@ -249,7 +273,7 @@
 
 // prefetch asks for the next step's advice shortly before its predecessors end.
 func (s *Shard) prefetch(now time.Time, st *step) {
-	if !st.needsTicket() || len(st.advice.answers) > 0 || st.advice.asking || now.Before(st.rep.due.Add(-prefetchBefore)) {
+	if !st.needsTicket() || len(st.advice.answers) > 0 || st.advice.calls > 0 || now.Before(st.rep.due.Add(-prefetchBefore)) {
 		return
 	}
 	cost := st.job.spec.Policy.Advice.Duration(minAsked * 2)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -120,7 +120,7 @@
 
 // asks reports whether a step that waits has a call for advice open now.
 func (s *Shard) asks(now time.Time, st *step, left int) bool {
-	return s.ask(now, st, left, true) || st.advice.asking || (!s.ticketHelps(now, st) && s.ask(now, st, left, false))
+	return s.ask(now, st, left, true) || st.advice.calls > 0 || (!s.ticketHelps(now, st) && s.ask(now, st, left, false))
 }
 
 // makeRoom sets room aside for tasks that last, or stops less urgent work for them if none
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -153,7 +153,7 @@
 func (s *Shard) soonestRoom(now time.Time, st *step, n int, within time.Duration) []place {
 	var list []place
 	for _, w := range s.order {
-		if !s.mayHold(now, w, st) || (st.needsTicket() && !st.advice.answers[w.info.ID].good) {
+		if !s.mayHold(now, w, st) || !st.mayBeGood(w) {
 			continue
 		}
 		for _, in := range s.roomTimes(now, w, st, n, within) {
@@ -164,6 +164,12 @@
 	return list[:min(n, len(list))]
 }
 
+// mayBeGood reports whether room on a worker may be kept for the step: advice allows it,
+// or for tasks that last is being asked, so that others don't fill it until it answers.
+func (st *step) mayBeGood(w *worker) bool {
+	return !st.needsTicket() || st.advice.answers[w.info.ID].good || (st.spec.LongRunning && st.advice.asked[w.info.ID])
+}
+
 // runEnd is when a run is expected to leave its room.
 type runEnd struct {
 	room resource.Amount
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -122,7 +122,7 @@
 		counts[s.obstacleTo(now, w, st)]++
 	}
 	fields := []zap.Field{events.TaskWaits, zap.Stringer("task", t.id), zap.Duration("waited", waited), zap.Int("workers", len(s.order)),
-		zap.Bool("asking", st.advice.asking), zap.Int64("cpu_milli", st.spec.Need.CPUMilli), zap.Int64("memory_mb", st.spec.Need.MemoryMB)}
+		zap.Bool("asking", st.advice.calls > 0), zap.Int64("cpu_milli", st.spec.Need.CPUMilli), zap.Int64("memory_mb", st.spec.Need.MemoryMB)}
 	for i, n := range counts {
 		if n > 0 {
 			fields = append(fields, zap.Int(obstacleNames[i], n))
