--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -101,6 +101,7 @@
 	TaskWaits       = zap.String(Field, "SB1633")
 	WorkerCleared   = zap.String(Field, "SB1634")
 	GangJoint       = zap.String(Field, "SB1635")
+	GangWaits       = zap.String(Field, "SB1636")
 )
 
 // The events of nodes on a platform.
--- a/internal/scheduler/joint.go
+++ b/internal/scheduler/joint.go
@@ -100,6 +100,8 @@
 	// what runs of the gang to be stopped.
 	startsIn time.Duration
 	stop     bool
+	// toldAt is when the log last told that the gang waits.
+	toldAt time.Time
 }
 
 const (
@@ -294,9 +296,28 @@
 		return s.startGang(now, st, all)
 	}
 	st.joint.plan(len(st.tasks), all)
+	s.noteGangWaits(now, st, all)
 	return nil
 }
 
+// gangToldEvery is how often the log tells what a gang waits for.
+const gangToldEvery = 2 * time.Second
+
+// noteGangWaits tells for how many members there is room now, and soon.
+func (s *Shard) noteGangWaits(now time.Time, st *step, all []GangState) {
+	if now.Sub(st.joint.toldAt) < gangToldEvery {
+		return
+	}
+	st.joint.toldAt = now
+	ready, soon := make([]int, len(all)), make([]int, len(all))
+	for i, g := range all {
+		ready[i], soon[i] = g.Ready, g.Soon
+	}
+	s.log.Info("gang waits for room in several shards", events.GangWaits, zap.String("job", st.id.Job), zap.Int("step", st.id.Step),
+		zap.Int("members", len(st.tasks)), zap.Ints("ready", ready), zap.Ints("soon", soon), zap.Ints("kept", st.joint.asks),
+		zap.Duration("starts_in", st.joint.startsIn))
+}
+
 // known returns the answers that are there.
 func known(answers []*GangState) (list []GangState) {
 	for _, a := range answers {
