Tickets of a gang of several shards are renewed for all its good workers

A shard asked only about workers with room just then; a call takes half a second, and room on a busy worker comes and goes within tenths of a second.

Ruled out: too little room; kept room that others take (soon stays high).

Change: while such a gang waits, all workers known to be good are asked about again a second before the first ticket ends.

--- a/internal/scheduler/joint.go
+++ b/internal/scheduler/joint.go
@@ -483,7 +483,30 @@
 			return
 		}
 	}
-	s.ask(now, st, len(st.tasks), true)
+	s.renewTickets(now, st)
+}
+
+// renewTickets asks about all workers that are known to be good once a ticket of one of
+// them ends soon. Room comes and goes within tenths of a second on busy workers, and has to
+// be there in all shards at once: tickets that were asked for where there was room came too
+// late for it.
+func (s *Shard) renewTickets(now time.Time, st *step) {
+	if !st.mayAsk(now) {
+		return
+	}
+	var names []string
+	due := false
+	for _, w := range s.order {
+		ans := st.advice.answers[w.info.ID]
+		if !ans.good || !s.couldHold(now, w, st) || len(names) == maxAsked {
+			continue
+		}
+		names = append(names, w.info.ID)
+		due = due || ans.expires.Sub(now) < gangRenew
+	}
+	if due {
+		s.askAbout(now, st, names)
+	}
 }
 
 // GuestJobs returns the jobs of which this shard runs members of gangs for another one.
