A worker that starts again under its ID is another life

Cause: what was known of a life was kept for the next one of its ID: the number of the last end taken and confirmed, by which the new one's ends were passed over, or forgotten unread by the worker; its runs, clock, lease, tickets, and that it drained or was set aside. And on the wire the ID alone names the life, so that orders for the old one act on the new one.

Ruled out: "the higher start is newer" (clocks are set back); the list of machines (shows a crash from pauses of 50 ms on).

Workers without a start are what they were: one life an ID.

--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -164,6 +164,10 @@
 	calm := func() { w.SetFaults(site.WorkerFaults{}) }
 	switch s.rng.IntN(4) {
 	case 0:
+		if w.TellsBorn() {
+			s.startsAgain(i)
+			return
+		}
 		s.during(thing, "crashes", w.Crash, restart)
 	case 1:
 		s.during(thing, "drains and leaves", w.Drain, restart)
@@ -174,6 +178,25 @@
 	}
 }
 
+// startsAgain lets a worker crash and start again under its ID within milliseconds, a few
+// times in a row; its host's clock steps meanwhile.
+func (s *soak) startsAgain(i int) {
+	const most = 30 // milliseconds
+	for range 1 + s.rng.IntN(3) {
+		s.mu.Lock()
+		w := s.workers[i]
+		s.mu.Unlock()
+		pause, clockSet := time.Duration(s.rng.IntN(most))*time.Millisecond, time.Duration(s.rng.IntN(7)-3)*time.Second
+		s.t.Logf("%6.2f s: worker %d starts again after %s, its clock set by %s", time.Since(s.began).Seconds(), i, pause, clockSet)
+		w.Crash()
+		time.Sleep(pause)
+		next := s.site.Reborn(w, clockSet)
+		s.mu.Lock()
+		s.workers[i] = next
+		s.mu.Unlock()
+	}
+}
+
 // configure puts the next version of the configuration in force.
 func (s *soak) configure() {
 	s.mu.Lock()
--- a/internal/cluster/worker.go
+++ b/internal/cluster/worker.go
@@ -8,10 +8,11 @@
 	"switchbank.example/switchbank/internal/resource"
 )
 
-// Worker is one life of a worker, as the platform's directory describes it. A
-// worker that crashes comes back under another ID.
+// Worker is one life of a worker, as the platform's directory describes it.
 type Worker struct {
-	ID         string
+	ID string
+	// Born is as in Life.
+	Born       int64
 	Address    string
 	Service    string
 	DataCentre string
@@ -25,6 +26,9 @@
 	ClockMS int64
 }
 
+// Life returns which life of the worker it is.
+func (w *Worker) Life() Life { return Life{w.ID, w.Born} }
+
 // HasLabel reports whether the worker carries the label.
 func (w *Worker) HasLabel(label string) bool {
 	for _, l := range w.Labels {
@@ -87,6 +91,8 @@
 // Report is a worker's answer to its owner: all that runs there, and the ends
 // that have not been confirmed.
 type Report struct {
+	// Born is as in Life: that of the life which answers.
+	Born    int64
 	ClockMS int64
 	Running []RunStatus
 	Ended   []RunEnd
@@ -94,10 +100,17 @@
 
 // Order is what every order to a worker carries.
 type Order struct {
-	Worker  string
+	Worker string
+	// Born is the start of the life that is meant. A worker compares its ID only.
+	Born    int64
 	Address string
-	// Fence is the owner's epoch; a worker ignores a lower one than it has seen.
-	Fence int64
+	// Fence is the owner's epoch, and Generation counts the lives of the worker that the
+	// owner has known: a worker ignores an order of a lower epoch than it has seen, and of
+	// the same epoch one of a lower generation.
+	Fence, Generation int64
+	// ClockMS is a time that the life's steady clock had passed when the order was given;
+	// 0: not known. An answer from before it is of another life.
+	ClockMS int64
 	// DeadlineMS renews the lease of all that runs there, on the worker's steady clock; 0: unchanged.
 	DeadlineMS int64
 }
@@ -134,6 +147,8 @@
 	ReplyInvalid Reply = "invalid"
 	// ReplyOtherLife: another life answers at that address; this one is over.
 	ReplyOtherLife Reply = "other_life"
+	// ReplyNewLife: another life of the same ID has taken the order.
+	ReplyNewLife Reply = "new_life"
 	// ReplyNotSent: no connection was made; nothing was done.
 	ReplyNotSent Reply = "not_sent"
 	// ReplyUnknown: no answer came; the order may be carried out now or later.
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -149,8 +149,15 @@
 	heard atomic.Int64
 	// awaiting is set from a request until its answer begins to arrive.
 	awaiting atomic.Bool
+	mark     atomic.Int64
 }
 
+// Marked is a connection of a Transport, on which its user may keep a number.
+type Marked interface{ Mark() *atomic.Int64 }
+
+// Mark returns the number that is kept on the connection, 0 at first.
+func (k *conn) Mark() *atomic.Int64 { return &k.mark }
+
 // Read reads what arrives.
 func (k *conn) Read(b []byte) (int, error) {
 	n, err := k.Conn.Read(b)
--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -174,7 +174,7 @@
 		return a
 	}
 	switch a.Reply {
-	case cluster.ReplyOK, cluster.ReplyFence, cluster.ReplyOtherLife:
+	case cluster.ReplyOK, cluster.ReplyFence, cluster.ReplyOtherLife, cluster.ReplyNewLife:
 		return a
 	}
 	return answer{Reply: cluster.ReplyUnknown}
--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -81,8 +81,11 @@
 	N          int64  `json:"n"`
 	Op         op     `json:"o"`
 	Worker     string `json:"w"`
+	Born       int64  `json:"b,omitempty"`
 	Address    string `json:"a"`
 	Fence      int64  `json:"f"`
+	Generation int64  `json:"g,omitempty"`
+	ClockMS    int64  `json:"q,omitempty"`
 	DeadlineMS int64  `json:"d,omitempty"`
 	// SentMS is when the call was sent, on the owner's steady clock, and LimitMS how long
 	// after that it is given up.
@@ -107,6 +110,7 @@
 
 // report is a cluster.Report.
 type report struct {
+	Born    int64       `json:"b,omitempty"`
 	ClockMS int64       `json:"c"`
 	Running []runStatus `json:"r,omitempty"`
 	Ended   []runEnd    `json:"e,omitempty"`
@@ -132,7 +136,7 @@
 
 // newReport encodes a report.
 func newReport(r cluster.Report) *report {
-	out := &report{ClockMS: r.ClockMS}
+	out := &report{Born: r.Born, ClockMS: r.ClockMS}
 	for _, e := range r.Running {
 		out.Running = append(out.Running, runStatus{e.Task.String(), e.Run, e.Checkpoint, e.Percent, e.Usage})
 	}
@@ -144,7 +148,7 @@
 
 // decode returns the report that was encoded.
 func (r *report) decode() (cluster.Report, error) {
-	out := cluster.Report{ClockMS: r.ClockMS}
+	out := cluster.Report{Born: r.Born, ClockMS: r.ClockMS}
 	for _, e := range r.Running {
 		task, err := cluster.ParseTaskID(e.Task)
 		if err != nil {
@@ -164,13 +168,19 @@
 
 // newCall returns a call without what its operation needs beside the order.
 func newCall(what op, order cluster.Order) call {
-	return call{Op: what, Worker: order.Worker, Address: order.Address, Fence: order.Fence, DeadlineMS: order.DeadlineMS}
+	return call{
+		Op: what, Worker: order.Worker, Born: order.Born, Address: order.Address,
+		Fence: order.Fence, Generation: order.Generation, ClockMS: order.ClockMS, DeadlineMS: order.DeadlineMS,
+	}
 }
 
 // make carries a call out.
 func (c *call) make(ctx context.Context, w Workers) answer {
 	a := answer{N: c.N, Reply: cluster.ReplyInvalid}
-	order := cluster.Order{Worker: c.Worker, Address: c.Address, Fence: c.Fence, DeadlineMS: c.DeadlineMS}
+	order := cluster.Order{
+		Worker: c.Worker, Born: c.Born, Address: c.Address,
+		Fence: c.Fence, Generation: c.Generation, ClockMS: c.ClockMS, DeadlineMS: c.DeadlineMS,
+	}
 	if c.Op == opHold {
 		r, reply := w.Hold(ctx, order, c.LastSeen, time.Duration(c.WaitMS)*time.Millisecond)
 		a.Reply = reply
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -52,6 +52,10 @@
 		if !ok {
 			return
 		}
+		if order.DeadlineMS == 0 {
+			// What it runs has to be known first.
+			wait = 0
+		}
 		c, cancel := context.WithTimeout(ctx, wait+holdSlack)
 		report, reply := o.Workers.Hold(c, order, lastSeen, wait)
 		cancel()
@@ -62,12 +66,12 @@
 		case cluster.ReplyOK:
 			o.do(func(s *scheduler.Shard, now time.Time) { s.Observe(now, id, seq, report) })
 			wait, failures = holdWait, 0
-			if order.DeadlineMS == 0 {
-				wait = 0
-			}
 			o.pauseHold(ctx, id)
 			continue
 		case cluster.ReplyFence:
+			if o.isOutdated(order) {
+				continue
+			}
 			o.Lost("worker " + id + " has seen a higher epoch")
 			return
 		case cluster.ReplyOtherLife:
--- a/internal/owner/machines.go
+++ b/internal/owner/machines.go
@@ -45,11 +45,12 @@
 	w := machineWatch{o: o, onMachine: make(map[string]string), missing: make(map[string]int)}
 	pause := machinesEvery
 	for n := 0; ctx.Err() == nil; n++ {
+		asked := time.Now()
 		c, cancel := conns.WithLimit(ctx, machinesTimeout)
 		list, err := o.Machines.Machines(c)
 		cancel()
 		if err == nil {
-			w.apply(list)
+			w.apply(list, asked)
 			pause = min(max(machinesEvery, time.Duration(len(list))*machinesEach), machinesMost)
 		} else if ctx.Err() == nil {
 			o.Log.Info("machines not listed", events.MachinesNotRead, zap.Error(err))
@@ -85,7 +86,9 @@
 	missing map[string]int
 }
 
-func (w *machineWatch) apply(list []cluster.Machine) {
+// apply takes a listing that was asked for at that time. It tells nothing of lives that have
+// become known since.
+func (w *machineWatch) apply(list []cluster.Machine, asked time.Time) {
 	current := make(map[string]cluster.Machine, len(list))
 	alive := make(map[string]bool, len(list))
 	var lives []string
@@ -100,6 +103,10 @@
 	w.o.do(func(s *scheduler.Shard, now time.Time) {
 		s.ExpectWorkers(lives)
 		for _, id := range s.Workers() {
+			if s.KnownSince(id).After(asked) {
+				delete(w.missing, id)
+				continue
+			}
 			if evidence := w.over(s, id, current, alive); evidence != "" {
 				s.WorkerOver(now, id, evidence)
 				delete(w.onMachine, id)
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -49,17 +49,17 @@
 func (o *Owner) carryOut(ctx context.Context, c scheduler.Command) {
 	switch c := c.(type) {
 	case scheduler.Start:
-		go o.order(ctx, c.Worker, func(ctx context.Context) cluster.Reply { return o.Workers.Start(ctx, c.StartOrder) },
+		go o.order(ctx, c.Order, func(ctx context.Context) cluster.Reply { return o.Workers.Start(ctx, c.StartOrder) },
 			func(s *scheduler.Shard, now time.Time, r cluster.Reply) {
 				s.StartReplied(now, c.Worker, c.Task, c.Run, r)
 			})
 	case scheduler.Stop:
-		go o.order(ctx, c.Worker, func(ctx context.Context) cluster.Reply { return o.Workers.Stop(ctx, c.Order, c.Task, c.Run) },
+		go o.order(ctx, c.Order, func(ctx context.Context) cluster.Reply { return o.Workers.Stop(ctx, c.Order, c.Task, c.Run) },
 			func(s *scheduler.Shard, now time.Time, r cluster.Reply) {
 				s.StopReplied(now, c.Worker, c.Task, c.Run, r)
 			})
 	case scheduler.Pace:
-		go o.order(ctx, c.Worker, func(ctx context.Context) cluster.Reply { return o.Workers.Pace(ctx, c.Order, c.Task, c.Run, c.Percent) },
+		go o.order(ctx, c.Order, func(ctx context.Context) cluster.Reply { return o.Workers.Pace(ctx, c.Order, c.Task, c.Run, c.Percent) },
 			func(s *scheduler.Shard, now time.Time, r cluster.Reply) {
 				s.PaceReplied(now, c.Worker, c.Task, c.Run, r)
 			})
@@ -86,9 +86,17 @@
 	}
 }
 
+// isOutdated reports whether an order was meant for an earlier life of its worker, which a
+// later one refuses.
+func (o *Owner) isOutdated(order cluster.Order) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.shard.Outdated(order)
+}
+
 // order sends one order and feeds its reply back. An order that was cut short
 // because the ownership ended has no reply to feed back.
-func (o *Owner) order(ctx context.Context, worker string, send func(context.Context) cluster.Reply, replied func(*scheduler.Shard, time.Time, cluster.Reply)) {
+func (o *Owner) order(ctx context.Context, to cluster.Order, send func(context.Context) cluster.Reply, replied func(*scheduler.Shard, time.Time, cluster.Reply)) {
 	c, cancel := context.WithTimeout(ctx, o.replies.Limit())
 	defer cancel()
 	sent := time.Now()
@@ -102,8 +110,8 @@
 	if reply == cluster.ReplyNotSent {
 		notify(o.listMachines)
 	}
-	if reply == cluster.ReplyFence {
-		o.Lost("worker " + worker + " has seen a higher epoch")
+	if reply == cluster.ReplyFence && !o.isOutdated(to) {
+		o.Lost("worker " + to.Worker + " has seen a higher epoch")
 		return
 	}
 	o.do(func(s *scheduler.Shard, now time.Time) { replied(s, now, reply) })
--- a/internal/owner/roster.go
+++ b/internal/owner/roster.go
@@ -27,21 +27,21 @@
 
 // rosterEntry is one life of a worker. What it has is read from the directory.
 type rosterEntry struct {
-	ID      string `json:"id"`
+	cluster.Life
 	Address string `json:"a"`
 }
 
 // rosterLoop persists the workers and their addresses.
 func (o *Owner) rosterLoop(ctx context.Context) error {
-	written := make(map[string]bool)
+	written := make(map[cluster.Life]bool)
 	for ctx.Err() == nil {
 		tables.Sleep(ctx, rosterEvery)
 		o.mu.Lock()
 		workers := o.shard.WorkerInfos()
 		o.mu.Unlock()
-		current := make(map[string]bool, len(workers))
+		current := make(map[cluster.Life]bool, len(workers))
 		for _, w := range workers {
-			current[w.ID] = true
+			current[w.Life()] = true
 		}
 		if len(workers) == 0 || maps.Equal(current, written) {
 			continue
@@ -60,7 +60,7 @@
 func (o *Owner) writeRoster(ctx context.Context, workers []cluster.Worker) error {
 	var r roster
 	for _, w := range workers {
-		r.Workers = append(r.Workers, rosterEntry{w.ID, w.Address})
+		r.Workers = append(r.Workers, rosterEntry{w.Life(), w.Address})
 	}
 	value, err := json.Marshal(r)
 	if err != nil {
@@ -83,7 +83,7 @@
 		return
 	}
 	for _, e := range r.Workers {
-		s.UpsertWorker(now, cluster.Worker{ID: e.ID, Address: e.Address, Service: o.cfg.Shard.Service})
+		s.UpsertWorker(now, cluster.Worker{ID: e.ID, Born: e.Born, Address: e.Address, Service: o.cfg.Shard.Service})
 		s.WorkerUnlisted(now, e.ID)
 	}
 }
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -17,8 +17,10 @@
 // never changes; only their tickets run out.
 type advice struct {
 	answers map[string]answer
-	// asked are the workers that open calls name, and calls how many are open.
+	// asked are the workers that open calls name, late those of them that have started
+	// again since, and calls how many are open.
 	asked   map[string]bool
+	late    map[string]bool
 	calls   int
 	retryAt time.Time
 }
@@ -221,8 +223,11 @@
 	}
 	st := j.reps[id.Repeat].steps[id.Step]
 	st.advice.calls--
+	late := make(map[string]bool)
 	for _, w := range asked {
+		late[w] = st.advice.late[w]
 		delete(st.advice.asked, w)
+		delete(st.advice.late, w)
 	}
 	if err != nil {
 		st.advice.retryAt = now.Add(adviceRetry)
@@ -237,6 +242,9 @@
 	}
 	fresh := 0
 	for _, w := range asked {
+		if late[w] {
+			continue
+		}
 		if _, known := st.advice.answers[w]; !known {
 			fresh++
 			st.advice.answers[w] = answer{}
@@ -244,6 +252,9 @@
 	}
 	good := 0
 	for _, t := range tickets {
+		if late[t.Worker] {
+			continue
+		}
 		if !st.advice.answers[t.Worker].good {
 			good++
 		}
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -31,8 +31,9 @@
 // Batch is a set of records, and the ends that they cover.
 type Batch struct {
 	Records []Record
-	// seen are the highest ends by worker that are covered once the batch is persisted.
-	seen map[string]int64
+	// seen are the highest ends by the workers' lives that are covered once the batch is
+	// persisted.
+	seen map[*worker]int64
 }
 
 // leftOutMost is how many batches may leave a job's changes out before these come first:
@@ -63,10 +64,10 @@
 	for _, j := range open[len(b.Records):] {
 		j.leftOut++
 	}
-	b.seen = make(map[string]int64)
+	b.seen = make(map[*worker]int64)
 	for _, w := range s.order {
 		if n := s.coveredEnd(w, taken); n > w.confirmedEnd {
-			b.seen[w.info.ID] = n
+			b.seen[w] = n
 		}
 	}
 	return b
@@ -146,11 +147,9 @@
 			s.recordSaved(now, j, r)
 		}
 	}
-	for id, n := range b.seen {
-		if w := s.workers[id]; w != nil {
-			w.confirmedEnd = max(w.confirmedEnd, n)
-			w.taken = slices.DeleteFunc(w.taken, func(e takenEnd) bool { return e.n <= w.confirmedEnd })
-		}
+	for w, n := range b.seen {
+		w.confirmedEnd = max(w.confirmedEnd, n)
+		w.taken = slices.DeleteFunc(w.taken, func(e takenEnd) bool { return e.n <= w.confirmedEnd })
 	}
 }
 
--- /dev/null
+++ b/internal/scheduler/life.go
@@ -0,0 +1,225 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/events"
+)
+
+// A worker may start again under the ID that it had. Its new life knows nothing of the old
+// one, and nothing that was known of the old one holds for it. What settles which life is
+// the present one is the worker's own answer to a question that was asked later than any
+// answered before; starts are times of day, which may be set, so that they tell lives apart
+// but don't order them. An entry of the directory that names another life is a reason to
+// ask, and until then nothing new starts there.
+//
+// Each life that is known has a generation, which is part of the fence of its orders: once
+// a life has taken an order of its generation it refuses those that were meant for an
+// earlier one, and its first list holds all of these that it has taken before.
+
+// lives is what is known of the lives that had one ID.
+type lives struct {
+	// generation counts them, and goneAt is when the last one was over; zero: it isn't.
+	generation int64
+	goneAt     time.Time
+	// over are the starts of those that were replaced, the last few: an entry of one of them
+	// is late.
+	over []int64
+}
+
+// livesKept is how many lives that are over are remembered for each ID: entries of older
+// ones are not on their way any more.
+const livesKept = 8
+
+// relation is how a life that was named is to the one that is known.
+type relation uint8
+
+const (
+	sameLife relation = iota
+	newerLife
+	olderLife
+)
+
+// relate returns how a life of the worker with that start is to the present one: one that
+// an entry names, or, if it answers, one that was asked later than any that has answered.
+// It is the one place that decides this.
+func (w *worker) relate(born int64, answers bool) relation {
+	switch {
+	case born == w.born:
+		return sameLife
+	case !answers && slices.Contains(w.lives.over, born):
+		return olderLife
+	case !w.answered:
+		// Nothing of it is known but what an entry or the last owner said.
+		return sameLife
+	}
+	return newerLife
+}
+
+// livesOf returns what is known of the lives that had an ID.
+func (s *Shard) livesOf(id string) *lives {
+	l := s.lives[id]
+	if l == nil {
+		l = &lives{}
+		s.lives[id] = l
+	}
+	return l
+}
+
+// newWorker returns a life that has just become known.
+func (s *Shard) newWorker(now time.Time, info cluster.Worker) *worker {
+	l := s.livesOf(info.ID)
+	l.generation++
+	l.goneAt = time.Time{}
+	w := &worker{
+		info: info, born: info.Born, since: now, lives: l, generation: l.generation,
+		runs: make(map[runKey]*run), foreign: make(map[runKey]bool),
+		reserved: make(map[*step]reservation), clock: info.ClockMS, clockAt: now,
+	}
+	s.workers[info.ID] = w
+	s.order = sortedWorkers(s.workers)
+	return w
+}
+
+// replaceLife notes that a worker has answered as another life than the one known, which is
+// over. The new one has nothing of it but the numbers of holds, by which answers to the old
+// one are passed over.
+func (s *Shard) replaceLife(now time.Time, old *worker, born int64) {
+	old.lives.over = append(slices.DeleteFunc(old.lives.over, func(o int64) bool { return o == born }), old.born)
+	old.lives.over = old.lives.over[max(0, len(old.lives.over)-livesKept):]
+	s.log.Warn("worker has started again", events.WorkerReborn, zap.Stringer("life", cluster.Life{ID: old.info.ID, Born: born}),
+		zap.Stringer("replaced", old.info.Life()), zap.Duration("known_for", now.Sub(old.since)), zap.Int("runs", len(old.runs)))
+	info := cluster.Worker{ID: old.info.ID, Born: born, Address: old.address(), Service: old.info.Service}
+	known := old.next != nil && old.next.Born == born
+	if known {
+		info = *old.next
+	}
+	s.endLife(now, old, "worker has started again")
+	w := s.newWorker(now, info)
+	w.holds, w.lastReport, w.unlisted, w.unlistedAt = old.holds, old.holds, old.unlisted, old.unlistedAt
+	w.noEntry = !known
+}
+
+// endLife takes all off a life that is over. Runs that it has taken have ended. Whether it
+// took those of which nothing was heard since they were ordered isn't known: another life of
+// the ID may, as long as it has not answered an order of its own generation.
+func (s *Shard) endLife(now time.Time, w *worker, cause string) {
+	if w.born != 0 {
+		for _, r := range sortedRuns(w.runs) {
+			if !r.taken {
+				delete(w.runs, r.key())
+				s.stray[w.info.ID] = append(s.stray[w.info.ID], r)
+			}
+		}
+	}
+	s.loseRuns(now, w, cause)
+	for _, j := range s.active {
+		for _, rep := range j.reps {
+			for _, st := range rep.steps {
+				st.forgetLife(w.info.ID)
+			}
+		}
+	}
+}
+
+// forgetLife forgets what a step knows of a worker.
+func (st *step) forgetLife(id string) {
+	delete(st.advice.answers, id)
+	delete(st.failedOn, id)
+	if st.advice.asked[id] {
+		if st.advice.late == nil {
+			st.advice.late = make(map[string]bool)
+		}
+		st.advice.late[id] = true
+	}
+}
+
+// strayMost is how long an order may be on its way, or be carried out late, where nothing
+// else tells what became of it.
+const strayMost = 13 * time.Second
+
+// settleStray drops the orders to earlier lives of a worker once its present one has
+// answered an order of its own generation: those that it has taken are in its list, from
+// which they are taken over, and the others it refuses from now on.
+func (s *Shard) settleStray(now time.Time, id string) {
+	for _, r := range s.stray[id] {
+		s.dropStray(now, r, "another life has answered")
+	}
+	delete(s.stray, id)
+}
+
+// strayReplied takes the reply to a start that was ordered from a life that is over: either
+// that life took it, or nobody did, or it isn't known.
+func (s *Shard) strayReplied(now time.Time, r *run, reply cluster.Reply) {
+	if reply == cluster.ReplyUnknown || reply == cluster.ReplyNewLife {
+		return
+	}
+	id := r.worker.info.ID
+	s.stray[id] = slices.DeleteFunc(s.stray[id], func(o *run) bool { return o == r })
+	s.dropStray(now, r, "worker's life is over")
+}
+
+// expireStray drops orders of which nothing was heard for so long that they can't act any more.
+func (s *Shard) expireStray(now time.Time) {
+	for id, list := range s.stray {
+		s.stray[id] = slices.DeleteFunc(list, func(r *run) bool {
+			over := now.Sub(r.orderedAt) > strayMost
+			if over {
+				s.dropStray(now, r, "order is too old to act")
+			}
+			return over
+		})
+		if len(s.stray[id]) == 0 {
+			delete(s.stray, id)
+		}
+	}
+}
+
+// forgetLives forgets IDs of which no life has been known for so long that no order to one
+// can act any more.
+func (s *Shard) forgetLives(now time.Time) {
+	if len(s.lives) <= 2*len(s.workers)+livesSpare {
+		return
+	}
+	for id, l := range s.lives {
+		if !l.goneAt.IsZero() && now.Sub(l.goneAt) > strayMost {
+			delete(s.lives, id)
+		}
+	}
+}
+
+// livesSpare is how many IDs more than twice those of the workers are remembered before the
+// oldest are looked for.
+const livesSpare = 100
+
+func (s *Shard) dropStray(now time.Time, r *run, cause string) {
+	if s.runs[r.key()] != r {
+		return
+	}
+	s.counts.Lost++
+	s.log.Warn("run lost", events.RunLost, zap.Stringer("task", r.task.id), zap.Int64("run", r.n),
+		zap.String("worker", r.worker.info.ID), zap.String("cause", cause), zap.Int("percent", r.percent))
+	s.drop(r)
+	s.breakGang(now, r, cause)
+}
+
+// KnownSince returns since when the present life of a worker is known.
+func (s *Shard) KnownSince(id string) time.Time {
+	if w := s.workers[id]; w != nil {
+		return w.since
+	}
+	return time.Time{}
+}
+
+// Outdated reports whether an order was meant for an earlier life of its worker than the
+// one known: that it was refused tells nothing of another owner.
+func (s *Shard) Outdated(o cluster.Order) bool {
+	l := s.lives[o.Worker]
+	return l != nil && o.Generation < l.generation
+}
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -18,7 +18,7 @@
 // Observe takes a worker's report, the answer to the hold with that number.
 func (s *Shard) Observe(now time.Time, id string, seq int64, report cluster.Report) {
 	w := s.workers[id]
-	if w == nil || seq <= w.lastReport {
+	if w == nil || seq <= w.lastReport || !s.settleLife(now, w, report.Born) {
 		return
 	}
 	w.lastReport = seq
@@ -29,6 +29,12 @@
 	}
 	first := !w.answered
 	w.answered, w.heard = true, true
+	if first {
+		s.settleStray(now, id)
+		if w.generation > 1 {
+			w.strayLease = now.Add(s.p.LeaseMost + leaseMargin)
+		}
+	}
 	listed := make(map[runKey]bool, len(report.Running)+len(report.Ended))
 	for _, e := range report.Ended {
 		listed[runKey{e.Task, e.Run}] = true
@@ -51,6 +57,21 @@
 	}
 }
 
+// settleLife takes the start that a worker's answer tells, and reports whether the answer is
+// of the life known. One that is of another life is the last that the old one gets: what the
+// new one runs shows once it has taken an order of its own generation.
+func (s *Shard) settleLife(now time.Time, w *worker, born int64) bool {
+	if w.relate(born, true) == newerLife {
+		s.replaceLife(now, w, born)
+		return false
+	}
+	if w.born != born {
+		// Nothing was known of it but an entry, or what the last owner left.
+		w.born, w.noEntry = born, w.info.Born != born
+	}
+	return true
+}
+
 // running takes one entry of what a worker runs.
 func (s *Shard) running(now time.Time, w *worker, e cluster.RunStatus) {
 	r := s.runs[runKey{e.Task, e.Run}]
@@ -65,7 +86,7 @@
 	}
 	// Answers pass each other: one to a question that was asked before this list was read
 	// may be older than the run, which then ran twice.
-	r.knownAt = w.holds
+	r.knownAt, r.taken = w.holds, true
 	t := r.task
 	t.uncertain = false
 	if r.firstAt.IsZero() {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -260,9 +260,10 @@
 // takesNew reports whether anything new may start on the worker, room aside.
 func (w *worker) takesNew(now time.Time) bool { return w.stays() && w.health.takes(now, w) }
 
-// stays reports whether the worker answers, and neither leaves nor has an invalid entry.
+// stays reports whether the worker answers, and neither leaves nor has an entry that is
+// invalid or of another life.
 func (w *worker) stays() bool {
-	return w.answers() && !w.info.Draining && !w.leaving && !w.entryInvalid
+	return w.answers() && !w.info.Draining && !w.leaving && !w.entryInvalid && w.next == nil && !w.noEntry
 }
 
 const (
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -41,6 +41,10 @@
 	// the run: only reports of later holds tell whether it is there.
 	knownAt   int64
 	startedAt time.Time
+	// orderedAt is when the run was ordered, or found, and taken is set once its worker's
+	// life is known to have taken the order.
+	orderedAt time.Time
+	taken     bool
 	// percent of the work that is done, when it last rose, and since when it is followed.
 	percent      int
 	percentAt    time.Time
@@ -88,7 +92,7 @@
 
 // add notes a run on a worker.
 func (s *Shard) add(now time.Time, t *task, n int64, w *worker, state runState) *run {
-	r := &run{task: t, n: n, worker: w, state: state, startedAt: now, percentAt: now, knownAt: w.holds, pace: fullPace}
+	r := &run{task: t, n: n, worker: w, state: state, startedAt: now, orderedAt: now, percentAt: now, knownAt: w.holds, pace: fullPace}
 	t.runs, t.waitsFrom, t.noteAgainAt = append(t.runs, r), time.Time{}, 0
 	t.lastRun = max(t.lastRun, n)
 	t.step.gangRun = max(t.step.gangRun, n)
@@ -144,6 +148,10 @@
 	if r == nil || r.worker.info.ID != id {
 		return
 	}
+	if s.workers[id] != r.worker {
+		s.strayReplied(now, r, reply)
+		return
+	}
 	if reply != cluster.ReplyOK {
 		s.log.Info("start not taken", events.StartNotTaken, zap.Stringer("task", task), zap.Int64("run", n),
 			zap.String("worker", id), zap.String("reply", string(reply)))
@@ -153,7 +161,11 @@
 		if r.state == runStarting {
 			r.state, r.startedAt, r.percentAt = runRunning, now, now
 		}
-		r.knownAt = r.worker.holds
+		r.knownAt, r.taken = r.worker.holds, true
+		return
+	case cluster.ReplyNewLife:
+		// It may run there under a life that isn't known yet, whose answer settles it.
+		s.emit(Look{Worker: id})
 		return
 	case cluster.ReplyUnknown:
 		r.state, r.knownAt = runUnanswered, r.worker.holds
@@ -191,7 +203,7 @@
 // StopReplied takes the reply to a stop.
 func (s *Shard) StopReplied(now time.Time, id string, task cluster.TaskID, n int64, reply cluster.Reply) {
 	r := s.runs[runKey{task, n}]
-	if r == nil || r.worker.info.ID != id {
+	if r == nil || r.worker.info.ID != id || s.workers[id] != r.worker {
 		return
 	}
 	switch reply {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -33,8 +33,9 @@
 type Params struct {
 	// Epoch is the ownership's epoch, and the fence of all orders.
 	Epoch int64
-	// Lease is how long a worker runs on without hearing from the owner.
-	Lease time.Duration
+	// Lease is how long a worker runs on without hearing from the owner, and LeaseMost the
+	// longest that a worker takes.
+	Lease, LeaseMost time.Duration
 	// StopTime is how long a worker may take to stop a run.
 	StopTime time.Duration
 	// Uncertain is how long after a takeover an unanswering worker may still
@@ -115,9 +116,13 @@
 	log     *zap.Logger
 	began   time.Time
 	workers map[string]*worker
-	order   []*worker // sorted by ID, for decisions that repeat
-	jobs    map[string]*job
-	active  []*job // unfinished, sorted by rank
+	// lives are those that had each ID, and stray the runs of which it isn't known whether
+	// a life that is over, or a later one of its ID, took the order, by that ID.
+	lives  map[string]*lives
+	stray  map[string][]*run
+	order  []*worker // sorted by ID, for decisions that repeat
+	jobs   map[string]*job
+	active []*job // unfinished, sorted by rank
 	// runs are all that may take room somewhere, by task and number.
 	runs  map[runKey]*run
 	dirty map[string]*job
@@ -168,7 +173,7 @@
 func New(p Params, now time.Time, log *zap.Logger) *Shard {
 	return &Shard{
 		p: p, log: log, began: now,
-		workers: make(map[string]*worker), jobs: make(map[string]*job), runs: make(map[runKey]*run),
+		workers: make(map[string]*worker), lives: make(map[string]*lives), stray: make(map[string][]*run), jobs: make(map[string]*job), runs: make(map[runKey]*run),
 		dirty: make(map[string]*job), movedAway: make(map[string]movedJob), takeover: takeover{open: true, since: now},
 		goodShare: make(map[string]float64), ratios: make(map[stepKind]*ratio), load: unknownLoad,
 	}
@@ -198,6 +203,8 @@
 // watch looks through all workers and runs for what time alone has changed.
 func (s *Shard) watch(now time.Time) {
 	s.expireLeases(now)
+	s.expireStray(now)
+	s.forgetLives(now)
 	s.watchProgress(now)
 	s.noteLeaving(now)
 	s.evacuate(now)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -15,6 +15,17 @@
 // worker is one life of a worker and what the shard believes to run there.
 type worker struct {
 	info cluster.Worker
+	// born is the start of the life that has answered, or before it has, the one expected.
+	born int64
+	// since is when the life became known, lives what is known of all that had its ID, and
+	// generation its number among them.
+	since      time.Time
+	lives      *lives
+	generation int64
+	// next is an entry that names another life than the one known; nil: there is none. And
+	// noEntry is set while the directory has not shown the entry of this life.
+	next    *cluster.Worker
+	noEntry bool
 	// answered is set once the worker has taken this owner's fence; only then is
 	// all that runs there known.
 	answered bool
@@ -43,6 +54,9 @@
 	clockAt time.Time
 	// deadline is the latest lease ever sent, on the worker's clock.
 	deadline int64
+	// strayLease is until when an order for an earlier life may have leased what runs
+	// there: its deadline was on another clock, on which it may seem to be far away.
+	strayLease time.Time
 
 	// held are ends of jobs that have not been read yet, by rising numbers.
 	held         []cluster.RunEnd
@@ -81,15 +95,13 @@
 func (s *Shard) UpsertWorker(now time.Time, info cluster.Worker) {
 	w := s.workers[info.ID]
 	if w == nil {
-		w = &worker{
-			info: info, runs: make(map[runKey]*run), foreign: make(map[runKey]bool),
-			reserved: make(map[*step]reservation), clock: info.ClockMS, clockAt: now,
-		}
-		s.workers[info.ID] = w
-		s.order = sortedWorkers(s.workers)
-		s.log.Info("worker found", events.WorkerFound, zap.String("worker", info.ID), zap.String("rack", info.Rack),
+		w = s.newWorker(now, info)
+		s.log.Info("worker found", events.WorkerFound, zap.Stringer("worker", info.Life()), zap.String("rack", info.Rack),
 			zap.Int64("cpu_milli", info.Capacity.CPUMilli))
 	}
+	if !s.entryOfLife(now, w, info) {
+		return
+	}
 	if info.Draining && !w.info.Draining {
 		s.log.Info("worker is draining", events.WorkerDraining, zap.String("worker", info.ID),
 			zap.Duration("remaining", info.Remaining), zap.Int("runs", len(w.runs)))
@@ -102,6 +114,26 @@
 	}
 }
 
+// entryOfLife reports whether an entry is that of the life known. One of another life is
+// kept until the worker has been asked, and one of a life that is over is late.
+func (s *Shard) entryOfLife(now time.Time, w *worker, info cluster.Worker) bool {
+	switch w.relate(info.Born, false) {
+	case olderLife:
+		return false
+	case newerLife:
+		w.setListed(now, true)
+		if w.next == nil || w.next.Born != info.Born {
+			s.log.Info("entry of another life", events.EntryInvalid, zap.Stringer("worker", w.info.Life()), zap.Int64("born", info.Born), zap.Int("runs", len(w.runs)))
+			s.emit(Look{Worker: info.ID})
+		}
+		w.next = &info
+		return false
+	case sameLife:
+	}
+	w.born, w.next, w.noEntry = info.Born, nil, false
+	return true
+}
+
 // WorkerOver notes that a life is over: nothing runs there any more.
 func (s *Shard) WorkerOver(now time.Time, id, evidence string) {
 	w := s.workers[id]
@@ -110,8 +142,9 @@
 	}
 	s.log.Warn("worker's life is over", events.WorkerOver, zap.String("worker", id), zap.String("evidence", evidence),
 		zap.Int("runs", len(w.runs)))
-	s.loseRuns(now, w, "worker's life is over")
+	s.endLife(now, w, "worker's life is over")
 	delete(s.workers, id)
+	w.lives.goneAt = now
 	delete(s.takeover.expected, id)
 	s.order = sortedWorkers(s.workers)
 }
@@ -133,7 +166,16 @@
 
 // orderTo returns the head of an order that leaves the worker's lease as it is.
 func (s *Shard) orderTo(w *worker) cluster.Order {
-	return cluster.Order{Worker: w.info.ID, Address: w.info.Address, Fence: s.p.Epoch}
+	return cluster.Order{Worker: w.info.ID, Born: w.born, Address: w.address(), Fence: s.p.Epoch, Generation: w.generation}
+}
+
+// address returns where the worker is called: where the entry of another life says, if the
+// one known doesn't answer.
+func (w *worker) address() string {
+	if w.silent && w.next != nil {
+		return w.next.Address
+	}
+	return w.info.Address
 }
 
 // renewing returns the head of an order that renews the worker's lease.
@@ -156,6 +198,9 @@
 // orderWithin returns the head of an order with a deadline, on the worker's clock.
 func (s *Shard) orderWithin(now time.Time, w *worker, d time.Duration) cluster.Order {
 	o := s.orderTo(w)
+	if w.born != 0 && w.answered {
+		o.ClockMS = w.clock + time.Duration(float64(now.Sub(w.clockAt))/ClockSlack).Milliseconds()
+	}
 	o.DeadlineMS = w.clock + now.Sub(w.clockAt).Milliseconds() + d.Milliseconds()
 	w.deadline = max(w.deadline, o.DeadlineMS)
 	return o
@@ -178,7 +223,11 @@
 		return s.began.Add(s.p.Uncertain)
 	}
 	left := time.Duration(w.deadline-w.clock) * time.Millisecond
-	return w.clockAt.Add(time.Duration(float64(left)*ClockSlack) + leaseMargin)
+	end := w.clockAt.Add(time.Duration(float64(left)*ClockSlack) + leaseMargin)
+	if w.strayLease.After(end) {
+		return w.strayLease
+	}
+	return end
 }
 
 // expireLeases frees what ran on silent workers whose lease is surely over.
--- a/matrix/site/cell_test.go
+++ b/matrix/site/cell_test.go
@@ -70,6 +70,8 @@
 	refused   map[string]bool
 	// succeeded are those that were seen to be shown so.
 	succeeded map[string]bool
+	// stalls are times in which orders to a worker were on their way.
+	stalls []stall
 	// lasting is the job whose tasks run until the end.
 	lasting string
 }
--- a/standin/site/entries.go
+++ b/standin/site/entries.go
@@ -55,6 +55,20 @@
 	return list
 }
 
+// SpoiltStarts are the ways in which the start that an entry tells can be spoilt.
+func SpoiltStarts() []Spoilt {
+	return []Spoilt{
+		{Name: "a text for the start", Field: "born", value: "1764742000000"},
+		{Name: "a fraction for the start", Field: "born", value: 1764742000000.5},
+		{Name: "a negative start", Field: "born", value: -1},
+		{Name: "a start that is too large", Field: "born", value: 1e300},
+		{Name: "a start beyond all numbers", Field: "born", value: json.RawMessage("1e999")},
+		{Name: "a list for the start", Field: "born", value: []int64{1764742000000}},
+		{Name: "null for the start", Field: "born", value: json.RawMessage("null")},
+		{Name: "an object for the start", Field: "born", value: map[string]any{}},
+	}
+}
+
 // Of returns the worker's entry, spoilt.
 func (s Spoilt) Of(w *Worker) []byte {
 	if s.Field == "" {
--- a/standin/site/verdict.go
+++ b/standin/site/verdict.go
@@ -38,16 +38,24 @@
 	// each worker took.
 	running map[string]string
 	highest map[string]int64
-	// done are the tasks that have succeeded, again those that have started since, and
-	// confirmed those whose success a worker was told to have been read.
-	done, again, confirmed map[string]bool
-	wrong                  []string
+	// done are the runs of a task that have succeeded, again those of them after which it
+	// has started, and confirmed the tasks of which a worker was told that a success was read.
+	done      map[string][]int64
+	again     map[taskRunKey]bool
+	confirmed map[string]bool
+	wrong     []string
+}
+
+// taskRunKey names one run of a task.
+type taskRunKey struct {
+	task string
+	run  int64
 }
 
 // Breaches holds what the workers saw against the promises, and describes each one broken.
 func (s *Site) Breaches(c Claims) []string {
 	v := &verdict{claims: c, running: make(map[string]string), highest: make(map[string]int64),
-		done: make(map[string]bool), again: make(map[string]bool), confirmed: make(map[string]bool)}
+		done: make(map[string][]int64), again: make(map[taskRunKey]bool), confirmed: make(map[string]bool)}
 	for _, e := range s.Sights() {
 		v.judge(e)
 	}
@@ -71,10 +79,10 @@
 		delete(v.running, e.Task)
 	case SawDone:
 		delete(v.running, e.Task)
-		v.done[e.Task] = true
+		v.done[e.Task] = append(v.done[e.Task], e.Run)
 	case SawConfirmed:
 		v.confirmed[e.Task] = true
-		if v.again[e.Task] {
+		if v.again[taskRunKey{e.Task, e.Run}] {
 			v.add("%s has started again after a success that was confirmed", e.Task)
 		}
 	case SawOverload:
@@ -99,7 +107,9 @@
 		v.add("%s runs on %s and starts on %s", e.Task, where, e.Worker)
 	}
 	v.running[e.Task] = e.Worker
-	v.again[e.Task] = v.done[e.Task]
+	for _, run := range v.done[e.Task] {
+		v.again[taskRunKey{e.Task, run}] = true
+	}
 	if v.confirmed[e.Task] {
 		v.add("%s starts on %s, and its success was confirmed", e.Task, e.Worker)
 	}
