Generations of lives never fall; a gang of several shards waits once in their loads

Found by reading: an ID that was forgotten began again with the first generation, so that a life which came back after its lease would have refused its orders, and its owner taken itself for replaced (TestGenerationsNeverFall failed first: generation 1 after 1). A lease set by an order for an earlier life concerns workers that tell their starts only. In each shard's load a gang that all of them run together counted whole.

--- a/internal/scheduler/life.go
+++ b/internal/scheduler/life.go
@@ -66,7 +66,7 @@
 func (s *Shard) livesOf(id string) *lives {
 	l := s.lives[id]
 	if l == nil {
-		l = &lives{}
+		l = &lives{generation: s.generations}
 		s.lives[id] = l
 	}
 	return l
@@ -189,6 +189,7 @@
 	}
 	for id, l := range s.lives {
 		if !l.goneAt.IsZero() && now.Sub(l.goneAt) > strayMost {
+			s.generations = max(s.generations, l.generation)
 			delete(s.lives, id)
 		}
 	}
--- /dev/null
+++ b/internal/scheduler/life_test.go
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/resource"
+)
+
+// upsert makes a life known.
+func (r *rig) upsert(life cluster.Life) {
+	r.s.UpsertWorker(r.now, cluster.Worker{
+		ID: life.ID, Born: life.Born, Address: life.ID, Service: "svc", Rack: "r1-0", Labels: []string{"a"},
+		Capacity: resource.Amount{CPUMilli: 4000, MemoryMB: 8000}, ClockMS: r.now.UnixMilli(),
+	})
+}
+
+// TestGenerationsNeverFall lets hundreds of workers come and go between two times at which
+// one is known, which lives on all the while. Its orders must not have a lower generation
+// the second time: it would refuse them, and its owner take itself for replaced.
+func TestGenerationsNeverFall(t *testing.T) {
+	const others = 400
+	r := newRig(t, 0)
+	life := cluster.Life{ID: "w", Born: firstBorn}
+	var last int64
+	for range 3 {
+		r.upsert(life)
+		_, order, _, ok := r.s.HoldSent(r.now, life.ID)
+		if !ok || order.Generation < last || (last > 0 && order.Generation == last) {
+			t.Fatalf("generation %d (known: %t) after %d", order.Generation, ok, last)
+		}
+		last = order.Generation
+		r.s.WorkerOver(r.now, life.ID, "its lease is over")
+		for i := range others {
+			id := fmt.Sprintf("o%d", i)
+			r.upsert(cluster.Life{ID: id})
+			r.s.WorkerOver(r.now, id, "its machine says so")
+		}
+		r.pass(20 * time.Second)
+	}
+}
+
+// TestNewLifeInheritsNothing lets a worker that drains, with an end confirmed and a run,
+// start again under its ID. The new life must get work, and its first end must count.
+func TestNewLifeInheritsNothing(t *testing.T) {
+	r := newRig(t, 0)
+	r.workers["w"] = &fake{}
+	r.takeOver()
+	life := cluster.Life{ID: "w", Born: firstBorn}
+	r.upsert(life)
+	report := func(born int64, running []cluster.RunStatus, ended []cluster.RunEnd) (lastSeen int64) {
+		t.Helper()
+		seq, _, lastSeen, ok := r.s.HoldSent(r.now, "w")
+		if !ok {
+			t.Fatal("the worker is not known")
+		}
+		r.s.Observe(r.now, "w", seq, cluster.Report{Born: born, ClockMS: 1, Running: running, Ended: ended})
+		return lastSeen
+	}
+	report(life.Born, nil, nil)
+	r.s.AddJob(r.now, batch("a", tasks(1, 4000)), nil, false)
+	r.round()
+	task := cluster.TaskID{Job: "a"}
+	first := r.workers["w"].running[0].Run
+	report(life.Born, nil, []cluster.RunEnd{{N: 57, Task: task, Run: first, Outcome: cluster.OutcomeDone}})
+	if r.stored("a") != cluster.StateSucceeded {
+		t.Fatal("the first job has not succeeded")
+	}
+	if seen := report(life.Born, nil, nil); seen != 57 {
+		t.Fatalf("confirmed up to %d, want 57", seen)
+	}
+	r.s.UpsertWorker(r.now, cluster.Worker{ID: "w", Born: life.Born, Address: "w", Service: "svc", Labels: []string{"a"}, Draining: true, Capacity: resource.Amount{CPUMilli: 4000, MemoryMB: 8000}})
+	next := cluster.Life{ID: "w", Born: life.Born - 2000}
+	*r.workers["w"] = fake{}
+	report(next.Born, nil, nil)
+	if seen := report(next.Born, nil, nil); seen != 0 {
+		t.Errorf("the new life is told of ends up to %d, want none", seen)
+	}
+	r.upsert(next)
+	r.s.AddJob(r.now, batch("b", tasks(1, 4000)), nil, false)
+	r.round()
+	if len(r.workers["w"].running) != 1 {
+		t.Fatal("the new life gets no work")
+	}
+	run := r.workers["w"].running[0].Run
+	report(next.Born, nil, []cluster.RunEnd{{N: 1, Task: cluster.TaskID{Job: "b"}, Run: run, Outcome: cluster.OutcomeDone}})
+	if state := r.stored("b"); state != cluster.StateSucceeded {
+		t.Errorf("the second job is %q after the new life's first end", state)
+	}
+}
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -50,13 +50,23 @@
 	for _, rep := range j.reps {
 		for _, st := range rep.steps {
 			if st.done < len(st.tasks) && st.ready(now) {
-				sum = sum.Add(st.spec.Room().Times(st.waiting()))
+				sum = sum.Add(st.spec.Room().Times(st.waitingHere()))
 			}
 		}
 	}
 	return sum
 }
 
+// waitingHere is waiting for this shard's part: a gang that several shards run together
+// waits in all of them.
+func (st *step) waitingHere() int64 {
+	n := st.waiting()
+	if st.job.isJoint() && st.spec.Gang {
+		n /= int64(st.job.spec.Share.Of)
+	}
+	return n
+}
+
 // waiting returns how many tasks of the step neither run nor have succeeded.
 func (st *step) waiting() int64 {
 	n := int64(0)
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -31,7 +31,7 @@
 	w.answered, w.heard = true, true
 	if first {
 		s.settleStray(now, id)
-		if w.generation > 1 {
+		if w.generation > 1 && w.born != 0 {
 			w.strayLease = now.Add(s.p.LeaseMost + leaseMargin)
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -118,11 +118,14 @@
 	workers map[string]*worker
 	// lives are those that had each ID, and stray the runs of which it isn't known whether
 	// a life that is over, or a later one of its ID, took the order, by that ID.
-	lives  map[string]*lives
-	stray  map[string][]*run
-	order  []*worker // sorted by ID, for decisions that repeat
-	jobs   map[string]*job
-	active []*job // unfinished, sorted by rank
+	lives map[string]*lives
+	stray map[string][]*run
+	// generations is the highest of those of IDs that were forgotten: a life that comes back
+	// would refuse a lower one.
+	generations int64
+	order       []*worker // sorted by ID, for decisions that repeat
+	jobs        map[string]*job
+	active      []*job // unfinished, sorted by rank
 	// runs are all that may take room somewhere, by task and number.
 	runs  map[runKey]*run
 	dirty map[string]*job
