--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -190,7 +190,7 @@
 		s.t.Logf("%6.2f s: worker %d starts again after %s, its clock set by %s", time.Since(s.began).Seconds(), i, pause, clockSet)
 		w.Crash()
 		time.Sleep(pause)
-		next := s.site.Reborn(w, clockSet)
+		next := s.site.RestartSameID(w, clockSet)
 		s.mu.Lock()
 		s.workers[i] = next
 		s.mu.Unlock()
--- a/internal/cluster/share.go
+++ b/internal/cluster/share.go
@@ -2,8 +2,6 @@
 
 package cluster
 
-import "slices"
-
 // Share is the part of a job's tasks that one shard runs: every Of-th task, beginning
 // with Index. The zero value is the whole job.
 type Share struct {
@@ -55,11 +53,6 @@
 	return j.parts(first, min(widest, l.Shards), l, false)
 }
 
-// HasGang reports whether a step of the job is a gang.
-func (j *Job) HasGang() bool {
-	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.Gang })
-}
-
 // Join returns the job as its parts on all shards of a layout, which run its gangs
 // together. The shard that has it speaks for the whole job.
 func (j *Job) Join(l *Layout) []Job { return j.parts(j.Shard, l.Shards, l, true) }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -102,7 +102,7 @@
 	WorkerCleared   = zap.String(Field, "SB1634")
 	GangJoint       = zap.String(Field, "SB1635")
 	GangWaits       = zap.String(Field, "SB1636")
-	WorkerReborn    = zap.String(Field, "SB1637")
+	WorkerRestarted = zap.String(Field, "SB1637")
 )
 
 // The events of nodes on a platform.
--- a/internal/scheduler/life.go
+++ b/internal/scheduler/life.go
@@ -93,7 +93,7 @@
 func (s *Shard) replaceLife(now time.Time, old *worker, born int64) {
 	old.lives.over = append(slices.DeleteFunc(old.lives.over, func(o int64) bool { return o == born }), old.born)
 	old.lives.over = old.lives.over[max(0, len(old.lives.over)-livesKept):]
-	s.log.Warn("worker has started again", events.WorkerReborn, zap.Stringer("life", cluster.Life{ID: old.info.ID, Born: born}),
+	s.log.Warn("worker has started again", events.WorkerRestarted, zap.Stringer("life", cluster.Life{ID: old.info.ID, Born: born}),
 		zap.Stringer("replaced", old.info.Life()), zap.Duration("known_for", now.Sub(old.since)), zap.Int("runs", len(old.runs)))
 	info := cluster.Worker{ID: old.info.ID, Born: born, Address: old.address(), Service: old.info.Service}
 	known := old.next != nil && old.next.Born == born
@@ -114,7 +114,7 @@
 		for _, r := range sortedRuns(w.runs) {
 			if !r.taken {
 				delete(w.runs, r.key())
-				s.stray[w.info.ID] = append(s.stray[w.info.ID], r)
+				s.inDoubt[w.info.ID] = append(s.inDoubt[w.info.ID], r)
 			}
 		}
 	}
@@ -140,43 +140,43 @@
 	}
 }
 
-// strayMost is how long an order may be on its way, or be carried out late, where nothing
+// inDoubtMost is how long an order may be on its way, or be carried out late, where nothing
 // else tells what became of it.
-const strayMost = 13 * time.Second
+const inDoubtMost = 13 * time.Second
 
-// settleStray drops the orders to earlier lives of a worker once its present one has
+// settleInDoubt drops the orders to earlier lives of a worker once its present one has
 // answered an order of its own generation: those that it has taken are in its list, from
 // which they are taken over, and the others it refuses from now on.
-func (s *Shard) settleStray(now time.Time, id string) {
-	for _, r := range s.stray[id] {
-		s.dropStray(now, r, "another life has answered")
+func (s *Shard) settleInDoubt(now time.Time, id string) {
+	for _, r := range s.inDoubt[id] {
+		s.dropInDoubt(now, r, "another life has answered")
 	}
-	delete(s.stray, id)
+	delete(s.inDoubt, id)
 }
 
-// strayReplied takes the reply to a start that was ordered from a life that is over: either
+// inDoubtReplied takes the reply to a start that was ordered from a life that is over: either
 // that life took it, or nobody did, or it isn't known.
-func (s *Shard) strayReplied(now time.Time, r *run, reply cluster.Reply) {
+func (s *Shard) inDoubtReplied(now time.Time, r *run, reply cluster.Reply) {
 	if reply == cluster.ReplyUnknown || reply == cluster.ReplyNewLife {
 		return
 	}
 	id := r.worker.info.ID
-	s.stray[id] = slices.DeleteFunc(s.stray[id], func(o *run) bool { return o == r })
-	s.dropStray(now, r, "worker's life is over")
+	s.inDoubt[id] = slices.DeleteFunc(s.inDoubt[id], func(o *run) bool { return o == r })
+	s.dropInDoubt(now, r, "worker's life is over")
 }
 
-// expireStray drops orders of which nothing was heard for so long that they can't act any more.
-func (s *Shard) expireStray(now time.Time) {
-	for id, list := range s.stray {
-		s.stray[id] = slices.DeleteFunc(list, func(r *run) bool {
-			over := now.Sub(r.orderedAt) > strayMost
+// expireInDoubt drops orders of which nothing was heard for so long that they can't act any more.
+func (s *Shard) expireInDoubt(now time.Time) {
+	for id, list := range s.inDoubt {
+		s.inDoubt[id] = slices.DeleteFunc(list, func(r *run) bool {
+			over := now.Sub(r.orderedAt) > inDoubtMost
 			if over {
-				s.dropStray(now, r, "order is too old to act")
+				s.dropInDoubt(now, r, "order is too old to act")
 			}
 			return over
 		})
-		if len(s.stray[id]) == 0 {
-			delete(s.stray, id)
+		if len(s.inDoubt[id]) == 0 {
+			delete(s.inDoubt, id)
 		}
 	}
 }
@@ -188,7 +188,7 @@
 		return
 	}
 	for id, l := range s.lives {
-		if !l.goneAt.IsZero() && now.Sub(l.goneAt) > strayMost {
+		if !l.goneAt.IsZero() && now.Sub(l.goneAt) > inDoubtMost {
 			s.generations = max(s.generations, l.generation)
 			delete(s.lives, id)
 		}
@@ -199,7 +199,7 @@
 // oldest are looked for.
 const livesSpare = 100
 
-func (s *Shard) dropStray(now time.Time, r *run, cause string) {
+func (s *Shard) dropInDoubt(now time.Time, r *run, cause string) {
 	if s.runs[r.key()] != r {
 		return
 	}
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -30,9 +30,9 @@
 	first := !w.answered
 	w.answered, w.heard = true, true
 	if first {
-		s.settleStray(now, id)
+		s.settleInDoubt(now, id)
 		if w.generation > 1 && w.born != 0 {
-			w.strayLease = now.Add(s.p.LeaseMost + leaseMargin)
+			w.inDoubtLease = now.Add(s.p.LeaseMost + leaseMargin)
 		}
 	}
 	listed := make(map[runKey]bool, len(report.Running)+len(report.Ended))
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -149,7 +149,7 @@
 		return
 	}
 	if s.workers[id] != r.worker {
-		s.strayReplied(now, r, reply)
+		s.inDoubtReplied(now, r, reply)
 		return
 	}
 	if reply != cluster.ReplyOK {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -116,10 +116,10 @@
 	log     *zap.Logger
 	began   time.Time
 	workers map[string]*worker
-	// lives are those that had each ID, and stray the runs of which it isn't known whether
+	// lives are those that had each ID, and inDoubt the runs of which it isn't known whether
 	// a life that is over, or a later one of its ID, took the order, by that ID.
-	lives map[string]*lives
-	stray map[string][]*run
+	lives   map[string]*lives
+	inDoubt map[string][]*run
 	// generations is the highest of those of IDs that were forgotten: a life that comes back
 	// would refuse a lower one.
 	generations int64
@@ -176,7 +176,7 @@
 func New(p Params, now time.Time, log *zap.Logger) *Shard {
 	return &Shard{
 		p: p, log: log, began: now,
-		workers: make(map[string]*worker), lives: make(map[string]*lives), stray: make(map[string][]*run), jobs: make(map[string]*job), runs: make(map[runKey]*run),
+		workers: make(map[string]*worker), lives: make(map[string]*lives), inDoubt: make(map[string][]*run), jobs: make(map[string]*job), runs: make(map[runKey]*run),
 		dirty: make(map[string]*job), movedAway: make(map[string]movedJob), takeover: takeover{open: true, since: now},
 		goodShare: make(map[string]float64), ratios: make(map[stepKind]*ratio), load: unknownLoad,
 	}
@@ -206,7 +206,7 @@
 // watch looks through all workers and runs for what time alone has changed.
 func (s *Shard) watch(now time.Time) {
 	s.expireLeases(now)
-	s.expireStray(now)
+	s.expireInDoubt(now)
 	s.forgetLives(now)
 	s.watchProgress(now)
 	s.noteLeaving(now)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -54,9 +54,9 @@
 	clockAt time.Time
 	// deadline is the latest lease ever sent, on the worker's clock.
 	deadline int64
-	// strayLease is until when an order for an earlier life may have leased what runs
+	// inDoubtLease is until when an order for an earlier life may have leased what runs
 	// there: its deadline was on another clock, on which it may seem to be far away.
-	strayLease time.Time
+	inDoubtLease time.Time
 
 	// held are ends of jobs that have not been read yet, by rising numbers.
 	held         []cluster.RunEnd
@@ -224,8 +224,8 @@
 	}
 	left := time.Duration(w.deadline-w.clock) * time.Millisecond
 	end := w.clockAt.Add(time.Duration(float64(left)*ClockSlack) + leaseMargin)
-	if w.strayLease.After(end) {
-		return w.strayLease
+	if w.inDoubtLease.After(end) {
+		return w.inDoubtLease
 	}
 	return end
 }
--- a/matrix/site/reborn_test.go
+++ b/matrix/site/reborn_test.go
@@ -45,7 +45,7 @@
 // if the worker tells its start, under a new one if not.
 func (w *world) again(old *site.Worker, clockSet time.Duration) *site.Worker {
 	if old.TellsBorn() {
-		return w.site.Reborn(old, clockSet)
+		return w.site.RestartSameID(old, clockSet)
 	}
 	return w.site.Restart(old)
 }
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -94,9 +94,9 @@
 // Restart begins a new life on the machine of a crashed worker, under a new ID.
 func (s *Site) Restart(old *Worker) *Worker { return s.restart(old, s.newLife) }
 
-// Reborn begins a new life on the machine of a crashed worker under the ID that it had. Its
+// RestartSameID begins a new life on the machine of a crashed worker under the ID that it had. Its
 // host's clock may have been set meanwhile, by that much.
-func (s *Site) Reborn(old *Worker, clockSet time.Duration) *Worker {
+func (s *Site) RestartSameID(old *Worker, clockSet time.Duration) *Worker {
 	return s.restart(old, func(cfg WorkerConfig, n int) *Worker {
 		w := s.newLife(cfg, n)
 		w.ID = old.ID
