--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -165,7 +165,7 @@
 	switch s.rng.IntN(4) {
 	case 0:
 		if w.TellsBorn() {
-			s.startsAgain(i)
+			s.during(thing, "starts again in series", func() { s.startAgain(i) }, func() {})
 			return
 		}
 		s.during(thing, "crashes", w.Crash, restart)
@@ -178,9 +178,9 @@
 	}
 }
 
-// startsAgain lets a worker crash and start again under its ID within milliseconds, a few
+// startAgain lets a worker crash and start again under its ID within milliseconds, a few
 // times in a row; its host's clock steps meanwhile.
-func (s *soak) startsAgain(i int) {
+func (s *soak) startAgain(i int) {
 	const most = 30 // milliseconds
 	for range 1 + s.rng.IntN(3) {
 		s.mu.Lock()
