--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -47,8 +47,10 @@
 	ends    int64
 	seen    int64
 	changed chan struct{}
-	dead    bool
-	drain   bool
+	// lapsedAt is when the lease was last seen to be over.
+	lapsedAt time.Time
+	dead     bool
+	drain    bool
 	// unlisted is set once it leaves without a word.
 	unlisted bool
 	// quiet is set while the worker doesn't announce itself, and its entry stays.
