--- a/matrix/site/reborn_test.go
+++ b/matrix/site/reborn_test.go
@@ -251,3 +251,32 @@
 	}
 	return len(running)
 }
+
+// TestTasksThatLastRunAgainAfterRestart lets half of the workers start again under their IDs
+// while tasks that last run on all of them. Each must run again within 3 s.
+func TestTasksThatLastRunAgainAfterRestart(t *testing.T) {
+	const (
+		stays  = 2 * shardedWorkers
+		within = 3 * time.Second
+	)
+	for _, pause := range []time.Duration{0, 10 * time.Millisecond, 500 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newRebornWorld(t)
+			defer w.close()
+			time.Sleep(4 * time.Second)
+			id := w.submit("batch", "500 lasting cpu=1500", stepBody{Count: stays, CPU: 1500, MemoryMB: 10, EstimateMS: 500, Lasts: true})
+			time.Sleep(3 * time.Second)
+			if n := w.runningOf(id); n != stays {
+				t.Fatalf("%d of %d tasks run", n, stays)
+			}
+			for i := range shardedWorkers / 2 {
+				go w.reborn(2*i, pause, time.Duration(i-2)*time.Second)
+			}
+			time.Sleep(within)
+			if n := w.runningOf(id); n != stays {
+				t.Errorf("%s after workers started again after %s, %d of %d tasks run", within, pause, n, stays)
+			}
+			w.checkJudged()
+		})
+	}
+}
