Gangs and lives: one way to lose a run, and to name the shard of a part

Behaviour as it was: the tests of the scheduler and the owner, and those of matrix/site on gangs, restarts and stalled orders, passed.

--- a/internal/scheduler/jointlead.go
+++ b/internal/scheduler/jointlead.go
@@ -44,12 +44,16 @@
 			s.takeAsk(now, st, ask)
 			continue
 		}
-		shard := cluster.ShardID{Service: st.job.spec.Service, Index: (st.job.spec.Shard + i) % share.Of}
-		round.Asks = append(round.Asks, GangPart[GangAsk]{shard, ask})
+		round.Asks = append(round.Asks, GangPart[GangAsk]{st.job.partShard(i), ask})
 	}
 	return round
 }
 
+// partShard returns the shard that has the i-th part of a job that this one speaks for.
+func (j *job) partShard(i int) cluster.ShardID {
+	return cluster.ShardID{Service: j.spec.Service, Index: (j.spec.Shard + i) % j.spec.Share.Of}
+}
+
 // GangAnswered takes the answers of all other shards to a round; nil is one without an
 // answer. It returns the starts that are to be ordered elsewhere; those of this shard are
 // ordered already.
@@ -192,8 +196,7 @@
 		if i == 0 {
 			own, ownTo = next, to
 		} else {
-			shard := cluster.ShardID{Service: st.job.spec.Service, Index: (st.job.spec.Shard + i) % st.job.spec.Share.Of}
-			starts = append(starts, GangPart[GangStart]{shard, GangStart{
+			starts = append(starts, GangPart[GangStart]{st.job.partShard(i), GangStart{
 				Step: st.id, Epoch: s.p.Epoch, OwnerEpoch: all[i].Epoch, Run: run, From: next, To: to, Checkpoint: checkpoint,
 			}})
 		}
--- a/internal/scheduler/life.go
+++ b/internal/scheduler/life.go
@@ -200,14 +200,9 @@
 const livesSpare = 100
 
 func (s *Shard) dropInDoubt(now time.Time, r *run, cause string) {
-	if s.runs[r.key()] != r {
-		return
+	if s.runs[r.key()] == r {
+		s.loseRun(now, r, cause)
 	}
-	s.counts.Lost++
-	s.log.Warn("run lost", events.RunLost, zap.Stringer("task", r.task.id), zap.Int64("run", r.n),
-		zap.String("worker", r.worker.info.ID), zap.String("cause", cause), zap.Int("percent", r.percent))
-	s.drop(r)
-	s.breakGang(now, r, cause)
 }
 
 // KnownSince returns since when the present life of a worker is known.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -247,16 +247,21 @@
 // loseRuns takes all runs off a worker that can't have them any more.
 func (s *Shard) loseRuns(now time.Time, w *worker, cause string) {
 	for _, r := range sortedRuns(w.runs) {
-		s.counts.Lost++
-		s.log.Warn("run lost", events.RunLost, zap.Stringer("task", r.task.id), zap.Int64("run", r.n),
-			zap.String("worker", w.info.ID), zap.String("cause", cause), zap.Int("percent", r.percent))
-		s.drop(r)
-		s.breakGang(now, r, cause)
+		s.loseRun(now, r, cause)
 	}
 	clear(w.foreign)
 	s.recount(w)
 }
 
+// loseRun takes a run off its worker, which can't have it any more.
+func (s *Shard) loseRun(now time.Time, r *run, cause string) {
+	s.counts.Lost++
+	s.log.Warn("run lost", events.RunLost, zap.Stringer("task", r.task.id), zap.Int64("run", r.n),
+		zap.String("worker", r.worker.info.ID), zap.String("cause", cause), zap.Int("percent", r.percent))
+	s.drop(r)
+	s.breakGang(now, r, cause)
+}
+
 // free returns the worker's room for a step.
 func (w *worker) free(now time.Time, st *step) resource.Amount {
 	a := w.info.Capacity.Sub(w.used)
