--- a/internal/cluster/worker.go
+++ b/internal/cluster/worker.go
@@ -11,8 +11,8 @@
 // Worker is one life of a worker, as the platform's directory describes it.
 type Worker struct {
 	ID string
-	// Born is as in Life.
-	Born       int64
+	// Started is as in Life.
+	Started    int64
 	Address    string
 	Service    string
 	DataCentre string
@@ -27,7 +27,7 @@
 }
 
 // Life returns which life of the worker it is.
-func (w *Worker) Life() Life { return Life{w.ID, w.Born} }
+func (w *Worker) Life() Life { return Life{w.ID, w.Started} }
 
 // HasLabel reports whether the worker carries the label.
 func (w *Worker) HasLabel(label string) bool {
@@ -91,8 +91,8 @@
 // Report is a worker's answer to its owner: all that runs there, and the ends
 // that have not been confirmed.
 type Report struct {
-	// Born is as in Life: that of the life which answers.
-	Born    int64
+	// Started is as in Life: that of the life which answers.
+	Started int64
 	ClockMS int64
 	Running []RunStatus
 	Ended   []RunEnd
@@ -101,8 +101,8 @@
 // Order is what every order to a worker carries.
 type Order struct {
 	Worker string
-	// Born is the start of the life that is meant. A worker compares its ID only.
-	Born    int64
+	// Started is the start of the life that is meant. A worker compares its ID only.
+	Started int64
 	Address string
 	// Fence is the owner's epoch, and Generation counts the lives of the worker that the
 	// owner has known: a worker ignores an order of a lower epoch than it has seen, and of
--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -81,7 +81,7 @@
 	N          int64  `json:"n"`
 	Op         op     `json:"o"`
 	Worker     string `json:"w"`
-	Born       int64  `json:"b,omitempty"`
+	Started    int64  `json:"b,omitempty"`
 	Address    string `json:"a"`
 	Fence      int64  `json:"f"`
 	Generation int64  `json:"g,omitempty"`
@@ -110,7 +110,7 @@
 
 // report is a cluster.Report.
 type report struct {
-	Born    int64       `json:"b,omitempty"`
+	Started int64       `json:"b,omitempty"`
 	ClockMS int64       `json:"c"`
 	Running []runStatus `json:"r,omitempty"`
 	Ended   []runEnd    `json:"e,omitempty"`
@@ -136,7 +136,7 @@
 
 // newReport encodes a report.
 func newReport(r cluster.Report) *report {
-	out := &report{Born: r.Born, ClockMS: r.ClockMS}
+	out := &report{Started: r.Started, ClockMS: r.ClockMS}
 	for _, e := range r.Running {
 		out.Running = append(out.Running, runStatus{e.Task.String(), e.Run, e.Checkpoint, e.Percent, e.Usage})
 	}
@@ -148,7 +148,7 @@
 
 // decode returns the report that was encoded.
 func (r *report) decode() (cluster.Report, error) {
-	out := cluster.Report{Born: r.Born, ClockMS: r.ClockMS}
+	out := cluster.Report{Started: r.Started, ClockMS: r.ClockMS}
 	for _, e := range r.Running {
 		task, err := cluster.ParseTaskID(e.Task)
 		if err != nil {
@@ -169,7 +169,7 @@
 // newCall returns a call without what its operation needs beside the order.
 func newCall(what op, order cluster.Order) call {
 	return call{
-		Op: what, Worker: order.Worker, Born: order.Born, Address: order.Address,
+		Op: what, Worker: order.Worker, Started: order.Started, Address: order.Address,
 		Fence: order.Fence, Generation: order.Generation, ClockMS: order.ClockMS, DeadlineMS: order.DeadlineMS,
 	}
 }
@@ -178,7 +178,7 @@
 func (c *call) make(ctx context.Context, w Workers) answer {
 	a := answer{N: c.N, Reply: cluster.ReplyInvalid}
 	order := cluster.Order{
-		Worker: c.Worker, Born: c.Born, Address: c.Address,
+		Worker: c.Worker, Started: c.Started, Address: c.Address,
 		Fence: c.Fence, Generation: c.Generation, ClockMS: c.ClockMS, DeadlineMS: c.DeadlineMS,
 	}
 	if c.Op == opHold {
--- a/internal/owner/roster.go
+++ b/internal/owner/roster.go
@@ -83,7 +83,7 @@
 		return
 	}
 	for _, e := range r.Workers {
-		s.UpsertWorker(now, cluster.Worker{ID: e.ID, Born: e.Born, Address: e.Address, Service: o.cfg.Shard.Service})
+		s.UpsertWorker(now, cluster.Worker{ID: e.ID, Started: e.Started, Address: e.Address, Service: o.cfg.Shard.Service})
 		s.WorkerUnlisted(now, e.ID)
 	}
 }
--- a/internal/scheduler/life.go
+++ b/internal/scheduler/life.go
@@ -49,11 +49,11 @@
 // relate returns how a life of the worker with that start is to the present one: one that
 // an entry names, or, if it answers, one that was asked later than any that has answered.
 // It is the one place that decides this.
-func (w *worker) relate(born int64, answers bool) relation {
+func (w *worker) relate(started int64, answers bool) relation {
 	switch {
-	case born == w.born:
+	case started == w.started:
 		return sameLife
-	case !answers && slices.Contains(w.lives.over, born):
+	case !answers && slices.Contains(w.lives.over, started):
 		return olderLife
 	case !w.answered:
 		// Nothing of it is known but what an entry or the last owner said.
@@ -78,7 +78,7 @@
 	l.generation++
 	l.goneAt = time.Time{}
 	w := &worker{
-		info: info, born: info.Born, since: now, lives: l, generation: l.generation,
+		info: info, started: info.Started, since: now, lives: l, generation: l.generation,
 		runs: make(map[runKey]*run), foreign: make(map[runKey]bool),
 		reserved: make(map[*step]reservation), clock: info.ClockMS, clockAt: now,
 	}
@@ -90,13 +90,13 @@
 // replaceLife notes that a worker has answered as another life than the one known, which is
 // over. The new one has nothing of it but the numbers of holds, by which answers to the old
 // one are passed over.
-func (s *Shard) replaceLife(now time.Time, old *worker, born int64) {
-	old.lives.over = append(slices.DeleteFunc(old.lives.over, func(o int64) bool { return o == born }), old.born)
+func (s *Shard) replaceLife(now time.Time, old *worker, started int64) {
+	old.lives.over = append(slices.DeleteFunc(old.lives.over, func(o int64) bool { return o == started }), old.started)
 	old.lives.over = old.lives.over[max(0, len(old.lives.over)-livesKept):]
-	s.log.Warn("worker has started again", events.WorkerRestarted, zap.Stringer("life", cluster.Life{ID: old.info.ID, Born: born}),
+	s.log.Warn("worker has started again", events.WorkerRestarted, zap.Stringer("life", cluster.Life{ID: old.info.ID, Started: started}),
 		zap.Stringer("replaced", old.info.Life()), zap.Duration("known_for", now.Sub(old.since)), zap.Int("runs", len(old.runs)))
-	info := cluster.Worker{ID: old.info.ID, Born: born, Address: old.address(), Service: old.info.Service}
-	known := old.next != nil && old.next.Born == born
+	info := cluster.Worker{ID: old.info.ID, Started: started, Address: old.address(), Service: old.info.Service}
+	known := old.next != nil && old.next.Started == started
 	if known {
 		info = *old.next
 	}
@@ -110,7 +110,7 @@
 // took those of which nothing was heard since they were ordered isn't known: another life of
 // the ID may, as long as it has not answered an order of its own generation.
 func (s *Shard) endLife(now time.Time, w *worker, cause string) {
-	if w.born != 0 {
+	if w.started != 0 {
 		for _, r := range sortedRuns(w.runs) {
 			if !r.taken {
 				delete(w.runs, r.key())
--- a/internal/scheduler/life_test.go
+++ b/internal/scheduler/life_test.go
@@ -14,7 +14,7 @@
 // upsert makes a life known.
 func (r *rig) upsert(life cluster.Life) {
 	r.s.UpsertWorker(r.now, cluster.Worker{
-		ID: life.ID, Born: life.Born, Address: life.ID, Service: "svc", Rack: "r1-0", Labels: []string{"a"},
+		ID: life.ID, Started: life.Started, Address: life.ID, Service: "svc", Rack: "r1-0", Labels: []string{"a"},
 		Capacity: resource.Amount{CPUMilli: 4000, MemoryMB: 8000}, ClockMS: r.now.UnixMilli(),
 	})
 }
@@ -25,7 +25,7 @@
 func TestGenerationsNeverFall(t *testing.T) {
 	const others = 400
 	r := newRig(t, 0)
-	life := cluster.Life{ID: "w", Born: firstBorn}
+	life := cluster.Life{ID: "w", Started: firstBorn}
 	var last int64
 	for range 3 {
 		r.upsert(life)
@@ -50,34 +50,34 @@
 	r := newRig(t, 0)
 	r.workers["w"] = &fake{}
 	r.takeOver()
-	life := cluster.Life{ID: "w", Born: firstBorn}
+	life := cluster.Life{ID: "w", Started: firstBorn}
 	r.upsert(life)
-	report := func(born int64, running []cluster.RunStatus, ended []cluster.RunEnd) (lastSeen int64) {
+	report := func(started int64, running []cluster.RunStatus, ended []cluster.RunEnd) (lastSeen int64) {
 		t.Helper()
 		seq, _, lastSeen, ok := r.s.HoldSent(r.now, "w")
 		if !ok {
 			t.Fatal("the worker is not known")
 		}
-		r.s.Observe(r.now, "w", seq, cluster.Report{Born: born, ClockMS: 1, Running: running, Ended: ended})
+		r.s.Observe(r.now, "w", seq, cluster.Report{Started: started, ClockMS: 1, Running: running, Ended: ended})
 		return lastSeen
 	}
-	report(life.Born, nil, nil)
+	report(life.Started, nil, nil)
 	r.s.AddJob(r.now, batch("a", tasks(1, 4000)), nil, false)
 	r.round()
 	task := cluster.TaskID{Job: "a"}
 	first := r.workers["w"].running[0].Run
-	report(life.Born, nil, []cluster.RunEnd{{N: 57, Task: task, Run: first, Outcome: cluster.OutcomeDone}})
+	report(life.Started, nil, []cluster.RunEnd{{N: 57, Task: task, Run: first, Outcome: cluster.OutcomeDone}})
 	if r.stored("a") != cluster.StateSucceeded {
 		t.Fatal("the first job has not succeeded")
 	}
-	if seen := report(life.Born, nil, nil); seen != 57 {
+	if seen := report(life.Started, nil, nil); seen != 57 {
 		t.Fatalf("confirmed up to %d, want 57", seen)
 	}
-	r.s.UpsertWorker(r.now, cluster.Worker{ID: "w", Born: life.Born, Address: "w", Service: "svc", Labels: []string{"a"}, Draining: true, Capacity: resource.Amount{CPUMilli: 4000, MemoryMB: 8000}})
-	next := cluster.Life{ID: "w", Born: life.Born - 2000}
+	r.s.UpsertWorker(r.now, cluster.Worker{ID: "w", Started: life.Started, Address: "w", Service: "svc", Labels: []string{"a"}, Draining: true, Capacity: resource.Amount{CPUMilli: 4000, MemoryMB: 8000}})
+	next := cluster.Life{ID: "w", Started: life.Started - 2000}
 	*r.workers["w"] = fake{}
-	report(next.Born, nil, nil)
-	if seen := report(next.Born, nil, nil); seen != 0 {
+	report(next.Started, nil, nil)
+	if seen := report(next.Started, nil, nil); seen != 0 {
 		t.Errorf("the new life is told of ends up to %d, want none", seen)
 	}
 	r.upsert(next)
@@ -87,7 +87,7 @@
 		t.Fatal("the new life gets no work")
 	}
 	run := r.workers["w"].running[0].Run
-	report(next.Born, nil, []cluster.RunEnd{{N: 1, Task: cluster.TaskID{Job: "b"}, Run: run, Outcome: cluster.OutcomeDone}})
+	report(next.Started, nil, []cluster.RunEnd{{N: 1, Task: cluster.TaskID{Job: "b"}, Run: run, Outcome: cluster.OutcomeDone}})
 	if state := r.stored("b"); state != cluster.StateSucceeded {
 		t.Errorf("the second job is %q after the new life's first end", state)
 	}
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -18,7 +18,7 @@
 // Observe takes a worker's report, the answer to the hold with that number.
 func (s *Shard) Observe(now time.Time, id string, seq int64, report cluster.Report) {
 	w := s.workers[id]
-	if w == nil || seq <= w.lastReport || !s.settleLife(now, w, report.Born) {
+	if w == nil || seq <= w.lastReport || !s.settleLife(now, w, report.Started) {
 		return
 	}
 	w.lastReport = seq
@@ -31,7 +31,7 @@
 	w.answered, w.heard = true, true
 	if first {
 		s.settleInDoubt(now, id)
-		if w.generation > 1 && w.born != 0 {
+		if w.generation > 1 && w.started != 0 {
 			w.inDoubtLease = now.Add(s.p.LeaseMost + leaseMargin)
 		}
 	}
@@ -60,14 +60,14 @@
 // settleLife takes the start that a worker's answer tells, and reports whether the answer is
 // of the life known. One that is of another life is the last that the old one gets: what the
 // new one runs shows once it has taken an order of its own generation.
-func (s *Shard) settleLife(now time.Time, w *worker, born int64) bool {
-	if w.relate(born, true) == newerLife {
-		s.replaceLife(now, w, born)
+func (s *Shard) settleLife(now time.Time, w *worker, started int64) bool {
+	if w.relate(started, true) == newerLife {
+		s.replaceLife(now, w, started)
 		return false
 	}
-	if w.born != born {
+	if w.started != started {
 		// Nothing was known of it but an entry, or what the last owner left.
-		w.born, w.noEntry = born, w.info.Born != born
+		w.started, w.noEntry = started, w.info.Started != started
 	}
 	return true
 }
--- a/internal/scheduler/searchlives_test.go
+++ b/internal/scheduler/searchlives_test.go
@@ -82,8 +82,8 @@
 		case !m.tellAt.IsZero() && !p.now.Before(m.tellAt):
 			m.tellAt = time.Time{}
 			p.tell(id)
-		case m.info.Born == 0:
-			m.info.Born = firstBorn
+		case m.info.Started == 0:
+			m.info.Started = firstBorn
 			p.tell(id)
 		case !p.calm() && m.leaves.IsZero() && p.lives.Float64() < startsAgain:
 			p.beginLife(id)
@@ -98,10 +98,10 @@
 		p.ranUntil(e.Task)
 	}
 	*f = fake{mute: f.mute}
-	m.info.Born += p.lives.Int64N(7_000) - 3_000
+	m.info.Started += p.lives.Int64N(7_000) - 3_000
 	m.over = make(map[cluster.TaskID]int64)
 	m.deadline, m.clockFrom = 0, p.now
-	p.tellStory("%s starts again, born %d", id, m.info.Born)
+	p.tellStory("%s starts again, started %d", id, m.info.Started)
 	if p.lives.IntN(2) == 0 {
 		p.tell(id)
 		return
--- a/internal/scheduler/searchsite_test.go
+++ b/internal/scheduler/searchsite_test.go
@@ -221,14 +221,14 @@
 			p.s.HoldFailed(p.now, id, "silent")
 			continue
 		}
-		if order.Born == m.info.Born {
+		if order.Started == m.info.Started {
 			// Neither reaches another life.
 			m.deadline = max(m.deadline, order.DeadlineMS)
 			f.seen = max(f.seen, seen)
 		}
 		f.ended = slices.DeleteFunc(f.ended, func(e cluster.RunEnd) bool { return e.N <= f.seen })
 		p.s.Observe(p.now, id, seq, cluster.Report{
-			Born: m.info.Born, ClockMS: p.clock(m), Running: slices.Clone(f.running), Ended: slices.Clone(f.ended),
+			Started: m.info.Started, ClockMS: p.clock(m), Running: slices.Clone(f.running), Ended: slices.Clone(f.ended),
 		})
 	}
 }
@@ -278,7 +278,7 @@
 	if p.rejects() {
 		return cluster.ReplyUnknown
 	}
-	if c.Born != m.info.Born {
+	if c.Started != m.info.Started {
 		return cluster.ReplyNewLife
 	}
 	return cluster.ReplyOK
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -15,8 +15,8 @@
 // worker is one life of a worker and what the shard believes to run there.
 type worker struct {
 	info cluster.Worker
-	// born is the start of the life that has answered, or before it has, the one expected.
-	born int64
+	// started is the start of the life that has answered, or before it has, the one expected.
+	started int64
 	// since is when the life became known, lives what is known of all that had its ID, and
 	// generation its number among them.
 	since      time.Time
@@ -117,20 +117,20 @@
 // entryOfLife reports whether an entry is that of the life known. One of another life is
 // kept until the worker has been asked, and one of a life that is over is late.
 func (s *Shard) entryOfLife(now time.Time, w *worker, info cluster.Worker) bool {
-	switch w.relate(info.Born, false) {
+	switch w.relate(info.Started, false) {
 	case olderLife:
 		return false
 	case newerLife:
 		w.setListed(now, true)
-		if w.next == nil || w.next.Born != info.Born {
-			s.log.Info("entry of another life", events.EntryInvalid, zap.Stringer("worker", w.info.Life()), zap.Int64("born", info.Born), zap.Int("runs", len(w.runs)))
+		if w.next == nil || w.next.Started != info.Started {
+			s.log.Info("entry of another life", events.EntryInvalid, zap.Stringer("worker", w.info.Life()), zap.Int64("started", info.Started), zap.Int("runs", len(w.runs)))
 			s.emit(Look{Worker: info.ID})
 		}
 		w.next = &info
 		return false
 	case sameLife:
 	}
-	w.born, w.next, w.noEntry = info.Born, nil, false
+	w.started, w.next, w.noEntry = info.Started, nil, false
 	return true
 }
 
@@ -166,7 +166,7 @@
 
 // orderTo returns the head of an order that leaves the worker's lease as it is.
 func (s *Shard) orderTo(w *worker) cluster.Order {
-	return cluster.Order{Worker: w.info.ID, Born: w.born, Address: w.address(), Fence: s.p.Epoch, Generation: w.generation}
+	return cluster.Order{Worker: w.info.ID, Started: w.started, Address: w.address(), Fence: s.p.Epoch, Generation: w.generation}
 }
 
 // address returns where the worker is called: where the entry of another life says, if the
@@ -198,7 +198,7 @@
 // orderWithin returns the head of an order with a deadline, on the worker's clock.
 func (s *Shard) orderWithin(now time.Time, w *worker, d time.Duration) cluster.Order {
 	o := s.orderTo(w)
-	if w.born != 0 && w.answered {
+	if w.started != 0 && w.answered {
 		o.ClockMS = w.clock + time.Duration(float64(now.Sub(w.clockAt))/ClockSlack).Milliseconds()
 	}
 	o.DeadlineMS = w.clock + now.Sub(w.clockAt).Milliseconds() + d.Milliseconds()
