A last reading: what stood twice, or needn't be there

One way each to start a gang's members from one checkpoint, to ask a shard's owner, to range over a job's steps and to name the shards of a job's parts; a shard that is ordered to start members no longer looks for room twice; holds of workers that don't tell their starts are encoded once, as before lives were told apart; an answer of the advice service is held against the workers that are still asked about, in place of a second set; dead: renewal of tickets in the choice of candidates, which gangs of several shards don't use.

--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -47,6 +48,22 @@
 	}()
 }
 
+// askOwner makes a call of a shard's owner, here or on another node, whose answer there has
+// to begin to arrive within a time.
+func askOwner[Req, Resp any](ctx context.Context, n *Node, shard cluster.ShardID, path string, req Req, within time.Duration,
+	here func(context.Context, Req) (Resp, error),
+) (Resp, error) {
+	if n.local(shard) != nil {
+		return here(ctx, req)
+	}
+	rec, _ := n.owner(shard)
+	if rec.Owner.Name == "" {
+		var none Resp
+		return none, errNotOwner()
+	}
+	return call[Req, Resp](ctx, n.peers, rec.Owner.Address, path, req, within)
+}
+
 // State returns a job's state, from its owner or else from the store.
 func (n *Node) State(ctx context.Context, service, id string) (cluster.State, Answer) {
 	for _, shard := range n.likelyShards(service, id) {
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -31,29 +31,16 @@
 // AskGang asks a shard's owner how a gang stands there.
 func (n otherShards) AskGang(ctx context.Context, shard cluster.ShardID, ask scheduler.GangAsk) (scheduler.GangState, error) {
 	msg := gangMessage[scheduler.GangAsk]{shard, ask}
-	return toShard(ctx, n.Node, pathGang, msg, n.gangAsked)
+	return askOwner(ctx, n.Node, shard, pathGang, msg, askPeer, n.gangAsked)
 }
 
 // StartGang lets a shard's owner start members of a gang.
 func (n otherShards) StartGang(ctx context.Context, shard cluster.ShardID, start scheduler.GangStart) error {
 	msg := gangMessage[scheduler.GangStart]{shard, start}
-	_, err := toShard(ctx, n.Node, pathMembers, msg, n.membersOrdered)
+	_, err := askOwner(ctx, n.Node, shard, pathMembers, msg, askPeer, n.membersOrdered)
 	return err
 }
 
-// toShard hands a message to a shard's owner, here or on another node.
-func toShard[T, Resp any](ctx context.Context, n *Node, path string, msg gangMessage[T], here func(context.Context, gangMessage[T]) (Resp, error)) (Resp, error) {
-	if n.local(msg.Shard) != nil {
-		return here(ctx, msg)
-	}
-	rec, _ := n.owner(msg.Shard)
-	if rec.Owner.Name == "" {
-		var none Resp
-		return none, errNotOwner()
-	}
-	return call[gangMessage[T], Resp](ctx, n.peers, rec.Owner.Address, path, msg, askPeer)
-}
-
 // gangAsked answers for a gang that a shard owned here runs with others.
 func (n *Node) gangAsked(_ context.Context, msg gangMessage[scheduler.GangAsk]) (scheduler.GangState, error) {
 	o := n.local(msg.Shard)
--- a/internal/cell/pins.go
+++ b/internal/cell/pins.go
@@ -115,12 +115,15 @@
 }
 
 // Moved notes the new shards of a job's parts.
-func (n *Node) Moved(parts []cluster.Job) {
+func (n *Node) Moved(parts []cluster.Job) { n.pins.Add(parts[0].ID, shardsOf(parts)) }
+
+// shardsOf returns the shards of a job's parts.
+func shardsOf(parts []cluster.Job) []cluster.ShardID {
 	var shards []cluster.ShardID
 	for _, j := range parts {
 		shards = append(shards, j.ShardID())
 	}
-	n.pins.Add(parts[0].ID, shards)
+	return shards
 }
 
 // likelyShards returns the shards whose owners are asked first about a job.
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -100,8 +100,8 @@
 // accepted hands the parts of an accepted job to their owners. One that isn't
 // reached finds its part in the store.
 func (n *Node) accepted(parts []cluster.Job, version int64, took time.Duration) Answer {
-	n.Moved(parts)
-	shards, _ := n.pins.Get(parts[0].ID)
+	shards := shardsOf(parts)
+	n.pins.Add(parts[0].ID, shards)
 	n.Log.Info("job accepted", events.JobAccepted, zap.String("job", parts[0].ID), zap.String("queue", parts[0].Queue),
 		zap.Stringers("shards", shards), zap.Duration("took", took))
 	for _, j := range parts {
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -44,16 +44,6 @@
 
 // waitingIn asks a shard's owner how many jobs of a queue have not begun.
 func (n *Node) waitingIn(ctx context.Context, shard cluster.ShardID, queue string) (int, error) {
-	if o := n.local(shard); o != nil {
-		if count, ok := o.Waiting(queue); ok {
-			return count, nil
-		}
-		return 0, errNotOwner()
-	}
-	rec, _ := n.owner(shard)
-	if rec.Owner.Name == "" {
-		return 0, errNotOwner()
-	}
-	reply, err := call[waitingQuery, waitingReply](ctx, n.peers, rec.Owner.Address, pathWaiting, waitingQuery{shard, queue}, waitingTimeout)
+	reply, err := askOwner(ctx, n, shard, pathWaiting, waitingQuery{shard, queue}, waitingTimeout, n.waitingAsked)
 	return reply.Waiting, err
 }
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -17,10 +17,9 @@
 // never changes; only their tickets run out.
 type advice struct {
 	answers map[string]answer
-	// asked are the workers that open calls name, late those of them that have started
-	// again since, and calls how many are open.
+	// asked are the workers that open calls name, but for those that have started again
+	// since, and calls how many are open.
 	asked   map[string]bool
-	late    map[string]bool
 	calls   int
 	retryAt time.Time
 }
@@ -66,14 +65,6 @@
 // needsTicket reports whether starts of the step must bring a ticket.
 func (st *step) needsTicket() bool { return st.job.spec.Policy.Advice != nil }
 
-// renewBefore returns how long before their end the step's tickets are renewed.
-func (st *step) renewBefore() time.Duration {
-	if st.job.isJoint() {
-		return gangRenew
-	}
-	return 0
-}
-
 // ticket returns the valid ticket for a worker, if any.
 func (st *step) ticket(now time.Time, worker string) (string, bool) {
 	ans := st.advice.answers[worker]
@@ -167,7 +158,7 @@
 	var list []candidate
 	for _, w := range s.order {
 		ans, known := st.advice.answers[w.info.ID]
-		if st.advice.asked[w.info.ID] || (known && !ans.good) || (ans.good && now.Before(ans.expires.Add(-st.renewBefore()))) || !s.couldHold(now, w, st) {
+		if st.advice.asked[w.info.ID] || (known && !ans.good) || (ans.good && now.Before(ans.expires)) || !s.couldHold(now, w, st) {
 			continue
 		}
 		fits := countFits(w, now, st)
@@ -223,12 +214,7 @@
 	}
 	st := j.reps[id.Repeat].steps[id.Step]
 	st.advice.calls--
-	late := make(map[string]bool)
-	for _, w := range asked {
-		late[w] = st.advice.late[w]
-		delete(st.advice.asked, w)
-		delete(st.advice.late, w)
-	}
+	asked, tickets = st.advice.present(asked, tickets)
 	if err != nil {
 		st.advice.retryAt = now.Add(adviceRetry)
 		s.log.Info("advice not given", events.AdviceFailed, zap.String("job", id.Job), zap.Int("step", id.Step), zap.Error(err))
@@ -242,9 +228,6 @@
 	}
 	fresh := 0
 	for _, w := range asked {
-		if late[w] {
-			continue
-		}
 		if _, known := st.advice.answers[w]; !known {
 			fresh++
 			st.advice.answers[w] = answer{}
@@ -252,9 +235,6 @@
 	}
 	good := 0
 	for _, t := range tickets {
-		if late[t.Worker] {
-			continue
-		}
 		if !st.advice.answers[t.Worker].good {
 			good++
 		}
@@ -267,6 +247,18 @@
 		zap.Int("asked", len(asked)), zap.Int("good", len(tickets)))
 }
 
+// present returns what an answer says of workers that have not started again since they were
+// asked about, and notes that its call is no longer open.
+func (a *advice) present(asked []string, tickets []cluster.Ticket) ([]string, []cluster.Ticket) {
+	gone := func(id string) bool { return !a.asked[id] }
+	asked = slices.DeleteFunc(slices.Clone(asked), gone)
+	tickets = slices.DeleteFunc(slices.Clone(tickets), func(t cluster.Ticket) bool { return gone(t.Worker) })
+	for _, id := range asked {
+		delete(a.asked, id)
+	}
+	return asked, tickets
+}
+
 // learnGoodShare takes the share of one answer into the queue's running mean.
 func (s *Shard) learnGoodShare(queue string, share float64) {
 	if old := s.goodShare[queue]; old > 0 {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"iter"
 	"slices"
 	"sort"
 	"time"
@@ -232,6 +233,19 @@
 	return steps[id.Step].tasks[id.Index]
 }
 
+// steps ranges over the steps of all repeats of a job.
+func (j *job) steps() iter.Seq[*step] {
+	return func(yield func(*step) bool) {
+		for _, rep := range j.reps {
+			for _, st := range rep.steps {
+				if !yield(st) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // ready reports whether the step's tasks may start at now.
 func (st *step) ready(now time.Time) bool {
 	if now.Before(st.rep.due) {
@@ -263,12 +277,10 @@
 	j.state, j.finishedAt = state, now
 	s.touch(j)
 	s.active = slices.DeleteFunc(s.active, func(o *job) bool { return o == j })
-	for _, rep := range j.reps {
-		for _, st := range rep.steps {
-			for _, t := range st.tasks {
-				for _, r := range t.runs {
-					s.stop(now, r, "job "+string(state))
-				}
+	for st := range j.steps() {
+		for _, t := range st.tasks {
+			for _, r := range t.runs {
+				s.stop(now, r, "job "+string(state))
 			}
 		}
 	}
--- a/internal/scheduler/joint.go
+++ b/internal/scheduler/joint.go
@@ -159,29 +159,33 @@
 
 // gangState returns how a gang stands here, and keeps room for it if that is asked for.
 func (s *Shard) gangState(now time.Time, st *step) GangState {
-	g := GangState{Epoch: s.p.Epoch, Settled: !st.job.inherited || s.takeover.complete, Run: st.gangRun, Failed: st.tasks[0].failed}
-	held := false
+	g := s.gangRuns(st)
+	if g.Busy || g.Done {
+		return g
+	}
+	s.keepForGang(now, st, &g)
+	if len(st.startable(now)) == len(st.tasks) {
+		g.Ready = min(s.roomNow(now, st), len(st.tasks))
+	}
+	return g
+}
+
+// gangRuns returns what of a gang may run here, and what has ended.
+func (s *Shard) gangRuns(st *step) GangState {
+	g := GangState{
+		Epoch: s.p.Epoch, Settled: !st.job.inherited || s.takeover.complete, Run: st.gangRun,
+		Failed: st.tasks[0].failed, Checkpoint: st.checkpoint(),
+	}
 	for _, t := range st.tasks {
 		g.Done = g.Done || t.done
 		g.Settled = g.Settled && !t.uncertain
 		g.Busy = g.Busy || len(t.runs) > 0
-		held = held || now.Before(t.notBefore)
-		if t.checkpoint != "" {
-			g.Checkpoint = t.checkpoint
-		}
 		for _, r := range t.runs {
 			if r.n == st.gangRun && !r.stopping {
 				g.Running++
 			}
 		}
 	}
-	if g.Busy || g.Done {
-		return g
-	}
-	s.keepForGang(now, st, &g)
-	if !held {
-		g.Ready = min(s.roomNow(now, st), len(st.tasks))
-	}
 	return g
 }
 
@@ -217,11 +221,9 @@
 		if !j.isJoint() {
 			continue
 		}
-		for _, rep := range j.reps {
-			for _, st := range rep.steps {
-				if st.joint.members > 0 && st.isHeard(now) && (first == nil || compareGangs(st, first) < 0) {
-					first = st
-				}
+		for st := range j.steps() {
+			if st.joint.members > 0 && st.isHeard(now) && (first == nil || compareGangs(st, first) < 0) {
+				first = st
 			}
 		}
 	}
@@ -235,17 +237,14 @@
 		cmp.Compare(x.ID, y.ID), cmp.Compare(a.id.Repeat, b.id.Repeat), cmp.Compare(a.id.Step, b.id.Step))
 }
 
-// startMembers starts some members of a gang here, or none if there is no room for all of them.
-func (s *Shard) startMembers(now time.Time, st *step, from, to int, run int64, checkpoint string) bool {
-	places := s.fillMembers(now, st, to-from)
+// startSome starts some members of a gang here, or none if there is no room for all of them.
+func (s *Shard) startSome(now time.Time, st *step, from, to int, run int64, checkpoint string) bool {
+	places := s.fill(now, st, to-from, anyWorker)
 	if places == nil {
 		return false
 	}
 	st.gangRun = run
-	for i, t := range st.tasks[from:to] {
-		t.checkpoint = cmp.Or(checkpoint, t.checkpoint)
-		s.startRun(now, t, places[i], run)
-	}
+	s.startMembers(now, st.tasks[from:to], places, run, checkpoint)
 	s.release(st)
 	return true
 }
@@ -257,10 +256,10 @@
 		g.From < 0 || g.To > len(st.tasks) || g.From >= g.To {
 		return false
 	}
-	if state := s.gangState(now, st); state.Busy || state.Done || !state.Settled {
+	if g := s.gangRuns(st); g.Busy || g.Done || !g.Settled {
 		return false
 	}
-	return s.startMembers(now, st, g.From, g.To, g.Run, g.Checkpoint)
+	return s.startSome(now, st, g.From, g.To, g.Run, g.Checkpoint)
 }
 
 // waitJoint asks for advice on this shard's workers for a gang that its lead asks about:
@@ -270,10 +269,9 @@
 	if !st.isHeard(now) || !st.needsTicket() {
 		return
 	}
-	if able, _ := s.goodRoom(now, st); able < int(gangChoice*float64(len(st.tasks))) {
-		if s.askOthers(now, st, len(st.tasks)) {
-			return
-		}
+	able, _ := s.goodRoom(now, st)
+	if able < int(gangChoice*float64(len(st.tasks))) && s.askOthers(now, st, len(st.tasks)) {
+		return
 	}
 	s.renewTickets(now, st)
 }
--- a/internal/scheduler/jointlead.go
+++ b/internal/scheduler/jointlead.go
@@ -21,11 +21,9 @@
 		if !j.isJoint() || j.isGuest() || j.moving {
 			continue
 		}
-		for _, rep := range j.reps {
-			for _, st := range rep.steps {
-				if st.spec.Gang && st.done < len(st.tasks) && st.ready(now) {
-					rounds = append(rounds, s.gangRound(now, st))
-				}
+		for st := range j.steps() {
+			if st.spec.Gang && st.done < len(st.tasks) && st.ready(now) {
+				rounds = append(rounds, s.gangRound(now, st))
 			}
 		}
 	}
@@ -202,7 +200,7 @@
 		}
 		next = to
 	}
-	if !s.startMembers(now, st, own, ownTo, run, checkpoint) {
+	if !s.startSome(now, st, own, ownTo, run, checkpoint) {
 		return nil
 	}
 	st.waitingSince = time.Time{}
--- a/internal/scheduler/life.go
+++ b/internal/scheduler/life.go
@@ -120,10 +120,8 @@
 	}
 	s.loseRuns(now, w, cause)
 	for _, j := range s.active {
-		for _, rep := range j.reps {
-			for _, st := range rep.steps {
-				st.forgetLife(w.info.ID)
-			}
+		for st := range j.steps() {
+			st.forgetLife(w.info.ID)
 		}
 	}
 }
@@ -132,12 +130,7 @@
 func (st *step) forgetLife(id string) {
 	delete(st.advice.answers, id)
 	delete(st.failedOn, id)
-	if st.advice.asked[id] {
-		if st.advice.late == nil {
-			st.advice.late = make(map[string]bool)
-		}
-		st.advice.late[id] = true
-	}
+	delete(st.advice.asked, id)
 }
 
 // inDoubtMost is how long an order may be on its way, or be carried out late, where nothing
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -47,11 +47,9 @@
 // waitedFor returns the room that the job's tasks wait for.
 func (j *job) waitedFor(now time.Time) resource.Amount {
 	var sum resource.Amount
-	for _, rep := range j.reps {
-		for _, st := range rep.steps {
-			if st.done < len(st.tasks) && st.ready(now) {
-				sum = sum.Add(st.spec.Room().Times(st.waitingHere()))
-			}
+	for st := range j.steps() {
+		if st.done < len(st.tasks) && st.ready(now) {
+			sum = sum.Add(st.spec.Room().Times(st.waitingHere()))
 		}
 	}
 	return sum
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -124,11 +124,9 @@
 	if !j.begun {
 		return false
 	}
-	for _, rep := range j.reps {
-		for _, st := range rep.steps {
-			if slices.ContainsFunc(st.tasks, func(t *task) bool { return len(t.runs) > 0 }) {
-				return true
-			}
+	for st := range j.steps() {
+		if slices.ContainsFunc(st.tasks, func(t *task) bool { return len(t.runs) > 0 }) {
+			return true
 		}
 	}
 	return false
@@ -166,15 +164,16 @@
 // waitsTooLong reports whether a step of the job has waited for room for so long that the
 // job may move.
 func (j *job) waitsTooLong(now time.Time) bool {
-	return slices.ContainsFunc(j.reps, func(rep *repeat) bool {
-		return slices.ContainsFunc(rep.steps, func(st *step) bool {
-			after := moveAfter
-			if st.spec.Gang {
-				after = moveGangAfter
-			}
-			return !st.waitingSince.IsZero() && now.Sub(st.waitingSince) >= after
-		})
-	})
+	for st := range j.steps() {
+		after := moveAfter
+		if st.spec.Gang {
+			after = moveGangAfter
+		}
+		if !st.waitingSince.IsZero() && now.Sub(st.waitingSince) >= after {
+			return true
+		}
+	}
+	return false
 }
 
 // joins reports whether all shards should run the job's gangs together; unfit is a step of
@@ -189,11 +188,13 @@
 // waitsForTightGang reports whether a gang of the job has waited for a while, and its
 // shard holds it only while little else runs there.
 func (s *Shard) waitsForTightGang(now time.Time, j *job) bool {
-	return slices.ContainsFunc(j.reps, func(rep *repeat) bool {
-		return slices.ContainsFunc(rep.steps, func(st *step) bool {
-			return st.spec.Gang && st.waited(now) >= joinAfter && s.roomFor(st, joinUnder*len(st.tasks)) < joinUnder*len(st.tasks)
-		})
-	})
+	for st := range j.steps() {
+		enough := joinUnder * len(st.tasks)
+		if st.spec.Gang && st.waited(now) >= joinAfter && s.roomFor(st, enough) < enough {
+			return true
+		}
+	}
+	return false
 }
 
 // unfit returns a step of the job that is left and can never run here, or nil.
@@ -201,11 +202,9 @@
 	if len(s.order) == 0 {
 		return nil
 	}
-	for _, rep := range j.reps {
-		for _, st := range rep.steps {
-			if st.done < len(st.tasks) && !s.holds(st) {
-				return st
-			}
+	for st := range j.steps() {
+		if st.done < len(st.tasks) && !s.holds(st) {
+			return st
 		}
 	}
 	return nil
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -428,16 +429,22 @@
 		return
 	}
 	st.waitingSince = time.Time{}
-	st.gangRun++
-	checkpoint := ""
+	s.startMembers(now, st.tasks, places, st.gangRun+1, st.checkpoint())
+}
+
+// checkpoint returns one of a gang's members, which is valid for all, or "".
+func (st *step) checkpoint() (checkpoint string) {
 	for _, t := range st.tasks {
-		if t.checkpoint != "" {
-			checkpoint = t.checkpoint
-		}
+		checkpoint = cmp.Or(t.checkpoint, checkpoint)
 	}
-	for i, t := range st.tasks {
+	return checkpoint
+}
+
+// startMembers starts members of a gang, each on its place, as one run from one checkpoint.
+func (s *Shard) startMembers(now time.Time, members []*task, places []*worker, run int64, checkpoint string) {
+	for i, t := range members {
 		t.checkpoint = checkpoint
-		s.startRun(now, t, places[i], st.gangRun)
+		s.startRun(now, t, places[i], run)
 	}
 }
 
@@ -465,11 +472,6 @@
 	return s.fill(now, st, len(st.tasks), func(w *worker) bool { return rack == "" || w.info.Rack == rack })
 }
 
-// fillMembers returns a worker for each of n members of a gang, or nil.
-func (s *Shard) fillMembers(now time.Time, st *step, n int) []*worker {
-	return s.fill(now, st, n, anyWorker)
-}
-
 // fill returns a worker of those allowed for each of n members of a gang, or nil.
 func (s *Shard) fill(now time.Time, st *step, n int, allowed func(*worker) bool) []*worker {
 	extra := make(map[*worker]int)
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -59,11 +59,9 @@
 	s.log.Info("takeover complete", events.TakeoverDone, zap.Int64("epoch", s.p.Epoch), zap.Int("workers", len(s.order)),
 		zap.Bool("machines_listed", s.takeover.listed), zap.Duration("took", now.Sub(s.began)))
 	for _, j := range s.active {
-		for _, rep := range j.reps {
-			for _, st := range rep.steps {
-				for _, t := range st.tasks {
-					t.uncertain = false
-				}
+		for st := range j.steps() {
+			for _, t := range st.tasks {
+				t.uncertain = false
 			}
 		}
 	}
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -91,11 +91,9 @@
 // the workers.
 func (s *Shard) noteWaits(now time.Time) {
 	for _, j := range s.active {
-		for _, rep := range j.reps {
-			for _, st := range rep.steps {
-				if st.spec.LongRunning && !st.waitingSince.IsZero() {
-					s.noteStepWaits(now, st)
-				}
+		for st := range j.steps() {
+			if st.spec.LongRunning && !st.waitingSince.IsZero() {
+				s.noteStepWaits(now, st)
 			}
 		}
 	}
