The second hold of a worker that an owner gets to know is answered at once again

As before lives were told apart: the first one that renews the lease waited up to 0.5 s for an end, so that what was known of runs after a takeover came that much later. Tests of internal/owner and most of matrix/site were run.

--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -52,7 +52,8 @@
 		if !ok {
 			return
 		}
-		if order.DeadlineMS == 0 {
+		knows := order.DeadlineMS != 0
+		if !knows {
 			// What it runs has to be known first.
 			wait = 0
 		}
@@ -65,7 +66,10 @@
 		switch reply {
 		case cluster.ReplyOK:
 			o.do(func(s *scheduler.Shard, now time.Time) { s.Observe(now, id, seq, report) })
-			wait, failures = holdWait, 0
+			wait, failures = 0, 0
+			if knows {
+				wait = holdWait
+			}
 			o.pauseHold(ctx, id)
 			continue
 		case cluster.ReplyFence:
