A ticket holds from when the service can have given it, not from when it came

There: a call for advice went out at 12.2 s or later, "advice given" at 13.325 s, "starting run" at 15.2018 s, and the worker had rejected it at 15.2048 s, for a ticket that holds for 2.5 s. The owner counted from when the answer had come, 2.25 s.

Ruled out: the start's own way (3 ms), which was the other way to come too late.

Change: what a call takes beyond its expected time, and one cheap call of the node before it at the service, counts as the answer's way. TestLateAnswerHoldsNoLonger fails without it (300 ms late counts as given 300 ms late).

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -64,7 +64,10 @@
 	Tickets []cluster.Ticket
 	// ValidFor is for how long the tickets hold; 0: for as long as the queue's policy says.
 	ValidFor time.Duration
-	Err      error
+	// Given is by when the service gave the tickets, which hold from then on, or when the call
+	// failed.
+	Given time.Time
+	Err   error
 }
 
 // NewAdviceQueue returns an empty queue. Its calls go to the nodes that advisers names, in
@@ -184,17 +187,32 @@
 // call makes one call through a node, and hands the answer to the scheduler.
 func (q *AdviceQueue) call(ctx context.Context, adviser Adviser, load *adviserLoad, a scheduler.Advise) {
 	c, cancel := context.WithTimeout(ctx, a.Takes*2+adviceSlack)
+	sent := time.Now()
 	tickets, validFor, err := adviser.Advise(c, a.Step, a.Workers)
 	cancel()
 	if ctx.Err() != nil {
 		return
 	}
+	given := givenBy(sent, a.Takes)
 	q.mu.Lock()
 	load.count(a, -1)
 	if err != nil {
-		load.avoidUntil = time.Now().Add(avoidAdviser)
+		given = time.Now()
+		load.avoidUntil = given.Add(avoidAdviser)
 	}
 	q.mu.Unlock()
-	q.answered(a, Advice{tickets, validFor, err})
+	q.answered(a, Advice{tickets, validFor, given, err})
 	q.Dispatch()
 }
+
+// givenBy returns by when an answer that comes now was given. What a call takes beyond its
+// time at the service, and behind another call there, counts as the answer's way, such as
+// by a node that stands still: its tickets run out meanwhile, and starts that brought them
+// later would be rejected.
+func givenBy(sent time.Time, takes time.Duration) time.Time {
+	now, expected := time.Now(), sent.Add(takes+dearCall)
+	if now.After(expected) {
+		return expected
+	}
+	return now
+}
--- a/internal/owner/advice_test.go
+++ b/internal/owner/advice_test.go
@@ -140,3 +140,38 @@
 	}
 	return n.adviser.Advise(ctx, step, workers)
 }
+
+// stalled is a node that gets the service's answer in time, and hands it on late.
+type stalled struct{ by time.Duration }
+
+func (s stalled) Name() string { return "n0" }
+
+func (s stalled) Advise(context.Context, scheduler.StepID, []string) ([]cluster.Ticket, time.Duration, error) {
+	time.Sleep(cheapTakes + s.by)
+	return nil, time.Second, nil
+}
+
+// TestLateAnswerHoldsNoLonger: the node that calls the advice service for an owner stands
+// still while the answer is there, and hands it on later. The tickets must count as given
+// when the service can have given them. Counted from when the answer came, they had run
+// out before starts brought them, which were rejected: a call went out at 12.2 s or later,
+// "advice given" at 13.3 s, "starting run" at 15.202 s, "start not taken" reply=ticket
+// 3 ms later, for tickets that hold for 2.5 s.
+func TestLateAnswerHoldsNoLonger(t *testing.T) {
+	// most is how far behind the service an answer may count, so that the quarter of a
+	// second that is taken off each ticket covers it and the start's way.
+	const most = 150 * time.Millisecond
+	for _, by := range []time.Duration{0, 50 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			sent := time.Now()
+			answers := make(chan owner.Advice, 1)
+			q := owner.NewAdviceQueue(t.Context(), func() []owner.Adviser { return []owner.Adviser{stalled{by}} },
+				func(_ scheduler.Advise, a owner.Advice) { answers <- a })
+			q.Add(scheduler.Advise{Step: scheduler.StepID{Job: "j"}, Takes: cheapTakes})
+			a := <-answers
+			if late := a.Given.Sub(sent.Add(cheapTakes)); a.Err != nil || late > most || late < min(by, most)/2 {
+				t.Errorf("an answer that is %s late counts as given %s after the service gave it (%v), want at most %s", by, late, a.Err, most)
+			}
+		})
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -188,8 +188,8 @@
 
 // advised hands the answer of the advice service to the scheduler.
 func (o *Owner) advised(call scheduler.Advise, a Advice) {
-	o.do(func(s *scheduler.Shard, now time.Time) {
-		s.Advised(now, call.Step, call.Workers, a.Tickets, a.ValidFor, a.Err)
+	o.do(func(s *scheduler.Shard, _ time.Time) {
+		s.Advised(a.Given, call.Step, call.Workers, a.Tickets, a.ValidFor, a.Err)
 	})
 }
 
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -206,8 +206,8 @@
 	return max(n, 0)
 }
 
-// Advised takes the answer of the advice service, or nil tickets and an error.
-func (s *Shard) Advised(now time.Time, id StepID, asked []string, tickets []cluster.Ticket, validFor time.Duration, err error) {
+// Advised takes the answer that the advice service gave at a time, or nil tickets and an error.
+func (s *Shard) Advised(at time.Time, id StepID, asked []string, tickets []cluster.Ticket, validFor time.Duration, err error) {
 	j := s.jobs[id.Job]
 	if j == nil || id.Repeat >= len(j.reps) {
 		return
@@ -216,7 +216,7 @@
 	st.advice.calls--
 	asked, tickets = st.advice.present(asked, tickets)
 	if err != nil {
-		st.advice.retryAt = now.Add(adviceRetry)
+		st.advice.retryAt = at.Add(adviceRetry)
 		s.log.Info("advice not given", events.AdviceFailed, zap.String("job", id.Job), zap.Int("step", id.Step), zap.Error(err))
 		return
 	}
@@ -238,7 +238,7 @@
 		if !st.advice.answers[t.Worker].good {
 			good++
 		}
-		st.advice.answers[t.Worker] = answer{good: true, ticket: t.Value, expires: now.Add(validFor - ticketMargin)}
+		st.advice.answers[t.Worker] = answer{good: true, ticket: t.Value, expires: at.Add(validFor - ticketMargin)}
 	}
 	if fresh >= minAsked {
 		s.learnGoodShare(j.spec.Queue, float64(good)/float64(fresh))
