--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -31,10 +31,10 @@
 	AnswerNoJob Answer = "no_job"
 )
 
-// tellTries is how often a shard's owner is told something. A call that fails, as on a
-// connection that passes nothing any more, shows that to the connections beside it, so
-// that the next one gets a new connection. Without it the owner would wait for its feed of
-// the store, which may have gone silent in the same moment and is given up after 2 s.
+// tellTries is how often a shard's owner is told something. A call that fails because its
+// connection passes nothing any more has the silent ones beside it closed, so that the next
+// call gets a new one. Otherwise the owner would have to wait for its feed of the store,
+// which may have gone silent in the same moment and is given up after 2 s.
 const tellTries = 2
 
 // toOwner tells a shard's owner something that it also finds in the store.
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -42,9 +42,8 @@
 	// firstGoodShare is assumed of a queue until its first answers are in;
 	// sites have from 0.35 to 0.7.
 	firstGoodShare = 0.4
-	// callsLasting is how many calls a step of tasks that last may have open: workers that
-	// come into use one after the other were each asked about once the call before had
-	// ended, and one task was away for 7.7 s beside room.
+	// callsLasting is how many calls a step of tasks that last may have open, so that workers
+	// which come into use one after the other need not wait for the answer about the first.
 	callsLasting = 3
 	// adviceRetry is the pause after a call that failed.
 	adviceRetry = 60 * time.Millisecond
