scheduler: log how old a lost run was, and whether it was accepted

Callers' tasks were started again after each crash of a worker. The log did not tell whether a lost run had just started or was old, nor whether a second run of its task was under way, so that a task that crashes its workers could not be told from one that only ran beside it, or from a start that arrived late.

--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -271,7 +271,8 @@
 func (s *Shard) loseRun(now time.Time, r *run, cause string) {
 	s.counts.Lost++
 	s.log.Warn("run lost", events.RunLost, zap.Stringer("task", r.task.id), zap.Int64("run", r.number),
-		zap.String("worker", r.worker.info.ID), zap.String("cause", cause), zap.Int("percent", r.percent))
+		zap.String("worker", r.worker.info.ID), zap.String("cause", cause), zap.Int("percent", r.percent),
+		zap.Duration("age", now.Sub(r.startedAt)), zap.Bool("accepted", r.accepted), zap.Int("runs_of_task", len(r.task.runs)))
 	s.dropRun(r)
 	s.stopOtherMembers(now, r, cause)
 }
