standin/site, matrix: tasks that crash their workers

A task that crashes each worker that starts it is started without end.

The stand-in's workers can be crashed by their tasks (crashes_after=MS in a Spec), and the check of what workers saw counts starts after the third crash.

--- a/matrix/site/env_test.go
+++ b/matrix/site/env_test.go
@@ -77,6 +77,10 @@
 	stalls []stall
 	// longRunning is the job of the load whose tasks run until the end of the test.
 	longRunning string
+	// crashing holds the jobs with a task that crashes its workers.
+	crashing map[string]bool
+	// closed is set once the environment is being closed: no worker restarts any more.
+	closed bool
 }
 
 type runningNode struct {
@@ -126,11 +130,11 @@
 	}
 	env := &testEnv{
 		t: t, workersPerShard: workersPerShard, limits: settings.Limits{CPUShare: 0.4, CoreSpeed: 1}, net: network.New(), nodes: make(map[string]*runningNode), log: log,
-		cancelled: make(map[string]time.Time), refused: make(map[string]bool), succeeded: make(map[string]bool),
+		cancelled: make(map[string]time.Time), refused: make(map[string]bool), succeeded: make(map[string]bool), crashing: make(map[string]bool),
 	}
 	env.site = site.New(site.Config{
 		Service: service, Serve: env.serve, StoreAddress: storeHost + ":1", AdviceAddress: "advice:1", MachinesAddress: "machines:1",
-		WorkerAddress: func(n int) string { return fmt.Sprintf("w%d:1", n) },
+		WorkerAddress: func(n int) string { return fmt.Sprintf("w%d:1", n) }, CrashedByTask: env.restartCrashed,
 	})
 	env.client = &http.Client{Transport: &http.Transport{DialContext: env.net.Dial(callerHost)}}
 	configure(env)
@@ -372,6 +376,9 @@
 
 // close ends all nodes and workers, so that the synctest bubble can end.
 func (env *testEnv) close() {
+	env.mu.Lock()
+	env.closed = true
+	env.mu.Unlock()
 	env.killAll()
 	env.client.CloseIdleConnections()
 	env.site.Close()
--- a/standin/site/orders.go
+++ b/standin/site/orders.go
@@ -118,6 +118,9 @@
 	}
 	w.running[req.Task] = t
 	w.site.record(w, req.Task, req.Run, EventStart, req.Fence)
+	if t.crashesWorker() {
+		time.AfterFunc(t.spec.crashesAfter, func() { w.crashUnder(t) })
+	}
 	if w.usedCPU() > w.cfg.CPUMilli {
 		w.site.record(w, req.Task, req.Run, EventOverload, req.Fence)
 	}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -43,6 +43,9 @@
 	RejectOneIn int
 	// WorkerAddress returns the address of the n-th worker.
 	WorkerAddress func(n int) string
+	// CrashedByTask is called after a task has crashed its worker, for example to restart it;
+	// nil: it stays down.
+	CrashedByTask func(w *Worker)
 }
 
 // Site is a stand-in platform.
@@ -77,15 +80,16 @@
 
 // The kinds of event. EventSuccess is the end of a run that succeeded, EventGangTimeout the
 // end of a gang member that waited in vain for the others, and EventEnd any other end.
-// EventSuccessConfirmed says that the owner has confirmed a success. The last three are a
-// start beyond the worker's capacity, one with an invalid ticket, and one on a worker that
-// is draining.
+// EventSuccessConfirmed says that the owner has confirmed a success, and EventCrash that the
+// run has crashed its worker. The last three are a start beyond the worker's capacity, one with
+// an invalid ticket, and one on a worker that is draining.
 const (
 	EventStart              = "start"
 	EventEnd                = "end"
 	EventSuccess            = "done"
 	EventGangTimeout        = "alone"
 	EventSuccessConfirmed   = "confirmed"
+	EventCrash              = "crash"
 	EventOverload           = "overload"
 	EventInvalidTicket      = "no_ticket"
 	EventStartWhileDraining = "start_while_draining"
--- a/standin/site/task.go
+++ b/standin/site/task.go
@@ -46,11 +46,16 @@
 	meanTimeToFailure time.Duration
 	cpu               int64
 	gang              gangSpec
+	// crashes is set if tasks crash their workers, crashesAfter the time from the start of a
+	// run to the crash, and crashingIndex the only task of each step that does; -1: all do.
+	crashes       bool
+	crashesAfter  time.Duration
+	crashingIndex int
 }
 
 // parseSpec parses a job's Spec. A task takes a second unless the Spec says otherwise.
 func parseSpec(s string) taskSpec {
-	spec := taskSpec{duration: time.Second}
+	spec := taskSpec{duration: time.Second, crashingIndex: -1}
 	for i, f := range strings.Fields(s) {
 		ms, err := strconv.Atoi(f)
 		switch {
@@ -72,6 +77,16 @@
 			if err == nil {
 				spec.meanTimeToFailure = time.Duration(n) * time.Millisecond
 			}
+		case strings.HasPrefix(f, "crashes_after="):
+			n, err := strconv.Atoi(f[len("crashes_after="):])
+			if err == nil {
+				spec.crashes, spec.crashesAfter = true, time.Duration(n)*time.Millisecond
+			}
+		case strings.HasPrefix(f, "crashing="):
+			n, err := strconv.Atoi(f[len("crashing="):])
+			if err == nil {
+				spec.crashingIndex = n
+			}
 		}
 	}
 	return spec
@@ -93,6 +108,12 @@
 	return time.Duration(rng.ExpFloat64() * float64(t.spec.meanTimeToFailure))
 }
 
+// crashesWorker reports whether the run crashes its worker.
+func (t *taskRun) crashesWorker() bool {
+	index := t.task[strings.LastIndexByte(t.task, '.')+1:]
+	return t.spec.crashes && (t.spec.crashingIndex < 0 || index == strconv.Itoa(t.spec.crashingIndex))
+}
+
 // percent returns the progress of a run.
 func (w *Worker) percent(t *taskRun) int {
 	if t.spec.longRunning {
--- a/standin/site/violations.go
+++ b/standin/site/violations.go
@@ -16,6 +16,13 @@
 // it is draining and the last start on it.
 const maxStartAfterDrain = 2 * time.Second
 
+// maxCrashes is the number of workers that may crash under a task, and maxStartsAfterCrashes
+// how often it may be started after that.
+const (
+	maxCrashes            = 3
+	maxStartsAfterCrashes = 2
+)
+
 // Expectations are what callers and the directory have been told. The events on the workers
 // are checked against them; a time that is missing isn't checked.
 type Expectations struct {
@@ -44,7 +51,10 @@
 	succeeded      map[string][]int64
 	restartedAfter map[runKey]bool
 	confirmed      map[string]bool
-	violations     []string
+	// crashes is the number of workers that each task has crashed, and startsAfterCrashes the
+	// number of its starts after the last crash that is allowed.
+	crashes, startsAfterCrashes map[string]int
+	violations                  []string
 }
 
 // runKey identifies a run of a task.
@@ -57,7 +67,8 @@
 // describes each violation.
 func (s *Site) Violations(want Expectations) []string {
 	c := &checker{expected: want, running: make(map[string]string), highestFence: make(map[string]int64),
-		succeeded: make(map[string][]int64), restartedAfter: make(map[runKey]bool), confirmed: make(map[string]bool)}
+		succeeded: make(map[string][]int64), restartedAfter: make(map[runKey]bool), confirmed: make(map[string]bool),
+		crashes: make(map[string]int), startsAfterCrashes: make(map[string]int)}
 	for _, e := range s.Events() {
 		c.check(e)
 	}
@@ -79,6 +90,8 @@
 		c.checkStart(e)
 	case EventEnd, EventGangTimeout:
 		delete(c.running, e.Task)
+	case EventCrash:
+		c.crashes[e.Task]++
 	case EventSuccess:
 		delete(c.running, e.Task)
 		c.succeeded[e.Task] = append(c.succeeded[e.Task], e.Run)
@@ -115,6 +128,11 @@
 	if c.confirmed[e.Task] {
 		c.addViolation("%s starts on %s although its success was confirmed", e.Task, e.Worker)
 	}
+	if c.crashes[e.Task] >= maxCrashes {
+		if c.startsAfterCrashes[e.Task]++; c.startsAfterCrashes[e.Task] == maxStartsAfterCrashes+1 {
+			c.addViolation("%s was started %d times after %d workers had crashed under it", e.Task, maxStartsAfterCrashes+1, maxCrashes)
+		}
+	}
 	if c.expected.Refused[job] {
 		c.addViolation("%s starts although its job was refused", e.Task)
 	}
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -25,8 +25,9 @@
 // Worker is one incarnation of a stand-in worker. The Spec of a job says how its tasks
 // behave: "MS" (done after MS milliseconds), "MS failing" (failed after half of that) or "MS
 // lasting" (running until stopped), followed by any of "cpu=N" (the processor capacity that a
-// task takes), "fails_after=MS" (the mean time after which a lasting task fails) and
-// "gang=STEP:MEMBERS".
+// task takes), "fails_after=MS" (the mean time after which a lasting task fails),
+// "gang=STEP:MEMBERS", "crashes_after=MS" (the time after which a task crashes its worker)
+// and "crashing=INDEX" (only the tasks with that index do).
 type Worker struct {
 	ID        string
 	Address   string
@@ -178,6 +179,13 @@
 // Crash ends the incarnation: all its runs end, and its entry is removed from the directory.
 func (w *Worker) Crash() {
 	w.mu.Lock()
+	w.crashLocked()
+	w.mu.Unlock()
+	w.leave()
+}
+
+// crashLocked ends all runs. The caller holds mu.
+func (w *Worker) crashLocked() {
 	w.terminated = true
 	for _, t := range w.running {
 		if t.inGang {
@@ -186,11 +194,30 @@
 		w.site.record(w, t.task, t.run, EventEnd, w.fence)
 	}
 	clear(w.running)
-	w.mu.Unlock()
+}
+
+// leave makes a crashed worker unreachable and removes its entry.
+func (w *Worker) leave() {
 	w.stop()
 	w.site.Store.Remove("servers", w.ID)
 }
 
+// crashUnder crashes the worker if a run that crashes it is still there.
+func (w *Worker) crashUnder(t *taskRun) {
+	w.mu.Lock()
+	if w.terminated || w.running[t.task] != t {
+		w.mu.Unlock()
+		return
+	}
+	w.site.record(w, t.task, t.run, EventCrash, w.fence)
+	w.crashLocked()
+	w.mu.Unlock()
+	w.leave()
+	if w.site.cfg.CrashedByTask != nil {
+		w.site.cfg.CrashedByTask(w)
+	}
+}
+
 // Stop stops the worker at the end of a test, without recording events.
 func (w *Worker) Stop() {
 	w.mu.Lock()
