scheduler: give up tasks that crash the workers on which they start

Seen by callers: two tasks were started again and again, each on another worker, and each of those crashed within 10 ms. Most workers were down within seconds, and over a tenth of all other jobs were not served in time, or lost their runs up to 30 times.

Cause: nothing counted a crash. A run that is lost with its worker put its task back among the waiting ones, and only reported failures count as attempts. In the reproduction all 644 lost runs had been accepted, were the only run of their task, and started within one ownership, which rules out a lost count, a move and a second copy. The class: a limit on repeats that covers only the ends that are reported.

Change: the runs that were young on a crashed worker are recorded with their tasks, in the job's progress, so that takeovers, moves, fallback rows and gangs of several shards carry the record. Such a task is a suspect until a run of it has outlived the crash. After its second crash it starts only isolated, on a worker without other suspects on which nothing else starts meanwhile, and only once the record is persisted. Each isolated crash reduces the chance that the task is not the cause, by the rate of spontaneous crashes; when that is small enough, its job fails, in all of its shards. Workers that drain, were taken away or are partitioned don't count, and during a burst of spontaneous crashes none does. At most a quarter of the workers, or two, have isolated runs at a time.

--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -35,6 +35,8 @@
 	gauge("switchbank_runs_preempted", func(c scheduler.Counts) int64 { return c.Preempted })
 	gauge("switchbank_runs_copied", func(c scheduler.Counts) int64 { return c.Copies })
 	gauge("switchbank_advice_calls", func(c scheduler.Counts) int64 { return c.AdviceCalls })
+	gauge("switchbank_runs_crashed", func(c scheduler.Counts) int64 { return c.CrashedRuns })
+	gauge("switchbank_jobs_crashing", func(c scheduler.Counts) int64 { return c.CrashingJobs })
 	n.metrics.NewGauge("switchbank_workers_aside", n.quarantinedWorkers)
 	gauge("switchbank_workers_set_aside", func(c scheduler.Counts) int64 { return c.Quarantines })
 }
@@ -56,6 +58,8 @@
 		sum.Copies += c.Copies
 		sum.AdviceCalls += c.AdviceCalls
 		sum.Quarantines += c.Quarantines
+		sum.CrashedRuns += c.CrashedRuns
+		sum.CrashingJobs += c.CrashingJobs
 	}
 	return sum
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -103,6 +103,8 @@
 	JointGang             = zap.String(Field, "SB1635")
 	GangWaiting           = zap.String(Field, "SB1636")
 	WorkerRestarted       = zap.String(Field, "SB1637")
+	WorkerCrashed         = zap.String(Field, "SB1638")
+	TaskCrashesWorkers    = zap.String(Field, "SB1639")
 )
 
 // The events of nodes on a platform.
--- a/internal/owner/applyloaded.go
+++ b/internal/owner/applyloaded.go
@@ -33,12 +33,12 @@
 // applyLoadedJobs passes jobs and cancels to the scheduler, with their progress, and returns
 // the number of jobs. The caller holds mu.
 func (o *Owner) applyLoadedJobs(now time.Time, rows []tables.Row, progress map[string]tables.Row) int {
-	var cancels []string
+	var ends []tables.Row
 	hasRow, n := make(map[string]bool, len(rows)), 0
 	for _, r := range rows {
 		hasRow[r.Key] = true
-		if id, ok := parseCancelKey(r.Key); ok {
-			cancels = append(cancels, id)
+		if _, ok := parseCancelKey(r.Key); ok {
+			ends = append(ends, r)
 			continue
 		}
 		if o.applyLoadedJob(now, r, progress) {
@@ -50,8 +50,9 @@
 			o.applyOrphanedProgress(now, r)
 		}
 	}
-	for _, id := range cancels {
-		o.shard.CancelJob(now, id)
+	for _, r := range ends {
+		id, _ := parseCancelKey(r.Key)
+		o.shard.EndJob(now, id, endState(r))
 	}
 	return n
 }
--- a/internal/owner/feed.go
+++ b/internal/owner/feed.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		if cancel {
-			s.CancelJob(now, id)
+			s.EndJob(now, id, endState(r))
 			continue
 		}
 		if s.HasJob(r.Key) || r.Part != JobPart(o.cfg.Shard.Service, r.Key) {
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -81,9 +81,10 @@
 			o.EndOwnership("worker " + id + " has seen a higher epoch")
 			return
 		case cluster.ReplyOtherIncarnation:
-			o.updateShard(func(s *scheduler.Shard, now time.Time) { s.WorkerEnded(now, id, "another incarnation has its address") })
+			o.updateShard(func(s *scheduler.Shard, now time.Time) { s.WorkerEnded(now, id, scheduler.EvidenceOtherIncarnation) })
 			return
 		}
+		o.updateShard(func(s *scheduler.Shard, now time.Time) { s.ContactLost(now, id) })
 		notify(o.wakeMachineList)
 		wait = 0
 		failures++
--- a/internal/owner/machines.go
+++ b/internal/owner/machines.go
@@ -118,7 +118,7 @@
 }
 
 // endEvidence returns the evidence that a worker has ended, or "".
-func (w *machineWatcher) endEvidence(s *scheduler.Shard, id string, machines map[string]cluster.Machine, running map[string]bool) string {
+func (w *machineWatcher) endEvidence(s *scheduler.Shard, id string, machines map[string]cluster.Machine, running map[string]bool) scheduler.EndEvidence {
 	if running[id] {
 		delete(w.missingCount, id)
 		return ""
@@ -126,15 +126,18 @@
 	machine, seen := w.lastMachine[id]
 	if m, listed := machines[machine]; seen && listed {
 		if m.Up {
-			return "its machine is up without it"
+			return scheduler.EvidenceMachineUp
 		}
-		return "its machine is down"
+		return scheduler.EvidenceMachineDown
 	}
 	// A machine that was removed for good is not listed at all, and neither is a worker that
 	// ended before this owner's first listing.
 	w.missingCount[id]++
-	if w.missingCount[id] >= minMissingLists && s.WorkerSilent(id) {
-		return "no machine is listed with it"
+	switch {
+	case w.missingCount[id] < minMissingLists || !s.WorkerSilent(id):
+		return ""
+	case !seen:
+		return scheduler.EvidenceNeverListed
 	}
-	return ""
+	return scheduler.EvidenceNoMachine
 }
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -55,6 +55,8 @@
 			func(s *scheduler.Shard, now time.Time, r cluster.Reply) {
 				s.StartReplied(now, c.Worker, c.Task, c.Run, r)
 			})
+	case scheduler.FailJob:
+		o.group.Go(func() error { o.failJob(ctx, c.Job); return nil })
 	case scheduler.Stop:
 		go o.sendOrder(ctx, c.Order, func(ctx context.Context) cluster.Reply { return o.Workers.Stop(ctx, c.Order, c.Task, c.Run) },
 			func(s *scheduler.Shard, now time.Time, r cluster.Reply) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -44,6 +44,8 @@
 	KindLoad Kind = "load"
 	// KindRefused: a request of another shard's owner can't be carried out.
 	KindRefused Kind = "refused"
+	// KindConflict: a row has changed since it was read.
+	KindConflict Kind = "conflict"
 )
 
 // Error is the error type of this package.
@@ -226,7 +228,7 @@
 
 // CancelJob applies a cancel that has been persisted.
 func (o *Owner) CancelJob(id string) {
-	o.updateShard(func(s *scheduler.Shard, now time.Time) { s.CancelJob(now, id) })
+	o.updateShard(func(s *scheduler.Shard, now time.Time) { s.EndJob(now, id, cluster.StateCancelled) })
 }
 
 // JobState returns a job's state; ok is false if this owner doesn't know the job.
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -143,14 +143,40 @@
 // CancelJobTxn returns the transaction that records a job's cancel, on condition of the job's
 // pin: if the job moves to another shard meanwhile, the caller has to read the pin again.
 func CancelJobTxn(shards []cluster.ShardID, pin tables.Row) tables.Txn {
+	return endJobTxn(shards, pin, jobEnd{})
+}
+
+// endJobTxn returns the transaction that ends a job in all of its shards, on condition of its
+// pin.
+func endJobTxn(shards []cluster.ShardID, pin tables.Row, end jobEnd) tables.Txn {
+	value, err := json.Marshal(end)
+	if err != nil {
+		panic("owner: the end of a job holds only a text: " + err.Error())
+	}
 	txn := tables.Txn{If: []tables.Row{pin}}
 	for _, shard := range shards {
-		row := tables.Row{Table: TableJobs(shard), Part: pin.Part, Key: pin.Key + cancelSuffix, Value: []byte("{}")}
+		row := tables.Row{Table: TableJobs(shard), Part: pin.Part, Key: pin.Key + cancelSuffix, Value: value}
 		txn.Put = append(txn.Put, row)
 	}
 	return txn
 }
 
+// jobEnd is the value of a job's cancel row.
+type jobEnd struct {
+	// State is the state in which the job ends; empty: cancelled.
+	State cluster.State `json:"state,omitempty"`
+}
+
+// endState returns the state in which a cancel row ends its job. An owner may also end a job
+// as failed that several shards run.
+func endState(row tables.Row) cluster.State {
+	var end jobEnd
+	if err := json.Unmarshal(row.Value, &end); err == nil && end.State == cluster.StateFailed {
+		return cluster.StateFailed
+	}
+	return cluster.StateCancelled
+}
+
 // parseCancelKey returns the job ID in a key; ok is true if the key is that of a cancel.
 func parseCancelKey(key string) (id string, ok bool) { return strings.CutSuffix(key, cancelSuffix) }
 
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -158,7 +158,7 @@
 // recordDurable records that the progress of a job is durable up to a change. Once that
 // includes the job's end, its steps and specification are dropped.
 func (s *Shard) recordDurable(now time.Time, j *job, r Record) {
-	j.skippedBatches = 0
+	j.skippedBatches, j.durableChange = 0, max(j.durableChange, r.Change)
 	if r.Change == j.changeCount {
 		delete(s.dirty, r.Job)
 	}
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -102,7 +102,7 @@
 	if known {
 		info = *old.nextEntry
 	}
-	s.endIncarnation(now, old, "worker has restarted")
+	s.endIncarnation(now, old, EvidenceRestarted, "worker has restarted")
 	w := s.newWorker(now, info)
 	w.holdsSent, w.lastReportedHold, w.unlisted, w.unlistedAt = old.holdsSent, old.holdsSent, old.unlisted, old.unlistedAt
 	w.entryMissing = !known
@@ -112,10 +112,14 @@
 // accepted have ended with it. Those without a reply since they were ordered become in
 // doubt: another incarnation may accept them until it has answered an order of its own
 // generation.
-func (s *Shard) endIncarnation(now time.Time, w *worker, cause string) {
+func (s *Shard) endIncarnation(now time.Time, w *worker, evidence EndEvidence, cause string) {
+	if evidence.isCrash() {
+		s.recordCrash(now, w)
+	}
 	if w.started != 0 {
 		for _, r := range sortedRuns(w.runs) {
 			if !r.accepted {
+				s.endIsolation(r)
 				delete(w.runs, r.key())
 				s.inDoubt[w.info.ID] = append(s.inDoubt[w.info.ID], r)
 			}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -34,6 +34,9 @@
 	finishedAt     time.Time
 	version        int64 // of the progress row
 	changeCount    int64 // rises with each change that has to be persisted
+	durableChange  int64 // the last change that is persisted
+	// failing is set while the job is being failed in all of its shards.
+	failing bool
 	// skippedBatches is how many batches in a row have not included the job's changes.
 	skippedBatches int
 	// tasksLeft is how many tasks have not succeeded.
@@ -97,6 +100,11 @@
 	nextWaitLog  time.Duration
 	// restarts is how often the task was stopped because it was slow or stalled.
 	restarts int
+	// crashes are the crashes of workers under the task. crashChange is the job's change that
+	// recorded the last one, and crashedAt when that was.
+	crashes     CrashRecord
+	crashChange int64
+	crashedAt   time.Time
 	// runTime is how long the successful run took, if it started without a checkpoint.
 	runTime time.Duration
 }
@@ -179,6 +187,7 @@
 		zap.Int("tasks", j.tasksLeft), zap.Int("priority", j.rank.Priority), zap.Duration("due_in", j.rank.Due.Sub(now)),
 		zap.Bool("uncertain", uncertain))
 	s.finishIfDone(now, j)
+	s.failIfAnyCauseConfirmed(now, j)
 }
 
 // carriedProgress returns the progress that a job brought from another shard, or nil.
@@ -271,14 +280,15 @@
 	return true
 }
 
-// CancelJob cancels a job: none of its tasks start any more, and its runs are stopped.
-func (s *Shard) CancelJob(now time.Time, id string) {
+// EndJob ends a job as cancelled or failed, as persisted for all of its shards: none of its
+// tasks start any more, and its runs are stopped.
+func (s *Shard) EndJob(now time.Time, id string, state cluster.State) {
 	j := s.jobs[id]
 	if j == nil || j.state.Finished() {
 		return
 	}
-	s.log.Info("job cancelled", events.JobEnded, zap.String("job", id), zap.String("state", string(cluster.StateCancelled)))
-	s.finishJob(now, j, cluster.StateCancelled)
+	s.log.Info("job ended by persisted order", events.JobEnded, zap.String("job", id), zap.String("state", string(state)))
+	s.finishJob(now, j, state)
 }
 
 // finishJob sets a job's final state and stops its remaining runs.
--- a/internal/scheduler/joint.go
+++ b/internal/scheduler/joint.go
@@ -53,6 +53,8 @@
 	Done       bool    `json:"done,omitempty"`
 	Failed     []int64 `json:"failed,omitempty"`
 	Checkpoint string  `json:"checkpoint,omitempty"`
+	// Crashed are the runs under which workers of the shard crashed.
+	Crashed []CrashedRun `json:"crashed,omitempty"`
 	// Ready is how many members could start now, ReadySoon for how many room comes free
 	// in time, and ReadyInMS in what time there is room for those that were asked for.
 	Ready     int   `json:"ready,omitempty"`
@@ -122,6 +124,24 @@
 // isParticipant reports whether another shard leads the job.
 func (j *job) isParticipant() bool { return j.isJoint() && !j.spec.Share.Leads() }
 
+// CrashedRun is a run of a gang's member under which a worker of another shard crashed.
+type CrashedRun struct {
+	Index  int    `json:"i"`
+	Run    int64  `json:"run"`
+	Worker string `json:"worker"`
+	AgeMS  int64  `json:"ms"`
+}
+
+// crashedRuns returns the crashes under the members of a gang that are not cleared.
+func (st *step) crashedRuns() (list []CrashedRun) {
+	for i, t := range st.tasks {
+		for k, run := range t.crashes.Runs {
+			list = append(list, CrashedRun{i, run, t.crashes.Workers[k], t.crashes.LastAgeMS})
+		}
+	}
+	return list
+}
+
 // recentlyQueried reports whether a gang's lead, which may be this owner, has sent a
 // query within gangQueryTTL.
 func (st *step) recentlyQueried(now time.Time) bool {
@@ -184,7 +204,7 @@
 func (s *Shard) gangRunState(st *step) GangState {
 	g := GangState{
 		Epoch: s.params.Epoch, AllKnown: !st.job.inherited || s.takeover.complete, Run: st.lastGangRun,
-		Failed: st.tasks[0].failed, Checkpoint: st.checkpoint(),
+		Failed: st.tasks[0].failed, Checkpoint: st.checkpoint(), Crashed: st.crashedRuns(),
 	}
 	for _, t := range st.tasks {
 		g.Done = g.Done || t.done
--- a/internal/scheduler/jointlead.go
+++ b/internal/scheduler/jointlead.go
@@ -127,7 +127,25 @@
 			}
 		}
 	}
-	return s.failJobIfOutOfAttempts(now, st.tasks[0])
+	for _, g := range all[1:] {
+		s.applyCrashedRuns(now, st, g.Crashed)
+	}
+	return st.job.state.Finished() || s.failJobIfOutOfAttempts(now, st.tasks[0])
+}
+
+// jointCrashChance is the chance that a worker crashes by itself under a certain member of a
+// joint gang, which takes most of the room of all shards and so is isolated as it is.
+const jointCrashChance = 0.005
+
+// applyCrashedRuns records crashes under members of a joint gang that ran in other shards.
+func (s *Shard) applyCrashedRuns(now time.Time, st *step, crashed []CrashedRun) {
+	for _, c := range crashed {
+		if c.Index < 0 || c.Index >= len(st.tasks) {
+			continue
+		}
+		age := time.Duration(c.AgeMS) * time.Millisecond
+		s.addCrash(now, st.tasks[c.Index], crash{run: c.Run, worker: c.Worker, age: age, chance: jointCrashChance})
+	}
 }
 
 // gangTotals is the state of a gang over all shards.
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -23,7 +23,7 @@
 		return
 	}
 	w.lastReportedHold = seq
-	w.clockMS, w.clockAt = report.ClockMS, now
+	w.clockMS, w.clockAt, w.contactLostAt = report.ClockMS, now, time.Time{}
 	if w.silent {
 		w.silent = false
 		s.log.Info("worker answers again", events.WorkerResponsive, zap.String("worker", id), zap.Duration("silent", now.Sub(w.silentSince)))
@@ -100,6 +100,7 @@
 	}
 	r.latencyMS = e.Usage
 	s.creditLongRunning(now, w, r)
+	s.clearSuspect(r)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
@@ -126,6 +127,9 @@
 	if t.step.spec.BestEffortCPU {
 		r.pace = paceUnknown
 	}
+	if t.mustIsolate() {
+		s.isolate(r)
+	}
 	s.log.Info("run adopted", events.RunAdopted, zap.Stringer("task", e.Task), zap.Int64("run", e.Run), zap.String("worker", w.info.ID), zap.Int("percent", e.Percent))
 	switch {
 	case t.done || t.step.job.state.Finished():
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -19,7 +19,7 @@
 	s.round++
 	s.reservingSteps, s.gangReserved = 0, false
 	for _, j := range s.active {
-		if j.moving {
+		if j.moving || j.failing {
 			continue
 		}
 		for _, rep := range j.repeats {
@@ -44,7 +44,7 @@
 func (st *step) startable(now time.Time) []*task {
 	var list []*task
 	for _, t := range st.tasks {
-		if !t.done && len(t.runs) == 0 && !t.uncertain && !now.Before(t.notBefore) {
+		if !t.done && len(t.runs) == 0 && !t.uncertain && !now.Before(t.notBefore) && t.crashesDurable() {
 			list = append(list, t)
 		}
 	}
@@ -72,19 +72,25 @@
 		// starve.
 		slices.SortStableFunc(waiting, func(a, b *task) int { return a.waitingSince.Compare(b.waitingSince) })
 	}
-	placed := 0
+	// Tasks that wait for isolation need tickets, but no room yet.
+	placed, queued := 0, 0
 	for _, t := range waiting {
-		w := s.bestWorkerFor(now, t)
-		if w == nil {
-			if t.avoidWorker != "" {
-				continue
-			}
+		if s.waitsForIsolation(now, t) {
+			queued++
+			continue
+		}
+		w := s.startOnBest(now, t)
+		if w == nil && t.avoidWorker == "" && !t.mustIsolate() {
 			break
 		}
-		s.start(now, t, w)
-		placed++
+		if w != nil {
+			placed++
+		}
 	}
-	s.handleUnplaced(now, st, len(waiting)-placed)
+	if queued > 0 && st.needsTicket() {
+		s.awaitsAdvice(now, st, queued)
+	}
+	s.handleUnplaced(now, st, len(waiting)-placed-queued)
 }
 
 // handleUnplaced asks for advice, reserves room or preempts others for the tasks of a
@@ -230,7 +236,7 @@
 
 // eligible is usable without regard to the worker's health.
 func (s *Shard) eligible(now time.Time, w *worker, st *step) bool {
-	return w.available() && len(w.unknownRuns) == 0 && !st.avoidsWorker(now, w) && !now.Before(w.busyUntil) &&
+	return w.available() && len(w.unknownRuns) == 0 && w.acceptsBeside(st) && !st.avoidsWorker(now, w) && !now.Before(w.busyUntil) &&
 		w.info.Service == st.job.spec.Service &&
 		(st.spec.Label == "" || w.info.HasLabel(st.spec.Label)) &&
 		w.info.Capacity.Fits(st.spec.Allocation())
@@ -346,23 +352,34 @@
 		if !w.info.Capacity.Sub(w.used).Fits(need) || !allowed(w) {
 			continue
 		}
-		if st.needsTicket() {
-			if _, ok := st.ticket(now, w.info.ID); !ok {
-				continue
-			}
-		}
-		n := extra[w]
-		free := w.freeFor(now, st).Sub(need.Times(int64(n)))
-		if !free.Fits(need) || !s.spreadAllows(w, st, n) {
+		rest, ok := s.roomAfter(now, w, st, extra[w])
+		if !ok {
 			continue
 		}
-		if score := s.score(w, st, free.Sub(need)); best == nil || score > bestScore {
+		if score := s.score(w, st, rest); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
 	return best
 }
 
+// roomAfter returns the room that one more task of a step would leave on a worker, in
+// addition to extra ones; ok is false if it can't start there for want of room or of a
+// ticket.
+func (s *Shard) roomAfter(now time.Time, w *worker, st *step, extra int) (rest resource.Amount, ok bool) {
+	need := st.spec.Allocation()
+	if st.needsTicket() {
+		if _, valid := st.ticket(now, w.info.ID); !valid {
+			return resource.Amount{}, false
+		}
+	}
+	free := w.freeFor(now, st).Sub(need.Times(int64(extra)))
+	if !free.Fits(need) || !s.spreadAllows(w, st, extra) {
+		return resource.Amount{}, false
+	}
+	return free.Sub(need), true
+}
+
 // spreadAllows reports whether the step's MaxPerWorker allows one more task on a worker, in
 // addition to extra ones.
 func (s *Shard) spreadAllows(w *worker, st *step, extra int) bool {
@@ -408,12 +425,12 @@
 }
 
 // start orders a run of a task on a worker.
-func (s *Shard) start(now time.Time, t *task, w *worker) {
-	s.startRun(now, t, w, t.lastRun+1)
+func (s *Shard) start(now time.Time, t *task, w *worker) *run {
+	return s.startRun(now, t, w, t.lastRun+1)
 }
 
 // startRun orders run number n of a task on a worker.
-func (s *Shard) startRun(now time.Time, t *task, w *worker, n int64) {
+func (s *Shard) startRun(now time.Time, t *task, w *worker, n int64) *run {
 	st := t.step
 	ticket, _ := st.ticket(now, w.info.ID)
 	delete(w.reserved, st)
@@ -425,6 +442,7 @@
 	s.emit(Start{cluster.StartOrder{
 		Order: s.startOrder(now, w), Task: t.id, Run: n, Spec: st.job.spec.Spec, Checkpoint: t.checkpoint, Ticket: ticket,
 	}})
+	return r
 }
 
 // placeGang starts all members of a gang at once, or none.
@@ -439,6 +457,9 @@
 		s.requestJointAdvice(now, st)
 		return
 	}
+	if !s.mayStartIsolated(now, st) {
+		return
+	}
 	var places []*worker
 	if s.countStartable(now, st) >= len(st.tasks) {
 		places = s.gangPlacement(now, st)
@@ -463,9 +484,12 @@
 // startMembers starts members of a gang on the given workers, as one run from one
 // checkpoint.
 func (s *Shard) startMembers(now time.Time, members []*task, places []*worker, run int64, checkpoint string) {
+	isolate := members[0].step.mustIsolate()
 	for i, t := range members {
 		t.checkpoint = checkpoint
-		s.startRun(now, t, places[i], run)
+		if r := s.startRun(now, t, places[i], run); isolate {
+			s.isolate(r)
+		}
 	}
 }
 
@@ -492,7 +516,13 @@
 // placeGangOnRack returns a worker on the rack for each member of a gang, or nil. If rack
 // is "", all workers are considered.
 func (s *Shard) placeGangOnRack(now time.Time, st *step, rack string) []*worker {
-	return s.placeMembers(now, st, len(st.tasks), func(w *worker) bool { return rack == "" || w.info.Rack == rack })
+	isolate := st.mustIsolate()
+	return s.placeMembers(now, st, len(st.tasks), func(w *worker) bool {
+		if isolate && w.hasSuspectBeside(now, st.tasks[0]) {
+			return false
+		}
+		return rack == "" || w.info.Rack == rack
+	})
 }
 
 // placeMembers returns an allowed worker for each of n members of a gang, or nil.
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -57,6 +57,8 @@
 	// LastRun is the number of the task's last run; the next owner's run numbers are
 	// above it, also in another shard.
 	LastRun int64 `json:"l,omitempty"`
+	// Crashes are the crashes of workers under the task; nil: there are none.
+	Crashes *CrashRecord `json:"x,omitempty"`
 }
 
 // ParseProgress reads the value of a progress row.
@@ -96,8 +98,8 @@
 		switch {
 		case t.done:
 			done[x] = '1'
-		case len(t.failed) > 0 || t.checkpoint != "":
-			ss.Tasks = append(ss.Tasks, TaskState{Index: x, Failed: t.failed, Checkpoint: t.checkpoint, LastRun: t.lastRun})
+		case len(t.failed) > 0 || t.checkpoint != "" || t.suspect():
+			ss.Tasks = append(ss.Tasks, t.persistedState(x))
 		}
 	}
 	if st.done > 0 {
@@ -106,6 +108,15 @@
 	return ss, st.done > 0 || len(ss.Tasks) > 0
 }
 
+// persistedState returns what is persisted of the task, which is the x-th of its step.
+func (t *task) persistedState(x int) TaskState {
+	ts := TaskState{Index: x, Failed: t.failed, Checkpoint: t.checkpoint, LastRun: t.lastRun}
+	if t.suspect() {
+		ts.Crashes = &t.crashes
+	}
+	return ts
+}
+
 // restore sets a job's progress from what was persisted, ignoring entries that don't
 // match the job's steps.
 func (j *job) restore(p *Progress) {
@@ -127,6 +138,9 @@
 				t := st.tasks[ts.Index]
 				t.failed, t.checkpoint, t.lastRun = ts.Failed, ts.Checkpoint, max(t.lastRun, ts.LastRun)
 				st.lastGangRun = max(st.lastGangRun, t.lastRun)
+				if ts.Crashes != nil && len(ts.Crashes.Workers) == len(ts.Crashes.Runs) {
+					t.crashes = *ts.Crashes
+				}
 			}
 		}
 	}
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -123,12 +123,12 @@
 	for _, c := range r.lastCommands {
 		switch c := c.(type) {
 		case scheduler.Start:
-			if f := r.workers[c.Worker]; !f.silent {
+			if f := r.workers[c.Worker]; f != nil && !f.silent {
 				f.running = append(f.running, cluster.RunStatus{Task: c.Task, Run: c.Run})
 				r.shard.StartReplied(r.now, c.Worker, c.Task, c.Run, cluster.ReplyOK)
 			}
 		case scheduler.Stop:
-			if f := r.workers[c.Worker]; !f.silent {
+			if f := r.workers[c.Worker]; f != nil && !f.silent {
 				r.endRun(c.Worker, c.Task, c.Run, cluster.OutcomeStopped)
 				r.shard.StopReplied(r.now, c.Worker, c.Task, c.Run, cluster.ReplyOK)
 			}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -63,6 +63,8 @@
 	calmSince time.Time
 	// resumed is set if the run started from a checkpoint.
 	resumed bool
+	// isolated is set while the run keeps other tasks from starting on its worker.
+	isolated bool
 	// credited is set once a long-running run has counted as a success of its worker.
 	credited bool
 }
@@ -119,6 +121,7 @@
 	if s.runs[r.key()] != r {
 		return
 	}
+	s.endIsolation(r)
 	delete(s.runs, r.key())
 	delete(r.worker.runs, r.key())
 	r.worker.used = r.worker.used.Sub(r.task.step.spec.Allocation())
@@ -182,7 +185,7 @@
 		s.stopOtherMembers(now, r, "start not answered")
 		return
 	case cluster.ReplyOtherIncarnation:
-		s.WorkerEnded(now, id, "another incarnation answers at its address")
+		s.WorkerEnded(now, id, EvidenceOtherIncarnation)
 		return
 	case cluster.ReplyTicketInvalid:
 		r.task.step.advice.discardTicket(id)
@@ -225,7 +228,7 @@
 			s.emit(Poll{Worker: id})
 		}
 	case cluster.ReplyOtherIncarnation:
-		s.WorkerEnded(now, id, "another incarnation answers at its address")
+		s.WorkerEnded(now, id, EvidenceOtherIncarnation)
 	default:
 		r.stopSentAt = now
 		if r.state == runUnanswered && reply == cluster.ReplyUnknown && !r.worker.silent {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -92,6 +92,11 @@
 	Rank Rank
 }
 
+// FailJob ends a job as failed in all shards that run parts of it; the end comes back to
+// EndJob.
+type FailJob struct{ Job string }
+
+func (FailJob) command()       {}
 func (Start) command()         {}
 func (Stop) command()          {}
 func (SetPace) command()       {}
@@ -166,6 +171,16 @@
 	reservingSteps int
 	// gangReserved is set once a gang has reserved room in this round, or has found none.
 	gangReserved bool
+	// isolatedRuns is how many runs are isolated. isolatedCrashes are the times of the last
+	// crashes of workers under such runs, and lastCrashAt is when a worker was last found to
+	// have crashed.
+	isolatedRuns    int
+	isolatedCrashes []time.Time
+	lastCrashAt     time.Time
+	// spontaneousCrashes are the times of the last crashes of workers on which no run had just
+	// started, and explainedCrashes the other crashes.
+	spontaneousCrashes []time.Time
+	explainedCrashes   []explainedCrash
 	// load is what Load returns, measured at loadMeasuredAt.
 	load           float64
 	loadMeasuredAt time.Time
@@ -180,6 +195,9 @@
 // Counts are totals of decisions, for the metrics.
 type Counts struct {
 	Starts, Done, Failed, Lost, Stops, Preempted, Copies, AdviceCalls, Quarantines int64
+	// CrashedRuns counts the runs under which a worker crashed soon after the start, and
+	// CrashingJobs the jobs that failed because a task crashes its workers.
+	CrashedRuns, CrashingJobs int64
 }
 
 // New returns an empty shard.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -131,7 +131,7 @@
 	for _, id := range r.workerIDs() {
 		r.workers[id].silent = len(r.workers[id].running) > 0
 	}
-	r.shard.CancelJob(r.now, "j")
+	r.shard.EndJob(r.now, "j", cluster.StateCancelled)
 	for range 20 {
 		r.now = r.now.Add(100 * time.Millisecond)
 		r.reportAll()
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -37,11 +37,16 @@
 	// silent is set while the last hold has failed.
 	silent      bool
 	silentSince time.Time
-	runs        map[runKey]*run
+	// contactLostAt is when the first hold failed since the last one was answered; zero: none
+	// has.
+	contactLostAt time.Time
+	runs          map[runKey]*run
 	// unknownRuns are the runs whose job is not known here. How much room they take is
 	// unknown too, so the worker counts as full for each of them.
 	unknownRuns map[runKey]bool
-	used        resource.Amount
+	// isolated are the runs beside which nothing else starts.
+	isolated []*run
+	used     resource.Amount
 	// reserved is the room reserved for steps, or being freed for them by preemption.
 	reserved map[*step]reservation
 	// expectedEnds are when its runs are expected to end, the soonest first, computed in
@@ -145,14 +150,14 @@
 }
 
 // WorkerEnded records that an incarnation has ended: nothing runs there any more.
-func (s *Shard) WorkerEnded(now time.Time, id, evidence string) {
+func (s *Shard) WorkerEnded(now time.Time, id string, evidence EndEvidence) {
 	w := s.workers[id]
 	if w == nil {
 		return
 	}
-	s.log.Warn("worker has ended", events.WorkerEnded, zap.String("worker", id), zap.String("evidence", evidence),
+	s.log.Warn("worker has ended", events.WorkerEnded, zap.String("worker", id), zap.String("evidence", string(evidence)),
 		zap.Int("runs", len(w.runs)))
-	s.endIncarnation(now, w, "worker has ended")
+	s.endIncarnation(now, w, evidence, "worker has ended")
 	delete(s.workers, id)
 	w.history.endedAt = now
 	delete(s.takeover.expected, id)
@@ -253,7 +258,7 @@
 			s.loseRuns(now, w, "lease expired")
 		}
 		if (w.unlisted || w.entryInvalid) && w.silent && now.After(s.leaseEnd(w)) {
-			s.WorkerEnded(now, w.info.ID, "not listed, and its lease has expired")
+			s.WorkerEnded(now, w.info.ID, EvidenceLeaseExpired)
 		}
 	}
 }
