scheduler: start a gang of which no member runs in the leading shard

Nodes ended with a panic when a gang was started whose members all ran in other shards than the one that leads its job: whether the members have to be isolated was read from the first of none.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -484,7 +484,7 @@
 // startMembers starts members of a gang on the given workers, as one run from one
 // checkpoint.
 func (s *Shard) startMembers(now time.Time, members []*task, places []*worker, run int64, checkpoint string) {
-	isolate := members[0].step.mustIsolate()
+	isolate := len(members) > 0 && members[0].step.mustIsolate()
 	for i, t := range members {
 		t.checkpoint = checkpoint
 		if r := s.startRun(now, t, places[i], run); isolate {
