--- a/matrix/site/crashingtask_test.go
+++ b/matrix/site/crashingtask_test.go
@@ -41,8 +41,8 @@
 func (env *testEnv) submitCrashing(spec string, step stepBody) {
 	id := env.submit("batch", spec, step)
 	env.mu.Lock()
-	defer env.mu.Unlock()
 	env.crashing[id] = true
+	env.mu.Unlock()
 }
 
 // crashLoad describes a run in which some jobs have tasks that crash their workers.
@@ -125,7 +125,7 @@
 	}
 	load.Wait()
 	env.waitAndRecordSuccesses(crashSettleTime)
-	env.checkCrashLoad()
+	env.checkJobsSucceeded()
 	env.checkNoViolations()
 }
 
@@ -155,18 +155,3 @@
 		env.submitCrashing(strings.Replace(spec, "900", "900 lasting", 1), stepBody{Count: 2, CPU: 500, MemoryMB: 10, EstimateMS: 900, LongRunning: true})
 	}
 }
-
-// checkCrashLoad checks that the jobs with tasks that crash their workers have failed, and that all
-// others have succeeded.
-func (env *testEnv) checkCrashLoad() {
-	env.t.Helper()
-	for _, id := range env.accepted {
-		want := "succeeded"
-		if env.crashing[id] {
-			want = "failed"
-		}
-		if state := env.state("batch", id); state != want && !env.succeeded[id] {
-			env.t.Errorf("job %s is %q, want %q", id, state, want)
-		}
-	}
-}
--- a/matrix/site/faults_test.go
+++ b/matrix/site/faults_test.go
@@ -178,6 +178,11 @@
 		workerFault("worker executes starts late", site.WorkerFaults{Late: 4, LateBy: 3 * time.Second}),
 		workerFault("worker executes starts later", site.WorkerFaults{Late: 4, LateBy: 11 * time.Second}),
 		{"another program corrupts entries", startCorruptingEntries},
+		{"task crashes its workers", func(env *testEnv) func() {
+			const crashAge = 50 * time.Millisecond
+			go env.submitCrashing(crashingSpec(crashAge)+" crashing=0", stepBody{Count: 3, CPU: 500, MemoryMB: 10, EstimateMS: 900})
+			return nil
+		}},
 	}
 }
 
--- a/matrix/site/joint_test.go
+++ b/matrix/site/joint_test.go
@@ -77,15 +77,19 @@
 }
 
 // checkJobsSucceeded checks that all accepted jobs have succeeded, but for those that were
-// cancelled.
+// cancelled, and that those with a task that crashes its workers have failed.
 func (env *testEnv) checkJobsSucceeded() {
 	env.t.Helper()
 	for _, id := range env.accepted {
 		if _, cancelled := env.cancelled[id]; cancelled || env.succeeded[id] {
 			continue
 		}
-		if state := env.state("batch", id); state != "succeeded" {
-			env.t.Errorf("job %s is %q", id, state)
+		want := "succeeded"
+		if env.crashing[id] {
+			want = "failed"
+		}
+		if state := env.state("batch", id); state != want {
+			env.t.Errorf("job %s is %q, want %q", id, state, want)
 		}
 	}
 }
--- a/matrix/site/load_test.go
+++ b/matrix/site/load_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -101,10 +102,13 @@
 // state.
 func (env *testEnv) unsettledJob() error {
 	env.mu.Lock()
-	accepted := append([]string(nil), env.accepted...)
+	accepted, crashing := append([]string(nil), env.accepted...), maps.Clone(env.crashing)
 	env.mu.Unlock()
 	for _, id := range accepted {
 		want := "succeeded"
+		if crashing[id] {
+			want = "failed"
+		}
 		if _, ok := env.cancelled[id]; ok {
 			want = "cancelled"
 		}
