scheduler: take a crash for spontaneous once its suspects are cleared

Cause: whether a crash was the doing of a task was decided when it happened, by the ages of the runs. It shows only later: a task that outlives its next start was not the cause, and a crash whose suspects are all cleared was spontaneous. A worker that crashes under the same task again may also do so by itself.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -47,10 +47,15 @@
 	// maxCrashAge is the age up to which a run may be the cause of a crash. Tasks that crash
 	// their workers do so soon after the start; older runs are lost in the ordinary way.
 	maxCrashAge = 3 * time.Second
+	// maxAgeBeforePlannedEnd is the same on a worker that has had notice of its end.
+	maxAgeBeforePlannedEnd = 500 * time.Millisecond
 	// maxChance is the chance below which a task is the confirmed cause; with minCrashChance,
 	// the least chance of a single crash, that takes at least three isolated crashes.
 	maxChance      = 3e-6
 	minCrashChance = 0.005
+	// sameWorkerChance is the least chance of a crash of a worker that has crashed under the
+	// task before and may do so by itself.
+	sameWorkerChance = 0.05
 	// maxChanceAfterMany is the same for a task that has started maxStartsAfterMany times
 	// after manyCrashes: it has taken many workers from other tasks.
 	maxChanceAfterMany = 3e-5
@@ -177,7 +182,7 @@
 	at, maxAge := w.crashTime(now), maxCrashAge
 	if w.endsByPlan() {
 		// It has had notice, and nothing starts on it just before its planned end.
-		maxAge = freshAge
+		maxAge = maxAgeBeforePlannedEnd
 	}
 	runs := w.runsBeforeCrash(at, maxAge)
 	if w.endsByPlan() && len(runs) == 0 {
@@ -192,7 +197,7 @@
 	for i, r := range runs {
 		s.addCrash(now, r.task, crashes[i])
 	}
-	s.noteCrash(now, at, w)
+	s.noteCrash(now, w, runs)
 }
 
 // runsBeforeCrash returns the runs up to an age that may have caused the crash of their
@@ -215,7 +220,11 @@
 		return 1
 	}
 	window := 2 * (c.ageDifference(at.Sub(r.startedAt)) + ageError)
-	return s.spontaneousChance(now, min(window, c.clearTime()))
+	chance := s.spontaneousChance(now, min(window, c.clearTime()))
+	if slices.Contains(c.Workers, r.worker.info.ID) {
+		return max(chance, sameWorkerChance)
+	}
+	return chance
 }
 
 // addCrash records a crash under a run of a task, and fails the job if the task is the
@@ -270,6 +279,7 @@
 	s.endIsolation(r)
 	if t.suspect() {
 		t.crashes = CrashRecord{}
+		s.clearFromCrashes(t)
 		s.markChanged(t.step.job)
 	}
 }
--- a/internal/scheduler/crashrate.go
+++ b/internal/scheduler/crashrate.go
@@ -9,10 +9,8 @@
 )
 
 const (
-	// freshAge is the age up to which a run may have caused a crash right after its start. A
-	// crash without such a run is spontaneous.
-	freshAge = 500 * time.Millisecond
-	// crashRateWindow bounds the uptime of a worker that counts for the rate of crashes.
+	// crashRateWindow is the time for which a crash with suspects is kept, and bounds the
+	// uptime of a worker that counts for the rate of crashes.
 	crashRateWindow = 30 * time.Second
 	// There is a burst while more than burstShare of the workers, and more than one, have
 	// crashed spontaneously within burstWindow. A crash says nothing about a task then.
@@ -20,35 +18,44 @@
 	burstWindow = 10 * time.Second
 )
 
-// explainedCrash is a crash that was not spontaneous, and the uptime that its worker had.
-type explainedCrash struct {
-	at     time.Time
-	uptime time.Duration
+// suspectCrash is a crash with suspects that have not been cleared. Once all of them are, it
+// was spontaneous.
+type suspectCrash struct {
+	at time.Time
+	// uptime is that of the worker.
+	uptime   time.Duration
+	suspects map[*task]bool
 }
 
-// noteCrash notes a crash for the rate of spontaneous crashes.
-func (s *Shard) noteCrash(now, at time.Time, w *worker) {
+// noteCrash notes a crash under some runs for the rate of spontaneous crashes.
+func (s *Shard) noteCrash(now time.Time, w *worker, runs []*run) {
 	s.lastCrashAt = now
 	if len(w.isolated) > 0 {
 		s.isolatedCrashes = append(s.isolatedCrashes, now)
 	}
-	if w.crashExplained(at) {
-		s.explainedCrashes = append(s.explainedCrashes, explainedCrash{now, min(w.uptime(at), crashRateWindow)})
+	if len(runs) == 0 {
+		s.spontaneousCrashes = append(s.spontaneousCrashes, now)
 		return
 	}
-	s.spontaneousCrashes = append(s.spontaneousCrashes, now)
+	c := suspectCrash{now, min(w.uptime(now), crashRateWindow), make(map[*task]bool, len(runs))}
+	for _, r := range runs {
+		c.suspects[r.task] = true
+	}
+	s.suspectCrashes = append(s.suspectCrashes, c)
 }
 
-// crashExplained reports whether a run on a crashed worker may be the cause: it had just
-// started, or a worker crashed under its task at the same age before.
-func (w *worker) crashExplained(at time.Time) bool {
-	for _, r := range w.runs {
-		age := at.Sub(r.startedAt)
-		if age <= freshAge || (r.task.suspect() && r.task.crashes.ageDifference(age) <= ageError) {
-			return true
+// clearFromCrashes records that a task is not the cause of the crashes under it.
+func (s *Shard) clearFromCrashes(t *task) {
+	s.suspectCrashes = slices.DeleteFunc(s.suspectCrashes, func(c suspectCrash) bool {
+		if !c.suspects[t] {
+			return false
 		}
-	}
-	return false
+		delete(c.suspects, t)
+		if len(c.suspects) == 0 {
+			s.spontaneousCrashes = append(s.spontaneousCrashes, c.at)
+		}
+		return len(c.suspects) == 0
+	})
 }
 
 // spontaneousChance returns the probability that a worker crashes spontaneously within a time
@@ -58,13 +65,13 @@
 	if s.inCrashBurst(now) {
 		return 1
 	}
-	s.explainedCrashes = slices.DeleteFunc(s.explainedCrashes, func(e explainedCrash) bool { return now.Sub(e.at) > crashRateWindow })
+	s.suspectCrashes = slices.DeleteFunc(s.suspectCrashes, func(c suspectCrash) bool { return now.Sub(c.at) > crashRateWindow })
 	uptime := time.Duration(0)
 	for _, w := range s.workerList {
 		uptime += min(w.uptime(now), crashRateWindow)
 	}
-	for _, e := range s.explainedCrashes {
-		uptime += e.uptime
+	for _, c := range s.suspectCrashes {
+		uptime += c.uptime
 	}
 	// One more crash than was seen, since a short time without any shows little.
 	rate := float64(len(s.spontaneousCrashes)+1) / max(1, uptime.Seconds())
@@ -73,7 +80,7 @@
 
 // inCrashBurst reports whether many workers crash spontaneously at present.
 func (s *Shard) inCrashBurst(now time.Time) bool {
-	s.spontaneousCrashes = dropBefore(s.spontaneousCrashes, now.Add(-burstWindow))
+	s.spontaneousCrashes = slices.DeleteFunc(s.spontaneousCrashes, func(at time.Time) bool { return now.Sub(at) > burstWindow })
 	return len(s.spontaneousCrashes) > max(1, int(burstShare*float64(len(s.workerList))))
 }
 
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -321,6 +321,9 @@
 		return
 	}
 	t.done = true
+	if t.suspect() {
+		s.clearFromCrashes(t)
+	}
 	st := t.step
 	st.done++
 	st.job.tasksLeft--
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -179,10 +179,10 @@
 	lastCrashAt     time.Time
 	// confirmedCauses are tasks that were found in this round to crash their workers.
 	confirmedCauses []*task
-	// spontaneousCrashes are the times of the last crashes of workers on which no run had just
-	// started, and explainedCrashes the other crashes.
+	// spontaneousCrashes are the times of the last crashes of workers without a suspect, and
+	// suspectCrashes the other crashes.
 	spontaneousCrashes []time.Time
-	explainedCrashes   []explainedCrash
+	suspectCrashes     []suspectCrash
 	// load is what Load returns, measured at loadMeasuredAt.
 	load           float64
 	loadMeasuredAt time.Time
