scheduler, matrix: one loop for the searches by seed, and plainer names

Reading the change as a newcomer: the two searches shared their loop over seeds, a planned end was asked for twice, and the log said that a job ended "by persisted order". No change of behaviour.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -179,13 +179,14 @@
 	if !w.answered {
 		return
 	}
-	at, maxAge := w.crashTime(now), maxCrashAge
-	if w.endsByPlan() {
+	at, planned := w.crashTime(now), w.endsByPlan()
+	maxAge := maxCrashAge
+	if planned {
 		// It has had notice, and nothing starts on it just before its planned end.
 		maxAge = maxAgeBeforePlannedEnd
 	}
 	runs := w.runsBeforeCrash(at, maxAge)
-	if w.endsByPlan() && len(runs) == 0 {
+	if planned && len(runs) == 0 {
 		return
 	}
 	// What a crash says about a run depends on the suspects, and the crashes, before it.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -287,7 +287,7 @@
 	if j == nil || j.state.Finished() {
 		return
 	}
-	s.log.Info("job ended by persisted order", events.JobEnded, zap.String("job", id), zap.String("state", string(state)))
+	s.log.Info("job ended by its cancel row", events.JobEnded, zap.String("job", id), zap.String("state", string(state)))
 	s.finishJob(now, j, state)
 }
 
--- a/internal/scheduler/searchcrash_test.go
+++ b/internal/scheduler/searchcrash_test.go
@@ -6,11 +6,7 @@
 	"cmp"
 	"math/rand/v2"
 	"os"
-	"runtime"
 	"slices"
-	"strconv"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,47 +32,19 @@
 //
 // SEARCH_SEED=n runs one seed and prints its trace, and MODEL=full runs 4,000.
 func TestSearchCrashingTasks(t *testing.T) {
-	if value := os.Getenv("SEARCH_SEED"); value != "" {
-		seed, err := strconv.ParseUint(value, 10, 64)
-		if err != nil {
-			t.Fatal(err)
+	searchSeeds(t, fullCrashSeeds, func(seed uint64, traced bool) (failure, trace string) {
+		if seed == failuresSeed && !traced && os.Getenv("MODEL") != "full" {
+			return "", "" // It has a test of its own.
 		}
-		traceCrashSeed(t, seed)
-		return
-	}
-	seeds := int64(defaultSeeds)
-	if os.Getenv("MODEL") == "full" {
-		seeds = fullCrashSeeds
-	}
-	var next, failed atomic.Int64
-	var wg sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		wg.Go(func() {
-			for seed := next.Add(1) - 1; seed < seeds; seed = next.Add(1) - 1 {
-				if seed == failuresSeed && seeds == defaultSeeds {
-					continue // It has a test of its own.
-				}
-				s := newCrashSimulation(t, uint64(seed), false)
-				failure, _ := s.run()
-				if failure = cmp.Or(failure, s.crashingJobLeft()); failure != "" {
-					failed.Add(1)
-					t.Errorf("SEARCH_SEED=%d: %s", seed, failure)
-				}
-			}
-		})
-	}
-	wg.Wait()
-	t.Logf("%d of %d seeds failed", failed.Load(), seeds)
+		return runCrashSeed(t, seed, traced)
+	})
 }
 
-// traceCrashSeed runs one seed and logs its trace.
-func traceCrashSeed(t *testing.T, seed uint64) {
-	s := newCrashSimulation(t, seed, true)
-	failure, trace := s.run()
-	failure = cmp.Or(failure, s.crashingJobLeft())
-	if t.Logf("%s\nseed %d: %s", trace, seed, failure); failure != "" {
-		t.Fail()
-	}
+// runCrashSeed runs one seed and returns its failure, or "", and its trace.
+func runCrashSeed(t *testing.T, seed uint64, traced bool) (failure, trace string) {
+	s := newCrashSimulation(t, seed, traced)
+	failure, trace = s.run()
+	return cmp.Or(failure, s.crashingJobLeft()), trace
 }
 
 // failuresSeed is a seed in which two runs of a task that crashes workers fail before they do, on
@@ -85,7 +53,11 @@
 
 // TestCrashingTaskStartsAgainAfterFailures runs a seed in which a task uses up its starts on
 // workers that fail all runs, before it has shown often enough that it crashes workers.
-func TestCrashingTaskStartsAgainAfterFailures(t *testing.T) { traceCrashSeed(t, failuresSeed) }
+func TestCrashingTaskStartsAgainAfterFailures(t *testing.T) {
+	if failure, trace := runCrashSeed(t, failuresSeed, true); failure != "" {
+		t.Errorf("%s\n%s", lastLines(trace), failure)
+	}
+}
 
 // newCrashSimulation derives a simulation with jobs that crash workers from a seed.
 func newCrashSimulation(t *testing.T, seed uint64, traced bool) *simulation {
--- a/internal/scheduler/searchrestart_test.go
+++ b/internal/scheduler/searchrestart_test.go
@@ -33,12 +33,20 @@
 //
 // SEARCH_SEED=n runs one seed and prints its trace, and MODEL=full runs 4,000.
 func TestSearchWorkersStartAgain(t *testing.T) {
+	searchSeeds(t, fullRestartSeeds, func(seed uint64, traced bool) (failure, trace string) {
+		return newRestartSimulation(t, seed, traced).run()
+	})
+}
+
+// searchSeeds runs the first seeds in parallel, or only SEARCH_SEED with its trace. With
+// MODEL=full there are as many seeds as given.
+func searchSeeds(t *testing.T, fullSeeds int64, run func(seed uint64, traced bool) (failure, trace string)) {
 	if value := os.Getenv("SEARCH_SEED"); value != "" {
 		seed, err := strconv.ParseUint(value, 10, 64)
 		if err != nil {
 			t.Fatal(err)
 		}
-		failure, trace := newRestartSimulation(t, seed, true).run()
+		failure, trace := run(seed, true)
 		if t.Logf("%s\nseed %d: %s", trace, seed, failure); failure != "" {
 			t.Fail()
 		}
@@ -46,14 +54,14 @@
 	}
 	seeds := int64(defaultSeeds)
 	if os.Getenv("MODEL") == "full" {
-		seeds = fullRestartSeeds
+		seeds = fullSeeds
 	}
 	var next, failed atomic.Int64
 	var wg sync.WaitGroup
 	for range runtime.GOMAXPROCS(0) {
 		wg.Go(func() {
 			for seed := next.Add(1) - 1; seed < seeds; seed = next.Add(1) - 1 {
-				if failure, _ := newRestartSimulation(t, uint64(seed), false).run(); failure != "" {
+				if failure, _ := run(uint64(seed), false); failure != "" {
 					failed.Add(1)
 					t.Errorf("SEARCH_SEED=%d: %s", seed, failure)
 				}
--- a/matrix/site/crashingtask_test.go
+++ b/matrix/site/crashingtask_test.go
@@ -80,8 +80,8 @@
 }
 
 const (
-	// innocentJobs are submitted over crashLoadDuration beside those that crash workers.
-	innocentJobs      = 80
+	// ordinaryJobs are submitted over crashLoadDuration beside those that crash workers.
+	ordinaryJobs      = 80
 	crashLoadDuration = 40 * time.Second
 	// crashSettleTime is the time after the load within which every job must have ended.
 	crashSettleTime = 20 * time.Second
@@ -109,7 +109,7 @@
 	env.site.SetRejectOneIn(1 << 30)
 	time.Sleep(4 * time.Second)
 	var load sync.WaitGroup
-	load.Go(func() { env.submitInnocent() })
+	load.Go(func() { env.submitOrdinaryJobs() })
 	load.Go(func() {
 		time.Sleep(3 * time.Second)
 		env.submitCrashLoad(l)
@@ -129,11 +129,11 @@
 	env.checkNoViolations()
 }
 
-// submitInnocent submits jobs over crashLoadDuration, each of three short tasks.
-func (env *testEnv) submitInnocent() {
-	for range innocentJobs {
+// submitOrdinaryJobs submits jobs over crashLoadDuration, each of three short tasks.
+func (env *testEnv) submitOrdinaryJobs() {
+	for range ordinaryJobs {
 		go env.submit("batch", "900 cpu=500", stepBody{Count: 3, CPU: 500, MemoryMB: 10, EstimateMS: 900})
-		time.Sleep(crashLoadDuration / innocentJobs)
+		time.Sleep(crashLoadDuration / ordinaryJobs)
 	}
 }
 
