matrix/site: wait for the submissions of a test before its results are read

The row of the fault matrix had the same fault. Both wait now. TestTaskCrashesWorkersWithoutEnd, TestFaults, TestShardedFaults and TestJointGangInFaults pass with the race detector.

--- a/matrix/site/crashingtask_test.go
+++ b/matrix/site/crashingtask_test.go
@@ -129,12 +129,17 @@
 	env.checkNoViolations()
 }
 
-// submitOrdinaryJobs submits jobs over crashLoadDuration, each of three short tasks.
+// submitOrdinaryJobs submits jobs over crashLoadDuration, each of three short tasks, and waits for
+// the answers.
 func (env *testEnv) submitOrdinaryJobs() {
+	var calls sync.WaitGroup
 	for range ordinaryJobs {
-		go env.submit("batch", "900 cpu=500", stepBody{Count: 3, CPU: 500, MemoryMB: 10, EstimateMS: 900})
+		calls.Go(func() {
+			env.submit("batch", "900 cpu=500", stepBody{Count: 3, CPU: 500, MemoryMB: 10, EstimateMS: 900})
+		})
 		time.Sleep(crashLoadDuration / ordinaryJobs)
 	}
+	calls.Wait()
 }
 
 // submitCrashLoad submits the jobs whose tasks crash their workers.
--- a/matrix/site/faults_test.go
+++ b/matrix/site/faults_test.go
@@ -180,8 +180,11 @@
 		{"another program corrupts entries", startCorruptingEntries},
 		{"task crashes its workers", func(env *testEnv) func() {
 			const crashAge = 50 * time.Millisecond
-			go env.submitCrashing(crashingSpec(crashAge)+" crashing=0", stepBody{Count: 3, CPU: 500, MemoryMB: 10, EstimateMS: 900})
-			return nil
+			var call sync.WaitGroup
+			call.Go(func() {
+				env.submitCrashing(crashingSpec(crashAge)+" crashing=0", stepBody{Count: 3, CPU: 500, MemoryMB: 10, EstimateMS: 900})
+			})
+			return call.Wait
 		}},
 	}
 }
