cell, platform: calls need a key of a team, and jobs belong to teams

Cause: the adapter read neither the teams of the configuration nor the key of a call.

Change: internal/team holds what a team is, for both cores; bundle.Team is gone. The adapter keeps digests of keys only. A node refuses an unknown key for good only while it knows the newest configuration, and for now otherwise. A job's team is in its row, its pin and its last progress; to other teams the job doesn't exist.

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -20,35 +20,20 @@
 	"time"
 
 	"switchbank.example/switchbank/internal/policy"
-	"switchbank.example/switchbank/internal/resource"
+	"switchbank.example/switchbank/internal/team"
 )
 
 // Bundle is the cell's policy and configuration.
 type Bundle struct {
-	Teams    []Team    `json:"teams" yaml:"teams"`
-	Classes  []Class   `json:"classes" yaml:"classes"`
-	Services []Service `json:"services" yaml:"services"`
+	Teams    []team.Team `json:"teams" yaml:"teams"`
+	Classes  []Class     `json:"classes" yaml:"classes"`
+	Services []Service   `json:"services" yaml:"services"`
 	// Placement holds the weights of waiting time and packing in placement decisions.
 	Placement policy.Weights `json:"placement" yaml:"placement"`
 	Limits    Limits         `json:"limits" yaml:"limits"`
 	Review    Review         `json:"review" yaml:"review"`
 }
 
-// Team is a party that shares the cell.
-type Team struct {
-	Name string `json:"name" yaml:"name"`
-	// Weight is the team's share relative to those of other teams.
-	Weight float64 `json:"weight" yaml:"weight"`
-	// Quota is the capacity that the team may always use. Beyond it, the team may
-	// borrow idle capacity.
-	Quota resource.Amount `json:"quota" yaml:"quota"`
-	// Limit is the most that the team may use; a resource of 0 has no limit.
-	Limit resource.Amount `json:"limit" yaml:"limit"`
-	// TokenSHA256 holds the hex digests of the team's bearer tokens. If it is empty,
-	// everyone who can reach the callers' listener may act for the team.
-	TokenSHA256 []string `json:"token_sha256,omitempty" yaml:"token_sha256"`
-}
-
 // Class defines the urgency of workloads.
 type Class struct {
 	Name string `json:"name" yaml:"name"`
@@ -141,13 +126,13 @@
 }
 
 // Team returns the team with the given name.
-func (b *Bundle) Team(name string) (Team, bool) {
+func (b *Bundle) Team(name string) (team.Team, bool) {
 	for _, t := range b.Teams {
 		if t.Name == name {
 			return t, true
 		}
 	}
-	return Team{}, false
+	return team.Team{}, false
 }
 
 // Class returns the class with the given name.
--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -14,6 +14,7 @@
 
 	"switchbank.example/switchbank/examples"
 	"switchbank.example/switchbank/internal/bundle"
+	"switchbank.example/switchbank/internal/team"
 	standin "switchbank.example/switchbank/standin/platform"
 )
 
@@ -193,8 +194,8 @@
 
 func TestDiff(t *testing.T) {
 	a, b := bundle.Default(), bundle.Default()
-	a.Teams = []bundle.Team{{Name: "x", Weight: 1}, {Name: "y", Weight: 1}}
-	b.Teams = []bundle.Team{{Name: "x", Weight: 2}, {Name: "z", Weight: 1}}
+	a.Teams = []team.Team{{Name: "x", Weight: 1}, {Name: "y", Weight: 1}}
+	b.Teams = []team.Team{{Name: "x", Weight: 2}, {Name: "z", Weight: 1}}
 	got := make(map[string]bool)
 	for _, c := range bundle.Diff(a, b) {
 		got[c.Op+strings.Fields(c.Description)[1]] = true
--- a/internal/bundle/diff.go
+++ b/internal/bundle/diff.go
@@ -5,6 +5,8 @@
 import (
 	"encoding/json"
 	"fmt"
+
+	"switchbank.example/switchbank/internal/team"
 )
 
 // The operations of a Change.
@@ -23,7 +25,7 @@
 // Diff returns the changes that turn old into next.
 func Diff(old, next *Bundle) []Change {
 	var changes []Change
-	changes = append(changes, diffNamed("team", old.Teams, next.Teams, func(t Team) string { return t.Name })...)
+	changes = append(changes, diffNamed("team", old.Teams, next.Teams, func(t team.Team) string { return t.Name })...)
 	changes = append(changes, diffNamed("class", old.Classes, next.Classes, func(c Class) string { return c.Name })...)
 	changes = append(changes, diffNamed("service", old.Services, next.Services, func(s Service) string { return s.Name })...)
 	changes = append(changes, diffNamed("reviewer", old.Review.Reviewers, next.Review.Reviewers, func(r Reviewer) string { return r.Name })...)
--- a/internal/bundle/load.go
+++ b/internal/bundle/load.go
@@ -16,6 +16,7 @@
 	"switchbank.example/switchbank/internal/api"
 	"switchbank.example/switchbank/internal/policy"
 	"switchbank.example/switchbank/internal/resource"
+	"switchbank.example/switchbank/internal/team"
 	"switchbank.example/switchbank/internal/yamlx"
 )
 
@@ -86,7 +87,7 @@
 	if b.Review.Required > len(b.Review.Reviewers) {
 		return nil, errors.Errorf("review.required: %d signatures are asked of %d reviewers", b.Review.Required, len(b.Review.Reviewers))
 	}
-	slices.SortFunc(b.Teams, func(x, y Team) int { return cmp.Compare(x.Name, y.Name) })
+	slices.SortFunc(b.Teams, func(x, y team.Team) int { return cmp.Compare(x.Name, y.Name) })
 	slices.SortFunc(b.Classes, func(x, y Class) int { return cmp.Compare(x.Name, y.Name) })
 	slices.SortFunc(b.Services, func(x, y Service) int { return cmp.Compare(x.Name, y.Name) })
 	slices.SortFunc(b.Review.Reviewers, func(x, y Reviewer) int { return cmp.Compare(x.Name, y.Name) })
@@ -138,7 +139,7 @@
 	return f.checkNumbers()
 }
 
-func (f *file) checkTeam(declaredIn map[string]string, t Team, p string) error {
+func (f *file) checkTeam(declaredIn map[string]string, t team.Team, p string) error {
 	if err := f.checkName(declaredIn, "team ", t.Name, p+".name"); err != nil {
 		return err
 	}
--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -27,8 +27,12 @@
 	AnswerUnknown Answer = "unknown"
 	// AnswerImpossible means that the call can't take effect however often it is repeated.
 	AnswerImpossible Answer = "impossible"
-	// AnswerNoJob means that the job doesn't exist.
+	// AnswerNoJob means that the job doesn't exist, or belongs to another team.
 	AnswerNoJob Answer = "no_job"
+	// AnswerConflict means that a job of another team has the ID.
+	AnswerConflict Answer = "conflict"
+	// AnswerNoToken means that the call has no token that is in force.
+	AnswerNoToken Answer = "no_token"
 )
 
 // notifyAttempts bounds the attempts to notify a shard's owner. When a call fails on a
@@ -77,23 +81,24 @@
 	return call[Req, Resp](ctx, n.peers, rec.Owner.Address, path, req, begin)
 }
 
-// State returns a job's state, from its owner or else from the store.
-func (n *Node) State(ctx context.Context, service, id string) (cluster.State, Answer) {
+// State returns the state of a job that the viewer may see, from its owner or else from the
+// store.
+func (n *Node) State(ctx context.Context, v Viewer, service, id string) (cluster.State, Answer) {
 	for _, shard := range n.likelyShards(service, id) {
-		if state, ok := n.stateFromOwner(ctx, shard, id); ok {
-			return state, AnswerOK
+		if reply := n.stateFromOwner(ctx, shard, id); reply.Known {
+			return reply.visibleTo(v)
 		}
 	}
 	if n.store.down() {
 		return "", AnswerRefused
 	}
-	shards, _, answer := n.lookUpPin(ctx, service, id)
+	pin, _, answer := n.lookUpPin(ctx, v, service, id)
 	if answer != AnswerOK {
 		return "", answer
 	}
-	shard := shards[0]
-	if state, ok := n.stateFromOwner(ctx, shard, id); ok {
-		return state, AnswerOK
+	shard := pin.Shards[0]
+	if reply := n.stateFromOwner(ctx, shard, id); reply.Known {
+		return reply.visibleTo(v)
 	}
 	state, found, err := owner.StoredJobState(ctx, n.store, shard, id)
 	switch {
@@ -105,23 +110,35 @@
 	return state, AnswerOK
 }
 
-// stateFromOwner asks a shard's owner for a job's state. It returns false if the owner
-// doesn't know the job or doesn't answer.
-func (n *Node) stateFromOwner(ctx context.Context, shard cluster.ShardID, id string) (cluster.State, bool) {
+// visibleTo returns the state and answer for a viewer.
+func (r stateReply) visibleTo(v Viewer) (cluster.State, Answer) {
+	if !v.sees(r.Team) {
+		return "", AnswerNoJob
+	}
+	return r.State, AnswerOK
+}
+
+// stateFromOwner asks a shard's owner for a job's state. The job counts as unknown if the owner
+// doesn't answer.
+func (n *Node) stateFromOwner(ctx context.Context, shard cluster.ShardID, id string) stateReply {
 	if o := n.local(shard); o != nil {
-		return o.JobState(id)
+		state, team, ok := o.JobState(id)
+		return stateReply{Known: ok, State: state, Team: team}
 	}
 	rec, _ := n.owner(shard)
 	if rec.Owner.Name == "" || n.peers.isDown(rec.Owner.Name) {
-		return "", false
+		return stateReply{}
 	}
 	reply, err := call[jobQuery, stateReply](ctx, n.peers, rec.Owner.Address, pathState, jobQuery{shard, id}, peerTimeout)
-	return reply.State, err == nil && reply.Known
+	if err != nil {
+		return stateReply{}
+	}
+	return reply
 }
 
-// Cancel cancels a job durably.
-func (n *Node) Cancel(ctx context.Context, service, id string) Answer {
-	state, answer := n.State(ctx, service, id)
+// Cancel cancels a job that the viewer may see, durably.
+func (n *Node) Cancel(ctx context.Context, v Viewer, service, id string) Answer {
+	state, answer := n.State(ctx, v, service, id)
 	if answer != AnswerOK {
 		return answer
 	}
@@ -129,7 +146,7 @@
 		return AnswerOK
 	}
 	for n.mayRetry(ctx) {
-		if shards, ok := n.cancelOnce(ctx, service, id); ok {
+		if shards, ok := n.cancelOnce(ctx, v, service, id); ok {
 			n.Log.Info("cancel accepted", events.CancelAccepted, zap.String("job", id), zap.String("state", string(state)), zap.Stringers("shards", shards))
 			for _, shard := range shards {
 				n.notifyOwner(shard, func(o *owner.Owner) { o.CancelJob(id) }, func(ctx context.Context, m member) error {
@@ -145,13 +162,13 @@
 }
 
 // cancelOnce looks up a job's shards and makes one attempt to write its cancellation to them.
-func (n *Node) cancelOnce(ctx context.Context, service, id string) ([]cluster.ShardID, bool) {
+func (n *Node) cancelOnce(ctx context.Context, v Viewer, service, id string) ([]cluster.ShardID, bool) {
 	c, cancel := attemptContext(ctx)
 	defer cancel()
-	shards, pin, answer := n.lookUpPin(c, service, id)
+	pin, row, answer := n.lookUpPin(c, v, service, id)
 	if answer != AnswerOK {
 		return nil, false
 	}
-	res, err := n.store.Commit(c, owner.CancelJobTxn(shards, pin))
-	return shards, err == nil && res.Committed
+	res, err := n.store.Commit(c, owner.CancelJobTxn(pin.Shards, row))
+	return pin.Shards, err == nil && res.Committed
 }
--- a/internal/cell/configuration.go
+++ b/internal/cell/configuration.go
@@ -35,7 +35,8 @@
 				n.applyConfigRow(r, full)
 			}
 		},
-		OnError: n.logReadFailure(n.Configs.Table()),
+		OnCurrent: n.configConfirmed.note,
+		OnError:   n.logReadFailure(n.Configs.Table()),
 	}
 	f.Run(ctx)
 }
@@ -65,6 +66,7 @@
 // applyConfig puts a configuration in force, unless a newer one already is. The size is only
 // logged; 0 means that it isn't known.
 func (n *Node) applyConfig(cfg cluster.Config, source string, size int) {
+	cfg.IndexTeams()
 	var behind time.Duration
 	for {
 		old := n.config.Load()
@@ -88,6 +90,9 @@
 func (n *Node) fetchNewerConfig(reply pingReply) {
 	inForce := versionOf(n.Config())
 	if reply.ConfigVersion <= inForce {
+		if reply.ConfigVersion == inForce && reply.StoreGood {
+			n.configConfirmed.note()
+		}
 		return
 	}
 	n.configLag.note(reply.ConfigVersion, inForce)
@@ -146,6 +151,13 @@
 	l.newest = max(l.newest, version)
 }
 
+// known reports whether a peer has reported a version above the one in force here.
+func (l *configLag) known(inForce int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.newest > inForce
+}
+
 // duration returns how long this node has known of a version above the one in force, or 0.
 func (l *configLag) duration(inForce int64) time.Duration {
 	l.mu.Lock()
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -18,7 +18,7 @@
 
 // JobState returns a job's state, whichever shard the job is on.
 func (n otherShards) JobState(ctx context.Context, service, id string) (state cluster.State, found bool, err error) {
-	state, answer := n.State(ctx, service, id)
+	state, answer := n.State(ctx, AllTeams, service, id)
 	switch answer {
 	case AnswerOK:
 		return state, true, nil
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -93,6 +93,8 @@
 	// Known is false if the owner doesn't know the job.
 	Known bool          `json:"known"`
 	State cluster.State `json:"state,omitempty"`
+	// Team is the team to which the job belongs.
+	Team string `json:"team,omitempty"`
 }
 
 type waitingQuery struct {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -109,6 +109,8 @@
 	metrics      *metrics.Set
 	config       atomic.Pointer[cluster.Config]
 	configLag    configLag
+	// configConfirmed is when the configuration in force was last known to be the newest.
+	configConfirmed confirmation
 	// fetching is set while a configuration is being fetched from a peer.
 	fetching atomic.Bool
 	draining atomic.Bool
@@ -123,8 +125,8 @@
 	owners map[cluster.ShardID]ownerState
 	// layouts holds the layout of each service.
 	layouts map[string]cluster.Layout
-	// pins caches the shards of jobs that this node has accepted or looked up.
-	pins *lru.Cache[string, []cluster.ShardID]
+	// pins caches the pins of jobs that this node has accepted or looked up.
+	pins *lru.Cache[string, owner.Pin]
 	// watched holds the services whose shards have a watcher.
 	watched map[string]bool
 
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -106,8 +106,8 @@
 	if o == nil {
 		return stateReply{}, errNotOwner()
 	}
-	state, ok := o.JobState(q.ID)
-	return stateReply{Known: ok, State: state}, nil
+	state, team, ok := o.JobState(q.ID)
+	return stateReply{Known: ok, State: state, Team: team}, nil
 }
 
 func (n *Node) handleWaiting(_ context.Context, q waitingQuery) (waitingReply, error) {
--- a/internal/cell/pins.go
+++ b/internal/cell/pins.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// pinCacheSize is how many jobs' shards a node remembers, at about 100 bytes each: enough
+	// pinCacheSize is how many jobs' pins a node remembers, at about 100 bytes each: enough
 	// for the jobs of two minutes on a large site.
 	pinCacheSize = 5000
 	// maxRackShardLoad is the load up to which a job goes to the shard of its data's rack
@@ -25,8 +25,8 @@
 	maxRackShardLoad = 0.9
 )
 
-func newPins() *lru.Cache[string, []cluster.ShardID] {
-	c, err := lru.New[string, []cluster.ShardID](pinCacheSize)
+func newPins() *lru.Cache[string, owner.Pin] {
+	c, err := lru.New[string, owner.Pin](pinCacheSize)
 	if err != nil {
 		panic("cell: invalid size of the cache of pins: " + err.Error())
 	}
@@ -114,7 +114,12 @@
 }
 
 // JobMoved records the new shards of a job's parts.
-func (n *Node) JobMoved(parts []cluster.Job) { n.pins.Add(parts[0].ID, shardsOf(parts)) }
+func (n *Node) JobMoved(parts []cluster.Job) { n.pins.Add(parts[0].ID, pinOf(parts)) }
+
+// pinOf returns the pin of a job, given as its parts.
+func pinOf(parts []cluster.Job) owner.Pin {
+	return owner.Pin{Shards: shardsOf(parts), Team: parts[0].Team}
+}
 
 // shardsOf returns the shards of a job's parts.
 func shardsOf(parts []cluster.Job) []cluster.ShardID {
@@ -127,8 +132,8 @@
 
 // likelyShards returns the shards whose owners are asked first about a job.
 func (n *Node) likelyShards(service, id string) []cluster.ShardID {
-	if shards, ok := n.pins.Get(id); ok && shards[0].Service == service {
-		return shards[:1]
+	if pin, ok := n.pins.Get(id); ok && pin.Shards[0].Service == service {
+		return pin.Shards[:1]
 	}
 	layout, ok := n.layout(service)
 	if !ok {
@@ -138,20 +143,24 @@
 	return n.candidatesByLoad(&layout, id)
 }
 
-// lookUpPin reads a job's pin from the store: the row that names the shards of its parts.
-func (n *Node) lookUpPin(ctx context.Context, service, id string) ([]cluster.ShardID, tables.Row, Answer) {
+// lookUpPin reads a job's pin from the store: the row that names the shards of its parts and
+// its team. A job that the viewer may not see doesn't exist for it.
+func (n *Node) lookUpPin(ctx context.Context, v Viewer, service, id string) (owner.Pin, tables.Row, Answer) {
 	row, found, err := tables.Get(ctx, n.store, owner.TablePins, owner.JobPart(service, id), id)
 	if err != nil {
-		return nil, row, AnswerRefused
+		return owner.Pin{}, row, AnswerRefused
 	}
 	if !found {
-		return nil, row, AnswerNoJob
+		return owner.Pin{}, row, AnswerNoJob
 	}
-	shards, err := owner.ParsePin(service, row)
+	pin, err := owner.ParsePin(service, row)
 	if err != nil {
 		n.Log.Warn("pin row skipped", events.RowSkipped, zap.String("job", id), zap.Error(err))
-		return nil, row, AnswerRefused
+		return owner.Pin{}, row, AnswerRefused
+	}
+	if !v.sees(pin.Team) {
+		return owner.Pin{}, row, AnswerNoJob
 	}
-	n.pins.Add(id, shards)
-	return shards, row, AnswerOK
+	n.pins.Add(id, pin)
+	return pin, row, AnswerOK
 }
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -52,6 +52,9 @@
 		switch {
 		case err == nil && res.Committed:
 			return n.sendAccepted(parts, res.Version, time.Since(began))
+		case err == nil && !n.acceptedBefore(&job, res.Current):
+			n.refuse(job.ID, "a job of another team has this ID")
+			return AnswerConflict
 		case err == nil:
 			// The job was accepted before, perhaps by an attempt whose answer was lost.
 			n.Log.Info("job already accepted", events.JobAccepted, zap.String("job", job.ID), zap.String("queue", job.Queue))
@@ -70,6 +73,17 @@
 	return n.answerUnknown(job.ID)
 }
 
+// acceptedBefore reports whether the job itself was accepted before, by the pin that kept it from
+// being accepted now, and not a job of another team with the same ID.
+func (n *Node) acceptedBefore(job *cluster.Job, current []tables.Row) bool {
+	for _, r := range current {
+		if pin, err := owner.ParsePin(job.Service, r); err == nil {
+			return pin.Team == job.Team
+		}
+	}
+	return true
+}
+
 // answerUnknown returns the answer for a job whose commit got no answer from the store, and
 // logs it.
 func (n *Node) answerUnknown(id string) Answer {
@@ -102,7 +116,7 @@
 // reached finds its part in the store.
 func (n *Node) sendAccepted(parts []cluster.Job, version int64, took time.Duration) Answer {
 	shards := shardsOf(parts)
-	n.pins.Add(parts[0].ID, shards)
+	n.pins.Add(parts[0].ID, pinOf(parts))
 	n.Log.Info("job accepted", events.JobAccepted, zap.String("job", parts[0].ID), zap.String("queue", parts[0].Queue),
 		zap.Stringers("shards", shards), zap.Duration("took", took))
 	for _, j := range parts {
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -57,7 +57,7 @@
 	network := conns.Network{Dial: platform.DialTCP, Log: log, Usage: usage}
 	return cell.New(cfg, cell.Deps{
 		Store: platform.NewStore(cfg.Store, network), Workers: platform.NewWorkers(network), Advice: platform.NewAdvice(cfg.Advice, network),
-		Machines: platform.NewMachines(cfg.Machines, network), Directory: platform.Directory{}, Configs: platform.Configs{},
+		Machines: platform.NewMachines(cfg.Machines, network), Directory: platform.Directory{}, Configs: platform.NewConfigs(log),
 		Callers: platform.NewCallerHandler, Usage: usage, Log: log,
 	}).Run(ctx)
 }
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"switchbank.example/switchbank/internal/resource"
+	"switchbank.example/switchbank/internal/team"
 )
 
 // Kind tells apart the errors of this package.
@@ -60,6 +61,8 @@
 	Prefix  string `json:"prefix"`
 	Service string `json:"service"`
 	Policy  Policy `json:"policy"`
+	// Public queues take calls without a token.
+	Public bool `json:"public,omitempty"`
 }
 
 // Policy sets how the jobs of a queue are treated. Each job keeps a copy, so that it can be
@@ -105,8 +108,20 @@
 	Services []Service `json:"services"`
 	// MaxBodyBytes bounds the body of a submitted job; 0 if the operators set no bound.
 	MaxBodyBytes int64 `json:"max_body_bytes,omitempty"`
+	// TokensRequired is set if calls on queues that aren't public need a team's token.
+	TokensRequired bool `json:"tokens_required,omitempty"`
+	// Teams are the parties that share the cell.
+	Teams []team.Team `json:"teams,omitempty"`
+
+	teams *team.Index
 }
 
+// IndexTeams prepares the configuration for TeamIndex.
+func (c *Config) IndexTeams() { c.teams = team.NewIndex(c.Teams) }
+
+// TeamIndex finds the teams of a configuration for which IndexTeams was called.
+func (c *Config) TeamIndex() *team.Index { return c.teams }
+
 // FindQueue returns the queue for a host name and a path: the one with the longest matching
 // prefix.
 func (c *Config) FindQueue(host, path string) (Queue, bool) {
@@ -168,8 +183,10 @@
 
 // Job is an accepted job.
 type Job struct {
-	ID      string `json:"id"`
-	Queue   string `json:"queue"`
+	ID    string `json:"id"`
+	Queue string `json:"queue"`
+	// Team is the team to which the job belongs; empty if it came without a token.
+	Team    string `json:"team,omitempty"`
 	Service string `json:"service"`
 	// Shard is the index of the service's shard on which the job runs.
 	Shard int `json:"shard,omitempty"`
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -105,6 +105,7 @@
 	WorkerRestarted       = zap.String(Field, "SB1637")
 	WorkerCrashed         = zap.String(Field, "SB1638")
 	TaskCrashesWorkers    = zap.String(Field, "SB1639")
+	TeamInvalid           = zap.String(Field, "SB1640")
 )
 
 // The events of nodes on a platform.
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -6,9 +6,6 @@
 	"cmp"
 	"context"
 	"crypto/rand"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"io"
 	"net/http"
 	"slices"
@@ -22,10 +19,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"switchbank.example/switchbank/internal/api"
-	"switchbank.example/switchbank/internal/bundle"
 	"switchbank.example/switchbank/internal/httpx"
 	"switchbank.example/switchbank/internal/peer"
 	"switchbank.example/switchbank/internal/requests"
+	"switchbank.example/switchbank/internal/team"
 )
 
 const (
@@ -104,7 +101,7 @@
 }
 
 // team returns the team that sent a request, authenticated by its token.
-func (n *Node) team(r *http.Request) (bundle.Team, error) {
+func (n *Node) team(r *http.Request) (team.Team, error) {
 	name := r.Header.Get(api.HeaderTeam)
 	t, ok := n.bundle().Team(name)
 	if !ok {
@@ -120,19 +117,9 @@
 }
 
 // tokenValid reports whether the digest of the request's bearer token is one of
-// digests, or digests is empty. It compares all digests in constant time, so that
-// the time taken reveals nothing about them.
+// digests, or digests is empty.
 func tokenValid(digests []string, r *http.Request) bool {
-	if len(digests) == 0 {
-		return true
-	}
-	sum := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
-	got := []byte(hex.EncodeToString(sum[:]))
-	ok := 0
-	for _, want := range digests {
-		ok |= subtle.ConstantTimeCompare(got, []byte(strings.ToLower(want)))
-	}
-	return ok == 1
+	return len(digests) == 0 || team.AnyDigestOf(digests, strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer "))
 }
 
 func (n *Node) serveRequest(w http.ResponseWriter, r *http.Request) {
@@ -286,7 +273,7 @@
 
 // checkWorkload returns an error for a workload that can never run, so that it is
 // refused before it is journalled.
-func (n *Node) checkWorkload(t bundle.Team, wl api.Workload) error {
+func (n *Node) checkWorkload(t team.Team, wl api.Workload) error {
 	if err := wl.Check(); err != nil {
 		return err
 	}
@@ -307,7 +294,7 @@
 
 // exceedsTeamLimit reports whether a workload needs more at once than the limit of
 // its team allows.
-func exceedsTeamLimit(wl api.Workload, t bundle.Team) bool {
+func exceedsTeamLimit(wl api.Workload, t team.Team) bool {
 	need := wl.Size
 	if wl.Kind == api.KindAllAtOnce {
 		need = wl.Size.Times(int64(wl.Tasks))
@@ -371,7 +358,7 @@
 
 // getForTeam returns a workload of a team. A workload of another team is reported as
 // not found, so that teams cannot learn of each other's workloads.
-func (n *Node) getForTeam(ctx context.Context, t bundle.Team, ref JobRef) (api.Status, error) {
+func (n *Node) getForTeam(ctx context.Context, t team.Team, ref JobRef) (api.Status, error) {
 	key := n.jobKey(ref.ID)
 	ref.Shard = string(key)
 	st, err := callOwnerRetrying(ctx, n, key, peer.PathJobGet, ref, n.getLocal)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -29,6 +29,7 @@
 	"switchbank.example/switchbank/internal/node"
 	"switchbank.example/switchbank/internal/peer"
 	"switchbank.example/switchbank/internal/shard"
+	"switchbank.example/switchbank/internal/team"
 	"switchbank.example/switchbank/standin/local"
 	standin "switchbank.example/switchbank/standin/platform"
 	"switchbank.example/switchbank/standin/worker"
@@ -106,7 +107,7 @@
 	}
 	b := bundle.Default()
 	sum := sha256.Sum256([]byte(rivalToken))
-	b.Teams = []bundle.Team{{Name: "inkasoft", Weight: 1}, {Name: "rival", Weight: 1, TokenSHA256: []string{hex.EncodeToString(sum[:])}}}
+	b.Teams = []team.Team{{Name: "inkasoft", Weight: 1}, {Name: "rival", Weight: 1, TokenSHA256: []string{hex.EncodeToString(sum[:])}}}
 	b.Teams[1].Limit.CPUMilli = 4000
 	b.Classes = []bundle.Class{{Name: "notice", Priority: 1}}
 	b.Limits.BodyBytes = 4096
--- a/internal/owner/applyloaded.go
+++ b/internal/owner/applyloaded.go
@@ -68,7 +68,7 @@
 		}
 		return
 	}
-	o.shard.AddJob(now, cluster.Job{ID: r.Key, Service: o.cfg.Shard.Service, Shard: o.cfg.Shard.Index}, p, false)
+	o.shard.AddJob(now, cluster.Job{ID: r.Key, Service: o.cfg.Shard.Service, Shard: o.cfg.Shard.Index, Team: p.Team}, p, false)
 }
 
 // applyLoadedJob passes a job and its progress to the scheduler, and reports whether the row
--- a/internal/owner/failjob.go
+++ b/internal/owner/failjob.go
@@ -39,11 +39,11 @@
 	if err != nil || !found {
 		return err
 	}
-	shards, err := ParsePin(o.cfg.Shard.Service, pin)
+	p, err := ParsePin(o.cfg.Shard.Service, pin)
 	if err != nil {
 		return err
 	}
-	res, err := o.Tables.Commit(ctx, endJobTxn(shards, pin, jobEnd{cluster.StateFailed}))
+	res, err := o.Tables.Commit(ctx, endJobTxn(p.Shards, pin, jobEnd{cluster.StateFailed}))
 	if err == nil && !res.Committed {
 		err = &Error{"fail job", KindConflict, errors.New("its pin has changed")}
 	}
--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -236,12 +236,12 @@
 // isPinnedHere reports whether a job's pin names only this shard. An unreadable pin counts as
 // such, since the job's row is in this shard, and is replaced.
 func (o *Owner) isPinnedHere(row tables.Row) bool {
-	shards, err := ParsePin(o.cfg.Shard.Service, row)
+	pin, err := ParsePin(o.cfg.Shard.Service, row)
 	if err != nil {
 		o.Log.Warn("unreadable pin is replaced", events.RowSkipped, zap.String("job", row.Key), zap.Error(err))
 		return true
 	}
-	return len(shards) == 1 && shards[0] == o.cfg.Shard
+	return len(pin.Shards) == 1 && pin.Shards[0] == o.cfg.Shard
 }
 
 // resolveMove reports whether a marked job has stayed in this shard. If so, its pin has got a
@@ -252,7 +252,7 @@
 		if !here {
 			return false
 		}
-		row := newPinRow(id, []cluster.ShardID{o.cfg.Shard})
+		row := newPinRow(id, Pin{[]cluster.ShardID{o.cfg.Shard}, o.teamOf(id, seen)})
 		res, err := o.Tables.Commit(ctx, tables.Txn{If: []tables.Row{seen}, Put: []tables.Row{row}})
 		if err == nil && res.Committed {
 			return true
@@ -262,6 +262,17 @@
 	return false
 }
 
+// teamOf returns the team of a job by its pin. A pin that can't be read is replaced by the owner
+// that has the job.
+func (o *Owner) teamOf(id string, row tables.Row) string {
+	if pin, err := ParsePin(o.cfg.Shard.Service, row); err == nil {
+		return pin.Team
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.shard.JobTeam(id)
+}
+
 // resolveMarkedJob finds out where a job is that an earlier owner marked as moving.
 func (o *Owner) resolveMarkedJob(ctx context.Context, id string) {
 	stayed := o.resolveMove(ctx, id)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -231,11 +231,12 @@
 	o.updateShard(func(s *scheduler.Shard, now time.Time) { s.EndJob(now, id, cluster.StateCancelled) })
 }
 
-// JobState returns a job's state; ok is false if this owner doesn't know the job.
-func (o *Owner) JobState(id string) (state cluster.State, ok bool) {
+// JobState returns a job's state and team; ok is false if this owner doesn't know the job.
+func (o *Owner) JobState(id string) (state cluster.State, team string, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.shard.Job(id)
+	state, ok = o.shard.Job(id)
+	return state, o.shard.JobTeam(id), ok
 }
 
 // WaitingJobs returns how many jobs of a queue have not begun; ok is false while the shard is
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -71,10 +71,19 @@
 	return tables.Row{Table: TablePins, Part: JobPart(shard.Service, id), Key: id}
 }
 
-// pin is the value of a job's row in TablePins.
-type pin struct {
+// pinValue is the value of a job's row in TablePins.
+type pinValue struct {
 	// Shards has one index for each part of the job; the first one leads the job.
 	Shards []int `json:"shards"`
+	// Team is the team to which the job belongs; empty if it came without a token.
+	Team string `json:"team,omitempty"`
+}
+
+// Pin says which shards have the parts of a job, and to which team it belongs.
+type Pin struct {
+	// Shards has one shard for each part of the job; the first one leads the job.
+	Shards []cluster.ShardID
+	Team   string
 }
 
 // AcceptJobTxn returns the transaction that accepts a job, given as its parts. It does not
@@ -92,40 +101,40 @@
 		shards = append(shards, j.ShardID())
 		txn.Put = append(txn.Put, tables.Row{Table: TableJobs(j.ShardID()), Part: part, Key: job.ID, Value: value})
 	}
-	txn.Put = append(txn.Put, newPinRow(job.ID, shards))
+	txn.Put = append(txn.Put, newPinRow(job.ID, Pin{shards, job.Team}))
 	return txn, nil
 }
 
 // newPinRow returns the pin that says which shards have the parts of a job.
-func newPinRow(id string, shards []cluster.ShardID) tables.Row {
-	var p pin
-	for _, s := range shards {
+func newPinRow(id string, pin Pin) tables.Row {
+	p := pinValue{Team: pin.Team}
+	for _, s := range pin.Shards {
 		p.Shards = append(p.Shards, s.Index)
 	}
 	value, err := json.Marshal(p)
 	if err != nil {
-		panic("owner: a pin holds only numbers: " + err.Error())
+		panic("owner: a pin holds only numbers and a name: " + err.Error())
 	}
-	row := pinRow(shards[0], id)
+	row := pinRow(pin.Shards[0], id)
 	row.Value = value
 	return row
 }
 
-// ParsePin reads the shards of a job's parts from its row in TablePins.
-func ParsePin(service string, row tables.Row) ([]cluster.ShardID, error) {
-	var p pin
+// ParsePin reads a job's row in TablePins.
+func ParsePin(service string, row tables.Row) (Pin, error) {
+	var p pinValue
 	err := json.Unmarshal(row.Value, &p)
 	if err == nil && (len(p.Shards) == 0 || slices.Min(p.Shards) < 0) {
 		err = errors.New("names no shard")
 	}
 	if err != nil {
-		return nil, &Error{"parse pin of " + row.Key, KindLoad, err}
+		return Pin{}, &Error{"parse pin of " + row.Key, KindLoad, err}
 	}
-	ids := make([]cluster.ShardID, len(p.Shards))
+	pin := Pin{Shards: make([]cluster.ShardID, len(p.Shards)), Team: p.Team}
 	for i, index := range p.Shards {
-		ids[i] = cluster.ShardID{Service: service, Index: index}
+		pin.Shards[i] = cluster.ShardID{Service: service, Index: index}
 	}
-	return ids, nil
+	return pin, nil
 }
 
 // ProgressPart returns the part of a shard's progress.
--- a/internal/requests/requests_test.go
+++ b/internal/requests/requests_test.go
@@ -24,6 +24,7 @@
 	"switchbank.example/switchbank/internal/peer"
 	"switchbank.example/switchbank/internal/pool"
 	"switchbank.example/switchbank/internal/requests"
+	"switchbank.example/switchbank/internal/team"
 	"switchbank.example/switchbank/internal/worker"
 )
 
@@ -31,7 +32,7 @@
 
 func testBundle() *bundle.Bundle {
 	b := bundle.Default()
-	b.Teams = []bundle.Team{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}
+	b.Teams = []team.Team{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}
 	b.Services = []bundle.Service{{Name: svc, QueuePerTeam: 4, QueueTotal: 6}}
 	return b
 }
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -23,6 +23,8 @@
 	// MovesPlusOne is one more than the job's number of moves when this was written; 0:
 	// not known.
 	MovesPlusOne int `json:"mv,omitempty"`
+	// Team is the job's team. Only the last progress has it, which outlives the job's row.
+	Team string `json:"tm,omitempty"`
 
 	version int64
 }
@@ -76,6 +78,7 @@
 func (j *job) progress() Progress {
 	p := Progress{State: j.state, Begun: j.begun}
 	if j.state.Finished() {
+		p.Team = j.spec.Team
 		return p
 	}
 	for k, rep := range j.repeats {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -283,5 +283,14 @@
 	return j.state, true
 }
 
+// JobTeam returns the team to which a job belongs; empty if it is unknown, or came without a
+// token.
+func (s *Shard) JobTeam(id string) string {
+	if j := s.jobs[id]; j != nil {
+		return j.spec.Team
+	}
+	return ""
+}
+
 // HasJob reports whether the job is known.
 func (s *Shard) HasJob(id string) bool { return s.jobs[id] != nil }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,9 +43,22 @@
 	// WorkersPerShard is the maximum number of workers of a shard; 0 derives it from the
 	// CPU of the hosts. It applies when a service is first divided into shards, and does
 	// not change an existing layout.
-	WorkersPerShard int `yaml:"workers_per_shard"`
+	WorkersPerShard int    `yaml:"workers_per_shard"`
+	Tokens          Tokens `yaml:"tokens"`
 }
 
+// Tokens sets how a node that may not know the newest configuration treats callers' tokens.
+type Tokens struct {
+	// Strict makes it refuse all calls that need a token, for now; otherwise it serves the
+	// tokens that it knows.
+	Strict bool `yaml:"strict"`
+	// MaxAgeMS is the time after which a strict node does so, in milliseconds.
+	MaxAgeMS int64 `yaml:"max_age_ms"`
+}
+
+// MaxAge returns the time after which a strict node refuses calls.
+func (t Tokens) MaxAge() time.Duration { return time.Duration(t.MaxAgeMS) * time.Millisecond }
+
 // Listen are the addresses on which a node serves.
 type Listen struct {
 	Callers string `yaml:"callers"`
@@ -120,6 +133,7 @@
 	defaultGrace             = 6 * time.Second
 	defaultFinishedRetention = 120 * time.Second
 	defaultMemoryMB          = 128
+	defaultMaxTokenAge       = 5 * time.Second
 )
 
 // OwnerMilliCPUPerWorker is the CPU that the owner of a shard uses for each busy worker
@@ -155,6 +169,7 @@
 	setDefault(&s.Bounds.StopMS, defaultStopTime.Milliseconds())
 	setDefault(&s.Bounds.GraceMS, defaultGrace.Milliseconds())
 	setDefault(&s.Bounds.FinishedRetentionMS, defaultFinishedRetention.Milliseconds())
+	setDefault(&s.Tokens.MaxAgeMS, defaultMaxTokenAge.Milliseconds())
 	setDefault(&s.Limits.MemoryMB, int64(defaultMemoryMB))
 	setDefault(&s.Limits.CPUShare, 1.0)
 	setDefault(&s.Limits.CoreSpeed, 1.0)
@@ -187,7 +202,7 @@
 		value int64
 	}{
 		{"bounds.lease_most_ms", s.Bounds.MaxLeaseMS}, {"bounds.stop_ms", s.Bounds.StopMS}, {"bounds.grace_ms", s.Bounds.GraceMS},
-		{"bounds.keep_state_ms", s.Bounds.FinishedRetentionMS}, {"limits.memory_mb", s.Limits.MemoryMB},
+		{"bounds.keep_state_ms", s.Bounds.FinishedRetentionMS}, {"tokens.max_age_ms", s.Tokens.MaxAgeMS}, {"limits.memory_mb", s.Limits.MemoryMB},
 	} {
 		if b.value <= 0 {
 			return newInvalid(b.field, "must be above 0")
--- a/internal/tables/follow.go
+++ b/internal/tables/follow.go
@@ -29,6 +29,8 @@
 	After int64
 	// Apply is called with changed rows, or with full set and all rows of the parts.
 	Apply func(rows []Row, full bool)
+	// OnCurrent, if not nil, is called after each call that has shown the table's present state.
+	OnCurrent func()
 	// OnError is called with the error of a failed call, unless the call before it failed too.
 	OnError func(err error)
 
@@ -80,6 +82,7 @@
 		}
 		f.failing = false
 		if len(res.Rows) == 0 {
+			f.noteCurrent()
 			relist = f.RelistAfter > 0 && time.Since(f.listedAt) >= f.RelistAfter
 			if f.RelistAfter == 0 {
 				after = f.advanceQuiet(after, res.Version)
@@ -88,6 +91,7 @@
 		}
 		relist = false
 		f.Apply(res.Rows, false)
+		f.noteCurrent()
 		after, f.quietVersion = res.Version, 0
 		if len(res.Rows) < fullFeedRows {
 			Sleep(ctx, f.Pause)
@@ -95,6 +99,13 @@
 	}
 }
 
+// noteCurrent calls OnCurrent.
+func (f *Follower) noteCurrent() {
+	if f.OnCurrent != nil {
+		f.OnCurrent()
+	}
+}
+
 // advanceQuiet returns the version from which the feed continues after it has shown no change:
 // an earlier version of that kind, so that the feed stays within its history.
 func (f *Follower) advanceQuiet(after, version int64) int64 {
@@ -118,6 +129,7 @@
 	}
 	f.failing, f.listedAt, f.quietVersion = false, time.Now(), 0
 	f.Apply(rows, true)
+	f.noteCurrent()
 	return version
 }
 
--- a/matrix/site/env_test.go
+++ b/matrix/site/env_test.go
@@ -60,6 +60,7 @@
 	limits          settings.Limits
 	// useHelpers is set if owners send orders to workers through other nodes, their helpers.
 	useHelpers bool
+	tokens     settings.Tokens
 
 	mu      sync.Mutex
 	nodes   map[string]*runningNode
@@ -172,13 +173,13 @@
 		Listen: settings.Listen{Callers: name + ":1", Ready: name + ":2", Peers: name + ":3", AdvertisePeers: name + ":3", Metrics: name + ":4"},
 		Seeds:  []string{"n0:3", "n1:3"},
 		Bounds: settings.Bounds{MaxLeaseMS: 10_000, StopMS: 200, GraceMS: 6000, FinishedRetentionMS: 120_000},
-		Limits: env.limits, WorkersPerShard: env.workersPerShard,
+		Limits: env.limits, WorkersPerShard: env.workersPerShard, Tokens: env.tokens,
 	}
 	dial := env.net.Dial(name)
 	transport := conns.Network{Dial: dial, Log: env.log.Named(name)}
 	n := cell.New(cfg, cell.Deps{
 		Store: platform.NewStore(cfg.Store, transport), Workers: platform.NewWorkers(transport), Advice: platform.NewAdvice(cfg.Advice, transport),
-		Machines: platform.NewMachines(cfg.Machines, transport), Directory: platform.Directory{}, Configs: platform.Configs{},
+		Machines: platform.NewMachines(cfg.Machines, transport), Directory: platform.Directory{}, Configs: platform.NewConfigs(env.log.Named(name)),
 		Callers: platform.NewCallerHandler, Log: env.log.Named(name), Dial: dial,
 		Listen: func(_ context.Context, _, address string) (net.Listener, error) { return env.net.Listen(address), nil },
 	})
@@ -270,6 +271,11 @@
 
 // call sends a caller's request to a node; status 0 means that there was no response.
 func (env *testEnv) call(node, method, path, body string) (int, []byte) {
+	return env.callAs("", node, method, path, body)
+}
+
+// callAs is call with the key of a team, or without one if it is "".
+func (env *testEnv) callAs(key, node, method, path, body string) (int, []byte) {
 	ctx, cancel := context.WithTimeout(env.t.Context(), callDeadline)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+node+":1"+path, bytes.NewReader([]byte(body)))
@@ -278,6 +284,9 @@
 	}
 	r.Host = "h"
 	r.Header.Set("X-Switchbank-Deadline-Ms", "3000")
+	if key != "" {
+		r.Header.Set("X-Switchbank-Credential", key)
+	}
 	return env.send(r)
 }
 
--- a/matrix/site/movemark_test.go
+++ b/matrix/site/movemark_test.go
@@ -44,11 +44,11 @@
 func (env *testEnv) pinnedShard() cluster.ShardID {
 	env.t.Helper()
 	value := env.site.Store.Value(owner.TablePins, owner.JobPart(service, movingID), movingID)
-	shards, err := owner.ParsePin(service, tables.Row{Key: movingID, Value: value})
-	if err != nil || len(shards) != 1 {
+	pin, err := owner.ParsePin(service, tables.Row{Key: movingID, Value: value})
+	if err != nil || len(pin.Shards) != 1 {
 		env.t.Fatalf("the pin holds %s: %v", value, err)
 	}
-	return shards[0]
+	return pin.Shards[0]
 }
 
 // markMoving marks the job as moving in the progress of a shard.
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -179,6 +179,7 @@
 	TargetMS    int64       `json:"TargetLatencyMs"`
 	Upstream    string      `json:"Upstream"`
 	Advice      *AdviceCost `json:"advice,omitempty"`
+	Public      bool        `json:"Public,omitempty"`
 }
 
 // AdviceCost is what a call of the advice service costs.
@@ -188,10 +189,26 @@
 	ValidMS  int64   `json:"valid_ms"`
 }
 
+// Team is a team of the configuration.
+type Team struct {
+	Name   string    `json:"Name"`
+	Keys   []string  `json:"ApiKeys"`
+	Weight float64   `json:"Weight"`
+	Limit  TeamLimit `json:"MaxItems"`
+}
+
+// TeamLimit is the most that a team may have running; 0 means no limit.
+type TeamLimit struct {
+	CPUMilli int64 `json:"Cpu"`
+	MemoryMB int64 `json:"MemMb"`
+	GPU      int64 `json:"Gpu"`
+}
+
 type config struct {
 	Version   int64     `json:"Version"`
 	Routes    []Route   `json:"Routes"`
 	Upstreams []service `json:"Upstreams"`
+	Teams     []Team    `json:"Tenants,omitempty"`
 }
 
 type service struct {
@@ -199,15 +216,18 @@
 }
 
 // Configure stores a version of the configuration with the routes, their services and the
-// site's own service.
-func (s *Site) Configure(version int64, routes ...Route) {
+// site's own service, and without teams.
+func (s *Site) Configure(version int64, routes ...Route) { s.ConfigureTeams(version, nil, routes...) }
+
+// ConfigureTeams is Configure with teams.
+func (s *Site) ConfigureTeams(version int64, teams []Team, routes ...Route) {
 	services := []service{{s.cfg.Service}}
 	for _, r := range routes {
 		if upstream := (service{r.Upstream}); !slices.Contains(services, upstream) {
 			services = append(services, upstream)
 		}
 	}
-	s.Store.Put("op", "config", config{version, routes, services})
+	s.Store.Put("op", "config", config{version, routes, services, teams})
 }
 
 type machines struct {
