scheduler, owner: no start takes a team above its limit

Change: each shard has a part of each team's limit, and counts against it all that may be running of the team. Parts move to shards where tasks wait, persisted by the giver on condition of its fence. A gang that waits for its team's limit holds back less urgent work of the team. Runs above a limit that was lowered are stopped after 0.5 s. A gang or task that can never fit its team's limit is refused at once.

Tests: matrix/site/teamlimit_test.go, each fault of the matrix at the limit and while it falls; internal/quota, random gives, messages and owners.

--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -31,6 +31,8 @@
 	AnswerNoJob Answer = "no_job"
 	// AnswerConflict means that a job of another team has the ID.
 	AnswerConflict Answer = "conflict"
+	// AnswerOverLimit means that the job's team may never run it under the present limit.
+	AnswerOverLimit Answer = "over_limit"
 	// AnswerNoToken means that the call has no token that is in force.
 	AnswerNoToken Answer = "no_token"
 )
--- a/internal/cell/configuration.go
+++ b/internal/cell/configuration.go
@@ -81,6 +81,7 @@
 	n.Log.Info("configuration in force", events.ConfigInForce, zap.Int64("version", cfg.Version), zap.String("source", source),
 		zap.Int("queues", len(cfg.Queues)), zap.Int("services", len(cfg.Services)), zap.Int("bytes", size),
 		zap.Duration("behind", behind))
+	n.updateTeams()
 	n.watchServices(cfg.Services)
 }
 
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/owner"
 	"switchbank.example/switchbank/internal/scheduler"
 	"switchbank.example/switchbank/internal/tables"
 )
@@ -23,6 +24,7 @@
 	pathTake     = "/peer/v2/take"
 	pathGang     = "/peer/v2/gang"
 	pathMembers  = "/peer/v2/members"
+	pathTeams    = "/peer/v2/teams"
 	pathConfig   = "/peer/v2/config"
 	pathCommit   = "/peer/v2/store/commit"
 	pathList     = "/peer/v2/store/list"
@@ -122,6 +124,12 @@
 	What  T               `json:"what"`
 }
 
+// teamPartsMessage asks a shard's owner for parts of teams' limits.
+type teamPartsMessage struct {
+	Shard   cluster.ShardID        `json:"shard"`
+	Request owner.TeamPartsRequest `json:"request"`
+}
+
 type takeRequest struct {
 	Shard cluster.ShardID `json:"shard"`
 	// Version is the version of the owner's row that is to be replaced.
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -292,7 +292,7 @@
 	layout, _ := n.layout(shard.Service)
 	workers := n.newFanout(shard, &layout)
 	o := owner.New(owner.Config{
-		Shard: shard, Layout: layout, Row: row, Fence: fence, MaxParallelReads: n.parallelReads(), MaxWriteBytes: n.writeBytes(), Params: n.schedulerParams(rec.Epoch),
+		Shard: shard, Layout: layout, Row: row, Fence: fence, MaxParallelReads: n.parallelReads(), MaxWriteBytes: n.writeBytes(), Params: n.schedulerParams(shard, &layout, rec.Epoch),
 	}, owner.Deps{
 		Tables: proxiedStore{n.store, n}, Workers: workers, Advisers: n.peers, Machines: proxiedMachines{n, shard.Service}, Directory: n.Directory, Shards: otherShards{n},
 		CountInvalidEntry: n.countInvalidEntry, Log: n.Log,
@@ -301,6 +301,7 @@
 		workers.Close()
 		return
 	}
+	n.updateTeams()
 	n.group.Go(func() error {
 		defer workers.Close()
 		err := o.Run(n.ctx)
@@ -328,11 +329,12 @@
 
 // schedulerParams returns the parameters of a shard's scheduler that depend on this node's
 // bounds.
-func (n *Node) schedulerParams(epoch int64) scheduler.Params {
+func (n *Node) schedulerParams(shard cluster.ShardID, layout *cluster.Layout, epoch int64) scheduler.Params {
 	most := time.Duration(n.cfg.Bounds.MaxLeaseMS) * time.Millisecond
 	return scheduler.Params{
 		Epoch: epoch, Lease: min(workerLease, most), MaxLease: most, StopTime: time.Duration(n.cfg.Bounds.StopMS) * time.Millisecond,
 		UncertainFor:      time.Duration(float64(min(workerLease, most))*scheduler.ClockSlack) + replacedOwnerTime,
 		FinishedRetention: time.Duration(n.cfg.Bounds.FinishedRetentionMS) * time.Millisecond,
+		Index:             shard.Index, Shards: layout.Shards,
 	}
 }
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -26,12 +26,21 @@
 	// RetryAfter is when a refused caller should retry: by then another node, or the store's
 	// rate limit of the next second, may accept the job.
 	RetryAfter = time.Second
+	// LimitRetryAfter is when the caller of a job above its team's limit should retry: the
+	// operators have to raise the limit first.
+	LimitRetryAfter = time.Minute
 )
 
 // Submit accepts a job durably. It is idempotent: the same job may be submitted any number of
 // times.
 func (n *Node) Submit(ctx context.Context, job cluster.Job) Answer {
 	job.AcceptedMS = time.Now().UnixMilli()
+	if cfg := n.Config(); cfg != nil {
+		if t, ok := cfg.TeamIndex().ByName(job.Team); ok && !job.FitsLimit(t.Limit) {
+			n.refuse(job.ID, "a step of it exceeds the limit of team "+t.Name)
+			return AnswerOverLimit
+		}
+	}
 	parts, ok := n.place(ctx, job)
 	if !ok {
 		return n.refuse(job.ID, "the service has no layout yet")
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -218,6 +218,24 @@
 // jobs; the largest real ones have some 200 tasks.
 const MaxTasks = 100_000
 
+// FitsLimit reports whether a team with a limit may ever run each step of the job: all members of
+// a gang at once, or one task of another step. A resource of 0 has no limit.
+func (j *Job) FitsLimit(limit resource.Amount) bool {
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		need := s.Need
+		if s.Gang {
+			need = need.Times(int64(s.Count))
+		}
+		if exceeds(need.CPUMilli, limit.CPUMilli) || exceeds(need.MemoryMB, limit.MemoryMB) || exceeds(need.Accelerators, limit.Accelerators) {
+			return false
+		}
+	}
+	return true
+}
+
+func exceeds(need, limit int64) bool { return limit > 0 && need > limit }
+
 // Validate checks the job, and names the first invalid field.
 func (j *Job) Validate() error {
 	if len(j.Steps) == 0 {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -106,6 +106,9 @@
 	WorkerCrashed         = zap.String(Field, "SB1638")
 	TaskCrashesWorkers    = zap.String(Field, "SB1639")
 	TeamInvalid           = zap.String(Field, "SB1640")
+	TeamOverLimit         = zap.String(Field, "SB1641")
+	TeamWaits             = zap.String(Field, "SB1642")
+	TeamPartGiven         = zap.String(Field, "SB1643")
 )
 
 // The events of nodes on a platform.
--- a/internal/owner/applyloaded.go
+++ b/internal/owner/applyloaded.go
@@ -25,6 +25,9 @@
 	if rows.workerList.Version > 0 {
 		o.applyWorkerList(o.shard, now, rows.workerList)
 	}
+	if rows.teamParts.Version > 0 {
+		o.applyTeamParts(rows.teamParts)
+	}
 	n := o.applyLoadedJobs(now, rows.jobs, rows.progress)
 	o.rewriteFallbackJobs()
 	return n
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -39,6 +39,8 @@
 	// progress maps job IDs to the rows of their progress.
 	progress   map[string]tables.Row
 	workerList tables.Row
+	// teamParts holds what earlier owners have given of the teams' limits.
+	teamParts tables.Row
 	// fallbackRows hold progress that was written while its own part did not answer.
 	fallbackRows []tables.Row
 	// version is the oldest version of the lists of jobs; their feed continues from it.
@@ -182,6 +184,8 @@
 		case fenceKey:
 		case workerListKey:
 			loaded.workerList = r
+		case teamPartsKey:
+			loaded.teamParts = r
 		default:
 			loaded.progress[r.Key] = r
 		}
--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -37,6 +37,8 @@
 	// it start members of one.
 	QueryGang(ctx context.Context, shard cluster.ShardID, query scheduler.GangQuery) (scheduler.GangState, error)
 	StartGang(ctx context.Context, shard cluster.ShardID, start scheduler.GangStart) error
+	// RequestTeamParts asks another shard's owner for parts of teams' limits.
+	RequestTeamParts(ctx context.Context, shard cluster.ShardID, req TeamPartsRequest) (TeamPartsReply, error)
 }
 
 const (
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -103,6 +103,7 @@
 	deleteQueue   deleteQueue
 	fallback      fallback
 	unreadParts   unreadParts
+	teamParts     teamParts
 	wakeScheduler chan struct{}
 	wakePersist   chan struct{}
 	// wakeMachineList requests a listing of the machines before the next one is due.
@@ -120,7 +121,7 @@
 	cfg.MaxWriteBytes = cmp.Or(cfg.MaxWriteBytes, math.MaxInt)
 	return &Owner{
 		cfg: cfg, Deps: deps, startedAt: time.Now(), shard: scheduler.New(cfg.Params, time.Now(), deps.Log),
-		holdLoops: make(map[string]bool), invalidEntries: newInvalidEntries(),
+		holdLoops: make(map[string]bool), invalidEntries: newInvalidEntries(), teamParts: teamParts{answered: make(map[int]bool), next: cfg.Shard.Index},
 		wakeScheduler: make(chan struct{}, 1), wakePersist: make(chan struct{}, 1), wakeMachineList: make(chan struct{}, 1),
 	}
 }
@@ -165,6 +166,7 @@
 		o.group.Go(func() error { return o.moveLoop(o.ctx) })
 		o.group.Go(func() error { return o.gangLoop(o.ctx) })
 		o.group.Go(func() error { return o.participantLoop(o.ctx) })
+		o.group.Go(func() error { return o.teamPartsLoop(o.ctx) })
 	}
 	for _, id := range o.knownWorkers() {
 		o.startHoldLoop(o.ctx, id)
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -44,6 +44,11 @@
 	return Amount{max(a.CPUMilli, b.CPUMilli), max(a.MemoryMB, b.MemoryMB), max(a.Accelerators, b.Accelerators)}
 }
 
+// Min returns the minimum of a and b in each resource.
+func (a Amount) Min(b Amount) Amount {
+	return Amount{min(a.CPUMilli, b.CPUMilli), min(a.MemoryMB, b.MemoryMB), min(a.Accelerators, b.Accelerators)}
+}
+
 // DominantShare returns the largest share of total that a takes in any resource, from 0 to 1.
 func (a Amount) DominantShare(total Amount) float64 {
 	return max(share(a.CPUMilli, total.CPUMilli), share(a.MemoryMB, total.MemoryMB), share(a.Accelerators, total.Accelerators))
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -16,7 +16,9 @@
 
 // job is an accepted job and its progress.
 type job struct {
-	spec    cluster.Job
+	spec cluster.Job
+	// team is the job's team; nil: it has none.
+	team    *teamState
 	rank    Rank
 	repeats []*repeat
 	state   cluster.State
@@ -68,6 +70,8 @@
 	failedOn map[string]time.Time
 	// waitingSince is when the step last began to wait for room; zero: it does not wait.
 	waitingSince time.Time
+	// limitSince is since when a gang waits for its team's limit; zero: it does not.
+	limitSince time.Time
 	// noRoomAt is when the step last found no room to reserve.
 	noRoomAt time.Time
 }
@@ -165,7 +169,7 @@
 		progress = s.carriedProgress(&spec)
 	}
 	spec.CarriedProgress = nil
-	j := &job{spec: spec, rank: newRank(&spec, now), state: cluster.StatePending, inherited: uncertain, offeredAt: now}
+	j := &job{spec: spec, team: s.team(now, spec.Team), rank: newRank(&spec, now), state: cluster.StatePending, inherited: uncertain, offeredAt: now}
 	s.jobs[spec.ID] = j
 	if progress != nil && progress.State.Finished() {
 		j.state, j.begun, j.version = progress.State, true, progress.version
--- a/internal/scheduler/joint.go
+++ b/internal/scheduler/joint.go
@@ -195,7 +195,7 @@
 	}
 	s.reserveForJointGang(now, st, &g)
 	if len(st.startable(now)) == len(st.tasks) {
-		g.Ready = min(s.countStartable(now, st), len(st.tasks))
+		g.Ready = s.startsWithinLimit(now, st, min(s.countStartable(now, st), len(st.tasks)))
 	}
 	return g
 }
@@ -226,6 +226,11 @@
 func (s *Shard) reserveForJointGang(now time.Time, st *step, g *GangState) {
 	s.releaseReservations(st)
 	places := s.soonestPlacements(now, st, len(st.tasks), maxGangReserveWait)
+	within := s.startsWithinLimit(now, st, len(places))
+	if within < len(places) {
+		s.limitBlocks(now, st, len(places)-within)
+	}
+	places = places[:within]
 	g.ReadySoon = len(places)
 	places = places[:min(st.joint.members, len(places))]
 	if len(places) == 0 {
@@ -270,6 +275,10 @@
 // startMembersHere starts some members of a gang in this shard, or none if there is no
 // room for all of them.
 func (s *Shard) startMembersHere(now time.Time, st *step, from, to int, run int64, checkpoint string) bool {
+	s.unseenRound = -1
+	if s.startsWithinLimit(now, st, to-from) < to-from {
+		return false
+	}
 	places := s.placeMembers(now, st, to-from, anyWorker)
 	if places == nil {
 		return false
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -18,6 +18,9 @@
 func (s *Shard) placeAll(now time.Time) {
 	s.round++
 	s.reservingSteps, s.gangReserved = 0, false
+	for _, t := range s.teams {
+		t.blocked = resource.Amount{}
+	}
 	for _, j := range s.active {
 		if j.moving || j.failing {
 			continue
@@ -72,6 +75,10 @@
 		// starve.
 		slices.SortStableFunc(waiting, func(a, b *task) int { return a.waitingSince.Compare(b.waitingSince) })
 	}
+	if waiting = s.withinLimit(now, st, waiting); len(waiting) == 0 {
+		st.waitingSince = time.Time{}
+		return
+	}
 	// Tasks that wait for isolation need tickets, but no room yet.
 	placed, queued := 0, 0
 	for _, t := range waiting {
@@ -93,6 +100,16 @@
 	s.handleUnplaced(now, st, len(waiting)-placed-queued)
 }
 
+// withinLimit returns those of a step's waiting tasks that may start by its team's limit.
+func (s *Shard) withinLimit(now time.Time, st *step, waiting []*task) []*task {
+	n := s.startsWithinLimit(now, st, len(waiting))
+	if n == len(waiting) {
+		return waiting
+	}
+	s.limitBlocks(now, st, len(waiting)-n)
+	return waiting[:n]
+}
+
 // handleUnplaced asks for advice, reserves room or preempts others for the tasks of a
 // step that found no worker.
 func (s *Shard) handleUnplaced(now time.Time, st *step, left int) {
@@ -457,6 +474,12 @@
 		s.requestJointAdvice(now, st)
 		return
 	}
+	if s.startsWithinLimit(now, st, len(st.tasks)) < len(st.tasks) {
+		s.limitBlocks(now, st, len(st.tasks))
+		st.waitingSince = time.Time{}
+		return
+	}
+	st.limitSince = time.Time{}
 	if !s.mayStartIsolated(now, st) {
 		return
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -109,6 +109,9 @@
 	w.runs[r.key()] = r
 	w.used = w.used.Add(t.step.spec.Allocation())
 	s.runs[r.key()] = r
+	if team := t.step.job.team; team != nil {
+		team.used = team.used.Add(t.step.quotaUse())
+	}
 	if j := t.step.job; !j.begun {
 		j.begun = true
 		s.markChanged(j)
@@ -123,6 +126,9 @@
 	}
 	s.endIsolation(r)
 	delete(s.runs, r.key())
+	if team := r.task.step.job.team; team != nil {
+		team.used = team.used.Sub(r.task.step.quotaUse())
+	}
 	delete(r.worker.runs, r.key())
 	r.worker.used = r.worker.used.Sub(r.task.step.spec.Allocation())
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -33,6 +33,7 @@
 	"go.uber.org/zap"
 
 	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/quota"
 )
 
 // Params are the bounds under which a shard works.
@@ -49,6 +50,8 @@
 	UncertainFor time.Duration
 	// FinishedRetention is how long the state of a finished job is kept.
 	FinishedRetention time.Duration
+	// Index is that of the shard among the Shards of its service; 0 shards count as one.
+	Index, Shards int
 }
 
 // runsPerEpoch separates the run numbers of successive owners: a new owner starts above
@@ -151,6 +154,13 @@
 	// mention them to this owner.
 	movedAway map[string]movedJob
 	takeover  takeover
+	// teams are those of the configuration and of the jobs, and ledger holds this shard's
+	// parts of their limits. unseenRound is the round in which the teams' unseen was computed.
+	teams       map[string]*teamState
+	ledger      *quota.Ledger
+	unseenRound int64
+	// partsKnown is set once all other shards have said what they have given to this one.
+	partsKnown bool
 	// unreadFunc reports whether a job may be in a part of the store that has not been
 	// read; nil: all parts have been read.
 	unreadFunc func(job string) bool
@@ -200,6 +210,8 @@
 	// CrashedRuns counts the runs under which a worker crashed soon after the start, and
 	// CrashingJobs the jobs that failed because a task crashes its workers.
 	CrashedRuns, CrashingJobs int64
+	// AboveLimit counts the runs that were stopped since their team's limit was lowered.
+	AboveLimit int64
 }
 
 // New returns an empty shard.
@@ -209,6 +221,7 @@
 		workers: make(map[string]*worker), incarnations: make(map[string]*incarnationHistory), inDoubt: make(map[string][]*run), jobs: make(map[string]*job), runs: make(map[runKey]*run),
 		dirty: make(map[string]*job), movedAway: make(map[string]movedJob), takeover: takeover{open: true, jobsLoadedAt: now},
 		approvalRates: make(map[string]float64), ratios: make(map[stepKind]*ratio), load: unknownLoad,
+		teams: make(map[string]*teamState), ledger: quota.NewLedger(params.Index, params.Shards), unseenRound: -1, partsKnown: params.Shards <= 1,
 	}
 }
 
@@ -248,6 +261,7 @@
 	s.detectLeavingWorkers(now)
 	s.evacuateWorkers(now)
 	s.paceBestEffortRuns(now)
+	s.enforceLimits(now)
 	s.forgetFinished(now)
 	s.updateLoad(now)
 	s.logWaitingTasks(now)
--- /dev/null
+++ b/internal/scheduler/teamlimit.go
@@ -0,0 +1,453 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/quota"
+	"switchbank.example/switchbank/internal/resource"
+	"switchbank.example/switchbank/internal/team"
+)
+
+// A team may have at most its limit running over all shards, and in each shard the shard's part
+// of it. What may be running counts: runs that are being stopped, starts without an answer, runs
+// behind a partition until their lease has expired, copies, and after a takeover all that the
+// earlier owner may have started on workers that have not answered yet.
+//
+// A step of which no task can start within the limit neither reserves room nor preempts others.
+// Its owner asks the other shards for a part of theirs.
+
+// teamState is what a shard knows about one team.
+type teamState struct {
+	name string
+	// since is when the team was first heard of, and known is set once it was in a
+	// configuration.
+	since time.Time
+	known bool
+	// limit is that of the team over all shards; a resource of 0 has none.
+	limit resource.Amount
+	// weight is the team's share relative to those of other teams.
+	weight float64
+	// used is what the team's runs occupy here.
+	used resource.Amount
+	// unseen is what may be running of it on workers that have not answered this owner, as of
+	// round unseenRound.
+	unseen resource.Amount
+	// blocked is what tasks need that can't start for the limit, first the urgency of the most
+	// urgent of their steps and firstNeed what that needs, as of this round.
+	blocked, firstNeed resource.Amount
+	first              Urgency
+	// heldFor is the step, here or in another shard, for which less urgent ones of the team are
+	// held back, and heldUntil until when.
+	heldFor   Urgency
+	heldUntil time.Time
+	// overSince is when the runs came to exceed a limit that was lowered; zero: they don't.
+	overSince time.Time
+	// loggedAt is when the team's wait was last logged.
+	loggedAt time.Time
+}
+
+// Urgency orders steps by what is the same in all shards.
+type Urgency struct {
+	Priority   int    `json:"priority,omitempty"`
+	AcceptedMS int64  `json:"accepted_ms"`
+	Job        string `json:"job"`
+}
+
+// Before reports whether u comes before o.
+func (u Urgency) Before(o Urgency) bool {
+	return cmp.Or(cmp.Compare(u.Priority, o.Priority), cmp.Compare(u.AcceptedMS, o.AcceptedMS), cmp.Compare(u.Job, o.Job)) < 0
+}
+
+func (j *job) urgency() Urgency { return Urgency{j.rank.Priority, j.spec.AcceptedMS, j.spec.ID} }
+
+const (
+	// gangLimitPatience is how long a gang waits for its team's limit before less urgent steps of
+	// the team are held back, so that it gets room for all of its members at once, and holdTime
+	// how long that lasts unless it is asked for again.
+	gangLimitPatience = time.Second
+	holdTime          = 700 * time.Millisecond
+	// limitDrainTime is how long runs above a limit that was lowered may go on by themselves
+	// before some are stopped. A lower limit has to hold within 2 s, and a stop takes up to 1 s.
+	limitDrainTime = 500 * time.Millisecond
+	// unknownTeamWait is how long the jobs of a team wait that was in no configuration yet. This
+	// node may be behind, or the team is gone and its jobs go on without a limit.
+	unknownTeamWait = 5 * time.Second
+	// teamWaitLogInterval is how often the wait of a team at its limit is logged.
+	teamWaitLogInterval = 5 * time.Second
+)
+
+// quotaUse is what a task of the step counts for against its team's limit. Processor time that a
+// best-effort task doesn't reserve counts, too.
+func (st *step) quotaUse() resource.Amount { return st.spec.Need }
+
+// SetTeams sets the teams of the configuration in force. One that is not there any more keeps
+// its limit, by which its accepted jobs go on.
+func (s *Shard) SetTeams(now time.Time, teams []team.Team) {
+	for i := range teams {
+		t := s.team(now, teams[i].Name)
+		t.known, t.limit, t.weight = true, teams[i].Limit, teams[i].Weight
+	}
+}
+
+// team returns the state of a team, nil for jobs without one.
+func (s *Shard) team(now time.Time, name string) *teamState {
+	if name == "" {
+		return nil
+	}
+	t := s.teams[name]
+	if t == nil {
+		t = &teamState{name: name, since: now, weight: 1}
+		s.teams[name] = t
+	}
+	return t
+}
+
+// limitHere returns this shard's part of a team's limit.
+func (s *Shard) limitHere(t *teamState) resource.Amount {
+	return quota.Scale(t.limit, s.ledger.Part(t.name))
+}
+
+// headroom returns what the team may start here in addition to what may be running.
+func (s *Shard) headroom(t *teamState) resource.Amount {
+	s.updateUnseen()
+	return s.limitHere(t).Sub(t.used).Sub(t.unseen)
+}
+
+// startsWithinLimit returns how many of n tasks of a step may start by its team's limit.
+func (s *Shard) startsWithinLimit(now time.Time, st *step, n int) int {
+	t := st.job.team
+	switch {
+	case t == nil:
+		return n
+	case !t.known && now.Sub(t.since) < unknownTeamWait:
+		return 0
+	case t.limit == (resource.Amount{}):
+		return n
+	case now.Before(t.heldUntil) && t.heldFor.Before(st.job.urgency()):
+		return 0
+	}
+	return min(n, countWithin(s.headroom(t), st.quotaUse()))
+}
+
+// countWithin returns how many times an amount fits into a room.
+func countWithin(room, one resource.Amount) int {
+	n := int64(cluster.MaxTasks)
+	for _, r := range [][2]int64{{room.CPUMilli, one.CPUMilli}, {room.MemoryMB, one.MemoryMB}, {room.Accelerators, one.Accelerators}} {
+		if r[1] > 0 {
+			n = min(n, max(0, r[0])/r[1])
+		}
+	}
+	return int(n)
+}
+
+// limitBlocks notes that n tasks of a step can't start for their team's limit.
+func (s *Shard) limitBlocks(now time.Time, st *step, n int) {
+	t := st.job.team
+	need := st.quotaUse().Times(int64(n))
+	if u := st.job.urgency(); t.blocked == (resource.Amount{}) || u.Before(t.first) {
+		t.first, t.firstNeed = u, need
+	}
+	t.blocked = t.blocked.Add(need)
+	if st.spec.Gang {
+		s.holdForGang(now, st)
+	}
+	if now.Sub(t.loggedAt) < teamWaitLogInterval {
+		return
+	}
+	t.loggedAt = now
+	s.log.Info("team waits at its limit", events.TeamWaits, zap.String("team", t.name), zap.String("job", st.id.Job), zap.Int("tasks", n),
+		zap.Any("limit", t.limit), zap.Any("limit_here", s.limitHere(t)), zap.Any("used_here", t.used), zap.Any("unseen_here", t.unseen))
+}
+
+// holdForGang holds back less urgent steps of the team once a gang has waited for its limit.
+func (s *Shard) holdForGang(now time.Time, st *step) {
+	if st.limitSince.IsZero() {
+		st.limitSince = now
+	}
+	if now.Sub(st.limitSince) >= gangLimitPatience {
+		st.job.team.hold(now, st.job.urgency())
+	}
+}
+
+// hold holds back steps of the team that are less urgent than u, unless others are held back for
+// a more urgent one.
+func (t *teamState) hold(now time.Time, u Urgency) {
+	if now.Before(t.heldUntil) && t.heldFor.Before(u) {
+		return
+	}
+	t.heldFor, t.heldUntil = u, now.Add(holdTime)
+}
+
+// updateUnseen computes, once in a round, what may be running on workers that have not answered,
+// and on those that run tasks of unknown jobs: as much as all tasks that are uncertain need, or
+// as much as these workers hold.
+func (s *Shard) updateUnseen() {
+	if s.unseenRound == s.round {
+		return
+	}
+	s.unseenRound = s.round
+	unknown := resource.Amount{}
+	for _, w := range s.workerList {
+		if len(w.unknownRuns) > 0 {
+			unknown = unknown.Add(w.info.Capacity)
+		}
+	}
+	for _, t := range s.teams {
+		t.unseen = unknown
+	}
+	if !s.takeover.open {
+		return
+	}
+	uncertain := make(map[*teamState]resource.Amount)
+	for _, j := range s.active {
+		if j.team != nil && j.inherited {
+			uncertain[j.team] = uncertain[j.team].Add(j.uncertainUse())
+		}
+	}
+	room, bounded := s.unansweredCapacity()
+	for t, use := range uncertain {
+		if bounded {
+			use = use.Min(room)
+		}
+		t.unseen = t.unseen.Add(use)
+	}
+}
+
+// uncertainUse returns what the job's tasks need of which it is uncertain whether they run.
+func (j *job) uncertainUse() (sum resource.Amount) {
+	for st := range j.steps() {
+		n := int64(0)
+		for _, t := range st.tasks {
+			if t.uncertain && !t.done {
+				n++
+			}
+		}
+		sum = sum.Add(st.quotaUse().Times(n))
+	}
+	return sum
+}
+
+// unansweredCapacity returns the capacity of the workers that have not answered; ok is false if
+// that of one is not known.
+func (s *Shard) unansweredCapacity() (sum resource.Amount, ok bool) {
+	if !s.takeover.machinesListed {
+		return sum, false
+	}
+	for id := range s.takeover.expected {
+		if s.workers[id] == nil {
+			return sum, false
+		}
+	}
+	for _, w := range s.workerList {
+		switch {
+		case w.answeredSinceLoad:
+		case w.info.Capacity == resource.Amount{}:
+			return sum, false
+		default:
+			sum = sum.Add(w.info.Capacity)
+		}
+	}
+	return sum, true
+}
+
+// enforceLimits stops runs of teams whose limit was lowered below what they run, unless they end
+// in time: other shards start tasks of the team up to their own parts of the new limit. A new
+// owner waits until it knows what other shards have given to its own.
+func (s *Shard) enforceLimits(now time.Time) {
+	if !s.partsKnown {
+		return
+	}
+	for _, t := range s.teams {
+		over := t.used.Sub(s.limitHere(t))
+		if !exceeds(over) {
+			t.overSince = time.Time{}
+			continue
+		}
+		if t.overSince.IsZero() {
+			t.overSince = now
+		}
+		if now.Sub(t.overSince) >= limitDrainTime {
+			s.stopAboveLimit(now, t, over)
+		}
+	}
+}
+
+// exceeds reports whether an amount is above 0 in any resource.
+func exceeds(a resource.Amount) bool {
+	return a.CPUMilli > 0 || a.MemoryMB > 0 || a.Accelerators > 0
+}
+
+// stopAboveLimit stops runs of a team until what is left over is at most its limit: those first
+// that lose the least work, and long-running tasks last.
+func (s *Shard) stopAboveLimit(now time.Time, t *teamState, over resource.Amount) {
+	var list []*run
+	for _, r := range s.runs {
+		if r.task.step.job.team != t {
+			continue
+		}
+		if r.stopping {
+			over = over.Sub(r.task.step.quotaUse())
+			continue
+		}
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		return cmp.Or(compareBool(a.task.step.spec.LongRunning, b.task.step.spec.LongRunning), compareBool(a.task.step.spec.Gang, b.task.step.spec.Gang),
+			cmp.Compare(s.stopCost(now, a), s.stopCost(now, b)), compareRun(a, b))
+	})
+	stopped := 0
+	for _, r := range list {
+		if !exceeds(over) {
+			break
+		}
+		if r.stopping {
+			continue // a member of a gang that was stopped here
+		}
+		s.stop(now, r, "above the limit of its team")
+		s.stopOtherMembers(now, r, "above the limit of its team")
+		over = over.Sub(r.task.step.quotaUse())
+		stopped++
+	}
+	if stopped > 0 {
+		s.counts.AboveLimit += int64(stopped)
+		s.log.Warn("stopping runs above the limit of their team", events.TeamOverLimit, zap.String("team", t.name), zap.Int("runs", stopped),
+			zap.Any("limit_here", s.limitHere(t)), zap.Any("used_here", t.used))
+	}
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// TeamPart is a part of a team's limit, in millionths of it.
+type TeamPart struct {
+	Team string `json:"team"`
+	Part int64  `json:"part"`
+}
+
+// TeamWant is what a shard asks others for: the part of a team's limit with which all tasks could
+// start there that wait for it, and the part for the most urgent step of these.
+type TeamWant struct {
+	TeamPart
+	First   int64   `json:"first"`
+	Urgency Urgency `json:"urgency"`
+	// Hold is set if less urgent steps of the team have to be held back for that step.
+	Hold bool `json:"hold,omitempty"`
+}
+
+// TeamWants returns the parts of teams' limits with which more waiting tasks could start here.
+func (s *Shard) TeamWants(now time.Time) (wants []TeamWant) {
+	if s.takeover.open {
+		return nil
+	}
+	for _, t := range s.teams {
+		if t.blocked == (resource.Amount{}) {
+			continue
+		}
+		room := s.headroom(t).Max(resource.Amount{})
+		w := TeamWant{
+			TeamPart: TeamPart{t.name, quota.PartFor(t.limit, t.blocked.Sub(room))}, First: quota.PartFor(t.limit, t.firstNeed.Sub(room)), Urgency: t.first,
+			Hold: now.Before(t.heldUntil) && t.heldFor == t.first,
+		}
+		if w.Part > 0 {
+			wants = append(wants, w)
+		}
+	}
+	slices.SortFunc(wants, func(a, b TeamWant) int { return cmp.Compare(a.Team, b.Team) })
+	return wants
+}
+
+// sortParts sorts parts by team.
+func sortParts(list []TeamPart) {
+	slices.SortFunc(list, func(a, b TeamPart) int { return cmp.Compare(a.Team, b.Team) })
+}
+
+// GiveTeamParts gives to another shard of the parts that it wants those for which this shard has
+// no use now, or a less urgent one, and reports whether it gave any. They must be persisted before
+// the other shard is told. An owner that does not know yet all that runs here gives none.
+func (s *Shard) GiveTeamParts(now time.Time, to int, wants []TeamWant) (changed bool) {
+	if s.takeover.open {
+		return false
+	}
+	s.unseenRound = -1
+	for _, w := range wants {
+		t := s.teams[w.Team]
+		if t == nil {
+			continue
+		}
+		part := min(t.askedPart(&w), quota.PartWithin(t.limit, s.headroom(t)), s.ledger.Part(t.name))
+		if w.Hold && part < w.First && t.yieldsTo(&w) {
+			t.hold(now, w.Urgency)
+		}
+		if part <= 0 {
+			continue
+		}
+		s.ledger.Give(t.name, to, part)
+		changed = true
+		s.log.Info("part of a team's limit given", events.TeamPartGiven, zap.String("team", t.name), zap.Int("shard", to), zap.Int64("part", part))
+	}
+	return changed
+}
+
+// yieldsTo reports whether what another shard wants is more urgent than what waits here.
+func (t *teamState) yieldsTo(w *TeamWant) bool {
+	return t.blocked == (resource.Amount{}) || w.Urgency.Before(t.first)
+}
+
+// askedPart returns up to which part this shard gives if it has room: nothing to a less urgent
+// step, and if tasks wait here only what the more urgent step needs.
+func (t *teamState) askedPart(w *TeamWant) int64 {
+	switch {
+	case t.blocked == (resource.Amount{}):
+		return w.Part
+	case t.yieldsTo(w):
+		return w.First
+	}
+	return 0
+}
+
+// TeamPartsGiven returns what this shard has given in total, by team and shard.
+func (s *Shard) TeamPartsGiven() map[string][]int64 { return s.ledger.Given() }
+
+// GivenTo returns what this shard has given to another one in total.
+func (s *Shard) GivenTo(shard int) (given []TeamPart) {
+	for name, total := range s.ledger.GivenTo(shard) {
+		given = append(given, TeamPart{name, total})
+	}
+	sortParts(given)
+	return given
+}
+
+// SetTeamPartsGiven sets what this shard has given, as it was persisted.
+func (s *Shard) SetTeamPartsGiven(given map[string][]int64) { s.ledger.SetGiven(given) }
+
+// GiveUpTeamParts leaves this shard only what others give to it, since it is not known what it
+// has given.
+func (s *Shard) GiveUpTeamParts() { s.ledger.GiveUp() }
+
+// ReceiveTeamParts records what another shard has given to this one in total, and reports whether
+// that is more than was known.
+func (s *Shard) ReceiveTeamParts(from int, totals []TeamPart) (more bool) {
+	for _, p := range totals {
+		more = s.ledger.Receive(p.Team, from, p.Part) || more
+	}
+	return more
+}
+
+// TeamPartsKnown records that all other shards have said what they have given to this one.
+func (s *Shard) TeamPartsKnown() { s.partsKnown = true }
--- a/matrix/site/env_test.go
+++ b/matrix/site/env_test.go
@@ -61,6 +61,10 @@
 	// useHelpers is set if owners send orders to workers through other nodes, their helpers.
 	useHelpers bool
 	tokens     settings.Tokens
+	// key is the key with which the caller makes its calls, and teams are what is expected of
+	// teams at their limits.
+	key   string
+	teams []site.TeamExpectation
 
 	mu      sync.Mutex
 	nodes   map[string]*runningNode
@@ -271,7 +275,7 @@
 
 // call sends a caller's request to a node; status 0 means that there was no response.
 func (env *testEnv) call(node, method, path, body string) (int, []byte) {
-	return env.callAs("", node, method, path, body)
+	return env.callAs(env.key, node, method, path, body)
 }
 
 // callAs is call with the key of a team, or without one if it is "".
--- a/matrix/site/violations_test.go
+++ b/matrix/site/violations_test.go
@@ -6,7 +6,7 @@
 
 // violations returns the guarantees that were broken, judging by what the workers observed.
 func (env *testEnv) violations() []string {
-	return env.site.Violations(site.Expectations{Refused: env.refused, CancelledAt: env.cancelled, DrainedAt: env.site.DrainedAt(), OrdersDelayed: env.mayBeDelayed})
+	return env.site.Violations(site.Expectations{Refused: env.refused, CancelledAt: env.cancelled, DrainedAt: env.site.DrainedAt(), OrdersDelayed: env.mayBeDelayed, Teams: env.teams})
 }
 
 // checkNoViolations checks that no guarantee was broken.
--- a/standin/site/orders.go
+++ b/standin/site/orders.go
@@ -117,7 +117,7 @@
 		w.site.joinGang(t)
 	}
 	w.running[req.Task] = t
-	w.site.record(w, req.Task, req.Run, EventStart, req.Fence)
+	w.site.addEvent(Event{Worker: w.ID, Task: req.Task, Run: req.Run, Kind: EventStart, Fence: req.Fence, CPUMilli: t.spec.cpu})
 	if t.crashesWorker() {
 		time.AfterFunc(t.spec.crashesAfter, func() { w.crashUnder(t) })
 	}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -74,6 +74,8 @@
 	// Kind is one of the constants below.
 	Kind  string
 	Fence int64
+	// CPUMilli is what a run that starts takes according to its Spec.
+	CPUMilli int64
 	// Failed is set for the end of a run that failed by itself or because of its worker.
 	Failed bool
 }
--- a/standin/site/violations.go
+++ b/standin/site/violations.go
@@ -35,6 +35,8 @@
 	// OrdersDelayed reports whether orders that reached a worker at a certain time may have
 	// been in transit for so long that their tickets expired; nil: never.
 	OrdersDelayed func(worker string, at time.Time) bool
+	// Teams are the limits of teams.
+	Teams []TeamExpectation
 	// LongRunning are the jobs whose tasks must run without long gaps.
 	LongRunning []LongRunningJob
 }
@@ -46,6 +48,8 @@
 	// worker has accepted.
 	running      map[string]string
 	highestFence map[string]int64
+	// runningCPU is what each running task takes.
+	runningCPU map[string]int64
 	// succeeded are the runs of each task that succeeded, restartedAfter those of them after
 	// which the task was started again, and confirmed the tasks with a confirmed success.
 	succeeded      map[string][]int64
@@ -66,7 +70,7 @@
 // Violations checks the events on the workers against the scheduler's guarantees, and
 // describes each violation.
 func (s *Site) Violations(want Expectations) []string {
-	c := &checker{expected: want, running: make(map[string]string), highestFence: make(map[string]int64),
+	c := &checker{expected: want, running: make(map[string]string), runningCPU: make(map[string]int64), highestFence: make(map[string]int64),
 		succeeded: make(map[string][]int64), restartedAfter: make(map[runKey]bool), confirmed: make(map[string]bool),
 		crashes: make(map[string]int), startsAfterCrashes: make(map[string]int)}
 	for _, e := range s.Events() {
@@ -90,10 +94,12 @@
 		c.checkStart(e)
 	case EventEnd, EventGangTimeout:
 		delete(c.running, e.Task)
+		delete(c.runningCPU, e.Task)
 	case EventCrash:
 		c.crashes[e.Task]++
 	case EventSuccess:
 		delete(c.running, e.Task)
+		delete(c.runningCPU, e.Task)
 		c.succeeded[e.Task] = append(c.succeeded[e.Task], e.Run)
 	case EventSuccessConfirmed:
 		c.confirmed[e.Task] = true
@@ -122,6 +128,8 @@
 		c.addViolation("%s runs on %s and starts on %s", e.Task, worker, e.Worker)
 	}
 	c.running[e.Task] = e.Worker
+	c.runningCPU[e.Task] = e.CPUMilli
+	c.checkTeams(e, job)
 	for _, run := range c.succeeded[e.Task] {
 		c.restartedAfter[runKey{e.Task, run}] = true
 	}
