owner: ask for parts of a limit as soon as a team waits at it

Cause: tasks that came to wait at their shard's part of the limit waited up to 0.4 s for the next round of requests, which short urgent jobs don't have.

Change: the scheduler says when a team comes to wait at its limit, and the round follows at once, at most each 50 ms.

Test: TestPartOfLimitArrivesLate.

--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -37,6 +37,9 @@
 		began := time.Now()
 		commands := o.shard.Schedule(began)
 		took := time.Since(began)
+		if o.shard.TakeNewlyBlocked() {
+			notify(o.wakeTeamParts)
+		}
 		o.mu.Unlock()
 		for _, c := range commands {
 			o.execute(ctx, c)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -108,6 +108,8 @@
 	wakePersist   chan struct{}
 	// wakeMachineList requests a listing of the machines before the next one is due.
 	wakeMachineList chan struct{}
+	// wakeTeamParts requests a round of requests for parts of teams' limits before the next one.
+	wakeTeamParts chan struct{}
 	// cancelRun ends the ownership. lostErr is the reason, also if it was set before Run.
 	cancelRun context.CancelCauseFunc
 	lostErr   error
@@ -122,7 +124,7 @@
 	return &Owner{
 		cfg: cfg, Deps: deps, startedAt: time.Now(), shard: scheduler.New(cfg.Params, time.Now(), deps.Log),
 		holdLoops: make(map[string]bool), invalidEntries: newInvalidEntries(), teamParts: teamParts{answered: make(map[int]bool), next: cfg.Shard.Index},
-		wakeScheduler: make(chan struct{}, 1), wakePersist: make(chan struct{}, 1), wakeMachineList: make(chan struct{}, 1),
+		wakeScheduler: make(chan struct{}, 1), wakePersist: make(chan struct{}, 1), wakeMachineList: make(chan struct{}, 1), wakeTeamParts: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/owner/teamparts.go
+++ b/internal/owner/teamparts.go
@@ -25,9 +25,10 @@
 // answers to later requests make up for one that was lost.
 
 const (
-	// teamPartsInterval is the time between two rounds of requests, and idleTeamPartsInterval
-	// that after a round that brought nothing.
-	teamPartsInterval     = 100 * time.Millisecond
+	// teamPartsInterval is the shortest time between two rounds of requests. After a round that
+	// brought nothing the next one follows as soon as another team comes to wait at its limit,
+	// or after idleTeamPartsInterval.
+	teamPartsInterval     = 50 * time.Millisecond
 	idleTeamPartsInterval = 400 * time.Millisecond
 	// teamPartsPerRound is how many other shards are asked in a round.
 	teamPartsPerRound = 3
@@ -152,11 +153,16 @@
 // start asks all for what they have given to this one.
 func (o *Owner) teamPartsLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause := idleTeamPartsInterval
-		if o.requestTeamParts(ctx) {
-			pause = teamPartsInterval
+		received := o.requestTeamParts(ctx)
+		tables.Sleep(ctx, teamPartsInterval)
+		if received {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-o.wakeTeamParts:
+		case <-time.After(idleTeamPartsInterval):
 		}
-		tables.Sleep(ctx, pause)
 	}
 	return nil
 }
--- a/matrix/site/teamlimit_test.go
+++ b/matrix/site/teamlimit_test.go
@@ -203,3 +203,26 @@
 		}
 	})
 }
+
+// TestPartOfLimitArrivesLate submits a short urgent job to a shard that has none of its team's limit
+// left, while the other shard has. Its deadline leaves little time for asking the other shard.
+func TestPartOfLimitArrivesLate(t *testing.T) {
+	const maxWait = 250 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		env := newLimitedEnvWith(t, 4000)
+		defer env.close()
+		time.Sleep(5 * time.Second)
+		for i := range 8 {
+			id := fmt.Sprintf("%016x", i+1)
+			accepted := time.Now()
+			env.submitTo("n0", "batch", id, batchSpec, stepBody{Count: 3, CPU: 1000, MemoryMB: 500, EstimateMS: 1500})
+			time.Sleep(4 * time.Second)
+			for _, e := range env.site.Events() {
+				if wait := e.At.Sub(accepted); e.Kind == site.EventStart && wait > maxWait && wait < 4*time.Second {
+					t.Errorf("%s starts %v after its job was submitted", e.Task, wait)
+				}
+			}
+		}
+		env.checkTeamLimit()
+	})
+}
