--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -36,6 +36,7 @@
 	gauge("switchbank_runs_copied", func(c scheduler.Counts) int64 { return c.Copies })
 	gauge("switchbank_advice_calls", func(c scheduler.Counts) int64 { return c.AdviceCalls })
 	gauge("switchbank_runs_crashed", func(c scheduler.Counts) int64 { return c.CrashedRuns })
+	gauge("switchbank_runs_above_limit", func(c scheduler.Counts) int64 { return c.AboveLimit })
 	gauge("switchbank_jobs_crashing", func(c scheduler.Counts) int64 { return c.CrashingJobs })
 	n.metrics.NewGauge("switchbank_workers_aside", n.quarantinedWorkers)
 	gauge("switchbank_workers_set_aside", func(c scheduler.Counts) int64 { return c.Quarantines })
@@ -60,6 +61,7 @@
 		sum.Quarantines += c.Quarantines
 		sum.CrashedRuns += c.CrashedRuns
 		sum.CrashingJobs += c.CrashingJobs
+		sum.AboveLimit += c.AboveLimit
 	}
 	return sum
 }
@@ -90,6 +92,7 @@
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	n.updateUsageMetrics()
 	n.metrics.WritePrometheus(w)
+	n.writeTeamMetrics(w)
 }
 
 // updateUsageMetrics copies the counters of this node's outgoing calls into its metrics.
--- a/internal/owner/teamparts.go
+++ b/internal/owner/teamparts.go
@@ -76,6 +76,13 @@
 	o.updateShard(func(s *scheduler.Shard, now time.Time) { s.SetTeams(now, teams) })
 }
 
+// TeamUses returns the use of the teams' limits in this shard.
+func (o *Owner) TeamUses() []scheduler.TeamUse {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.shard.TeamUses()
+}
+
 // applyTeamParts takes what earlier owners have given to other shards. The caller holds mu.
 func (o *Owner) applyTeamParts(r tables.Row) {
 	o.teamParts.version = r.Version
--- a/internal/scheduler/teamlimit.go
+++ b/internal/scheduler/teamlimit.go
@@ -343,6 +343,32 @@
 	return 1
 }
 
+// TeamUse is what a shard knows about the use of a team's limit.
+type TeamUse struct {
+	Team string
+	// Used is what may be running of the team in the shard, and Blocked what tasks need that wait
+	// for the limit.
+	Used, Blocked resource.Amount
+	// Waiting is the number of the team's jobs that have not begun.
+	Waiting int
+}
+
+// TeamUses returns the use of all teams, by name.
+func (s *Shard) TeamUses() []TeamUse {
+	waiting := make(map[*teamState]int)
+	for _, j := range s.active {
+		if !j.begun {
+			waiting[j.team]++
+		}
+	}
+	list := make([]TeamUse, 0, len(s.teams))
+	for _, t := range s.teams {
+		list = append(list, TeamUse{t.name, t.used.Add(t.unseen), t.blocked, waiting[t]})
+	}
+	slices.SortFunc(list, func(a, b TeamUse) int { return cmp.Compare(a.Team, b.Team) })
+	return list
+}
+
 // TeamPart is a part of a team's limit, in millionths of it.
 type TeamPart struct {
 	Team string `json:"team"`
--- a/matrix/site/teamlimit_test.go
+++ b/matrix/site/teamlimit_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -173,12 +175,32 @@
 			if got := env.runningTasks(id); got < tasks-1 {
 				t.Errorf("%d tasks run, want %d at least", got, tasks-1)
 			}
+			if cores := env.teamCores(); cores < tasks-1 {
+				t.Errorf("the metrics show %v cores of the team, want %d at least", cores, tasks-1)
+			}
 			time.Sleep(6 * time.Second)
 		}
 		env.checkTeamLimit()
 	})
 }
 
+// teamCores returns the cores that the team uses according to the metrics of all nodes.
+func (env *testEnv) teamCores() (sum float64) {
+	for _, name := range env.nodeNames() {
+		_, page := env.get(name+":4", "/metrics")
+		for line := range strings.Lines(string(page)) {
+			if value, ok := strings.CutPrefix(line, `switchbank_team_cores{team="red"} `); ok {
+				cores, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+				if err != nil {
+					env.t.Fatal(err)
+				}
+				sum += cores
+			}
+		}
+	}
+	return sum
+}
+
 // TestGangWiderThanLimitAccepted submits a gang that its team may never run. It has to be refused at
 // once, and nothing of it may run.
 func TestGangWiderThanLimitAccepted(t *testing.T) {
