scheduler: leave slow tasks alone while the shard is full

Cause: a copy of a slow task, or a restart, takes room from waiting work and throws away what was done.

Test: TestSlowTaskRestartedInFullShard; it failed before.

--- a/internal/scheduler/slow.go
+++ b/internal/scheduler/slow.go
@@ -43,6 +43,9 @@
 	// maxSlowRestarts is how often a task is restarted because it is slow: one that is
 	// slow on two workers is longer than its siblings by nature.
 	maxSlowRestarts = 1
+	// fullLoad is the load of a shard from which slow tasks are left alone: a copy would take the
+	// room of waiting work, and a restart wastes what was done.
+	fullLoad = 0.75
 	// copyAfterSilence is how long a worker is silent before its speculative runs are
 	// copied.
 	copyAfterSilence = 200 * time.Millisecond
@@ -218,6 +221,9 @@
 	if t.done || (len(t.runs) > 1 && !t.allStalled(now)) || (st.spec.Gang && !stalled) {
 		return
 	}
+	if !stalled && s.load >= fullLoad {
+		return
+	}
 	if st.spec.Speculative && t.attemptsLeft() > 1 && len(t.runs) == 1 {
 		s.copyRun(now, t, r)
 		return
--- a/internal/scheduler/slow_test.go
+++ b/internal/scheduler/slow_test.go
@@ -154,3 +154,19 @@
 		t.Errorf("%d tasks of the last four jobs were started on the slow worker, want at most %d probes", onSlow, probes)
 	}
 }
+
+// TestSlowTaskRestartedInFullShard keeps all workers full while the tasks of some jobs are slow on
+// one of them. A copy, or a restart, would take room from the work that waits.
+func TestSlowTaskRestartedInFullShard(t *testing.T) {
+	const jobs = 40
+	r := newSlowRig(t, 4, "w0")
+	for i := range jobs {
+		r.add(fmt.Sprintf("j%d", i), 9)
+	}
+	r.simulate(8 * time.Second)
+	for task, on := range r.started {
+		if len(on) > 1 {
+			t.Errorf("%s was started on %v", task, on)
+		}
+	}
+}
