--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -32,6 +32,17 @@
 	return cmp.Or(compareBool(r.BeyondWeight, o.BeyondWeight), cmp.Compare(r.Priority, o.Priority), r.Due.Compare(o.Due))
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 const (
 	// weightWindow is the time over which a team's jobs are counted, and keptWindows for how many
 	// windows that is remembered: a new owner loads jobs in any order.
--- /dev/null
+++ b/internal/scheduler/teamparts.go
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/quota"
+	"switchbank.example/switchbank/internal/resource"
+)
+
+// This file decides which parts of teams' limits a shard asks other shards for, and which it gives
+// to them. It answers a team whose work waits in one shard while its limit is idle in another.
+
+// TeamPart is a part of a team's limit, in millionths of it.
+type TeamPart struct {
+	Team string `json:"team"`
+	Part int64  `json:"part"`
+}
+
+// TakeNewlyBlocked reports whether a team has come to wait at its limit since the last call.
+func (s *Shard) TakeNewlyBlocked() bool {
+	blocked := s.newlyBlocked
+	s.newlyBlocked = false
+	return blocked
+}
+
+// TeamWant is what a shard asks others for: the part of a team's limit with which all tasks could
+// start there that wait for it, and the part for the most urgent step of these.
+type TeamWant struct {
+	TeamPart
+	First   int64   `json:"first"`
+	Urgency Urgency `json:"urgency"`
+	// Hold is set if less urgent steps of the team have to be held back for that step.
+	Hold bool `json:"hold,omitempty"`
+}
+
+// TeamWants returns the parts of teams' limits with which more waiting tasks could start here.
+func (s *Shard) TeamWants(now time.Time) (wants []TeamWant) {
+	if s.takeover.open {
+		return nil
+	}
+	for _, t := range s.teams {
+		if t.blocked == (resource.Amount{}) {
+			continue
+		}
+		room := s.headroom(t).Max(resource.Amount{})
+		w := TeamWant{
+			TeamPart: TeamPart{t.name, quota.PartFor(t.limit, t.blocked.Sub(room))}, First: quota.PartFor(t.limit, t.firstNeed.Sub(room)), Urgency: t.first,
+			Hold: now.Before(t.heldUntil) && t.heldFor == t.first,
+		}
+		if w.Part > 0 {
+			wants = append(wants, w)
+		}
+	}
+	slices.SortFunc(wants, func(a, b TeamWant) int { return cmp.Compare(a.Team, b.Team) })
+	return wants
+}
+
+// sortParts sorts parts by team.
+func sortParts(list []TeamPart) {
+	slices.SortFunc(list, func(a, b TeamPart) int { return cmp.Compare(a.Team, b.Team) })
+}
+
+// GiveTeamParts gives to another shard of the parts that it wants those for which this shard has
+// no use now, or a less urgent one, and reports whether it gave any. They must be persisted before
+// the other shard is told. An owner that does not know yet all that runs here gives none.
+func (s *Shard) GiveTeamParts(now time.Time, to int, wants []TeamWant) (changed bool) {
+	if s.takeover.open {
+		return false
+	}
+	s.unseenRound = -1
+	for _, w := range wants {
+		t := s.teams[w.Team]
+		if t == nil {
+			continue
+		}
+		part := min(t.askedPart(&w), quota.PartWithin(t.limit, s.headroom(t)), s.ledger.Part(t.name))
+		if w.Hold && part < w.First && t.yieldsTo(&w) {
+			t.hold(now, w.Urgency)
+		}
+		if part <= 0 {
+			continue
+		}
+		s.ledger.Give(t.name, to, part)
+		changed = true
+		s.log.Info("part of a team's limit given", events.TeamPartGiven, zap.String("team", t.name), zap.Int("shard", to), zap.Int64("part", part))
+	}
+	return changed
+}
+
+// yieldsTo reports whether what another shard wants is more urgent than what waits here.
+func (t *teamState) yieldsTo(w *TeamWant) bool {
+	return t.blocked == (resource.Amount{}) || w.Urgency.Before(t.first)
+}
+
+// askedPart returns up to which part this shard gives if it has room: nothing to a less urgent
+// step, and if tasks wait here only what the more urgent step needs.
+func (t *teamState) askedPart(w *TeamWant) int64 {
+	switch {
+	case t.blocked == (resource.Amount{}):
+		return w.Part
+	case t.yieldsTo(w):
+		return w.First
+	}
+	return 0
+}
+
+// TeamPartsGiven returns what this shard has given in total, by team and shard.
+func (s *Shard) TeamPartsGiven() map[string][]int64 { return s.ledger.Given() }
+
+// GivenTo returns what this shard has given to another one in total.
+func (s *Shard) GivenTo(shard int) (given []TeamPart) {
+	for name, total := range s.ledger.GivenTo(shard) {
+		given = append(given, TeamPart{name, total})
+	}
+	sortParts(given)
+	return given
+}
+
+// SetTeamPartsGiven sets what this shard has given, as it was persisted.
+func (s *Shard) SetTeamPartsGiven(given map[string][]int64) { s.ledger.SetGiven(given) }
+
+// GiveUpTeamParts leaves this shard only what others give to it, since it is not known what it
+// has given.
+func (s *Shard) GiveUpTeamParts() { s.ledger.GiveUp() }
+
+// ReceiveTeamParts records what another shard has given to this one in total, and reports whether
+// that is more than was known.
+func (s *Shard) ReceiveTeamParts(from int, totals []TeamPart) (more bool) {
+	for _, p := range totals {
+		more = s.ledger.Receive(p.Team, from, p.Part) || more
+	}
+	return more
+}
+
+// TeamPartsKnown records that all other shards have said what they have given to this one.
+func (s *Shard) TeamPartsKnown() { s.partsKnown = true }
