scheduler: learn how fast the kinds of workers are, and choose by it

Change: run times are compared with what is usual for the step's kind, by the labels of the worker beside its rack. The fast kind is chosen, and asked about, first; long-running tasks go to the slow kind. Nothing is configured, and kinds that differ by less than 8% count as equal.

Test: TestTasksWaitOnSlowKind; it failed before.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -177,7 +178,7 @@
 		case a.approved != b.approved:
 			return 1
 		}
-		return int(b.fits - a.fits)
+		return cmp.Or(cmp.Compare(b.w.speedScore(st), a.w.speedScore(st)), cmp.Compare(b.fits, a.fits))
 	})
 	return list
 }
--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -140,6 +140,7 @@
 	if st.spec.BestEffortCPU {
 		score = -score
 	}
+	score += speedWeight * w.speedScore(st)
 	if st.spec.DataRack != "" && st.spec.DataRack == w.info.Rack {
 		score += dataRackBonus
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -157,7 +157,9 @@
 	approvalRates map[string]float64
 	// ratios are the learned ratios of run time to estimate.
 	ratios map[stepKind]*ratio
-	counts Counts
+	// kindSpeeds are the learned speeds of the kinds of workers.
+	kindSpeeds map[string]*kindSpeed
+	counts     Counts
 	// directoryReadAt is when the directory was last read, and directoryReadSince since
 	// when it has been read without a gap.
 	directoryReadAt, directoryReadSince time.Time
@@ -208,7 +210,7 @@
 		params: params, log: log, startedAt: now,
 		workers: make(map[string]*worker), incarnations: make(map[string]*incarnationHistory), inDoubt: make(map[string][]*run), jobs: make(map[string]*job), runs: make(map[runKey]*run),
 		dirty: make(map[string]*job), movedAway: make(map[string]movedJob), takeover: takeover{open: true, jobsLoadedAt: now},
-		approvalRates: make(map[string]float64), ratios: make(map[stepKind]*ratio), load: unknownLoad,
+		approvalRates: make(map[string]float64), ratios: make(map[stepKind]*ratio), kindSpeeds: make(map[string]*kindSpeed), load: unknownLoad,
 		teams: make(map[string]*teamState), ledger: quota.NewLedger(params.Index, params.Shards), unseenRound: -1, partsKnown: params.Shards <= 1,
 	}
 }
@@ -253,6 +255,7 @@
 	s.enforceLimits(now)
 	s.forgetFinished(now)
 	s.updateLoad(now)
+	s.updateSlowness()
 	s.logWaitingTasks(now)
 }
 
--- a/internal/scheduler/slow_test.go
+++ b/internal/scheduler/slow_test.go
@@ -24,7 +24,9 @@
 type slowRig struct {
 	*rig
 	slow map[string]bool
-	done map[workerRun]float64
+	// percent holds the speed of other workers that aren't healthy ones, in percent for each tick.
+	percent map[string]float64
+	done    map[workerRun]float64
 	// started holds the workers on which each task was started, in order.
 	started map[cluster.TaskID][]string
 }
@@ -36,7 +38,7 @@
 }
 
 func newSlowRig(t *testing.T, workers int, slow ...string) *slowRig {
-	r := &slowRig{rig: newRig(t, workers), slow: make(map[string]bool), done: make(map[workerRun]float64), started: make(map[cluster.TaskID][]string)}
+	r := &slowRig{rig: newRig(t, workers), slow: make(map[string]bool), percent: make(map[string]float64), done: make(map[workerRun]float64), started: make(map[cluster.TaskID][]string)}
 	for _, id := range slow {
 		r.slow[id] = true
 	}
@@ -67,9 +69,12 @@
 	for i := range f.running {
 		s := &f.running[i]
 		on := workerRun{id, s.Task, s.Run}
-		if r.slow[id] {
+		switch {
+		case r.slow[id]:
 			r.done[on] += slowPercent
-		} else {
+		case r.percent[id] > 0:
+			r.done[on] += r.percent[id]
+		default:
 			r.done[on] += healthyPercent
 		}
 		s.Percent = int(min(100, r.done[on]))
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -16,6 +16,10 @@
 // what the shard knows about it.
 type worker struct {
 	info cluster.Worker
+	// kind is what its labels say beside its rack, and slowness how much longer tasks take there
+	// than on the fastest kind, as a share.
+	kind     string
+	slowness float64
 	// started is the start time of the incarnation that has answered or, before one has,
 	// of the one expected.
 	started int64
@@ -122,6 +126,7 @@
 	}
 	draining := w.info.Draining
 	w.info, w.unlisted, w.leaving, w.entryInvalid = info, false, false, false
+	w.kind = kindOf(info.Labels, info.Rack)
 	w.info.Draining = info.Draining || draining
 	if info.Draining && info.Remaining > 0 {
 		w.leavesAt = now.Add(info.Remaining)
