scheduler: shards that wait with parts of one job give to the first of them

Cause: a long-running job that is split over 15 shards waits in each with the same urgency. Where each shard's part of the team's limit holds no task, none gave its part to another one, so that nothing ran although the limit held ten tasks. Found by reading what ends each wait (docs/design/held-back.md).

Change: of shards that wait with the same urgency the first one is given what others have.

--- a/internal/scheduler/teamparts.go
+++ b/internal/scheduler/teamparts.go
@@ -80,8 +80,9 @@
 		if t == nil || !t.known {
 			continue
 		}
-		part := min(t.askedPart(&w), quota.PartWithin(t.limit, s.headroom(t)), s.ledger.Part(t.name))
-		if w.Hold && part < w.First && t.yieldsTo(&w) {
+		yields := t.blocked == (resource.Amount{}) || s.isMoreUrgent(to, w.Urgency, t.firstUrgency)
+		part := min(t.askedPart(&w, yields), quota.PartWithin(t.limit, s.headroom(t)), s.ledger.Part(t.name))
+		if w.Hold && part < w.First && yields {
 			t.hold(now, w.Urgency)
 		}
 		if part <= 0 {
@@ -94,18 +95,20 @@
 	return changed
 }
 
-// yieldsTo reports whether what another shard wants is more urgent than what waits here.
-func (t *teamState) yieldsTo(w *TeamWant) bool {
-	return t.blocked == (resource.Amount{}) || w.Urgency.Before(t.firstUrgency)
+// isMoreUrgent reports whether what another shard wants is more urgent than what waits here. Shards
+// that wait with parts of the same job each have too little for a task, so that the first shard
+// has to get it.
+func (s *Shard) isMoreUrgent(other int, wanted, here Urgency) bool {
+	return wanted.Before(here) || (wanted == here && other < s.params.Index)
 }
 
 // askedPart returns up to which part this shard gives if it has room: nothing to a less urgent
 // step, and if tasks wait here only what the more urgent step needs.
-func (t *teamState) askedPart(w *TeamWant) int64 {
+func (t *teamState) askedPart(w *TeamWant, yields bool) int64 {
 	switch {
 	case t.blocked == (resource.Amount{}):
 		return w.Part
-	case t.yieldsTo(w):
+	case yields:
 		return w.First
 	}
 	return 0
