Read again: one piece of code for limits, counts and messages between shards

No change of behaviour, but that teams are gone through in the order of their names, so that the commands of a round don't depend on the order of a map.

- Whether an amount exceeds a limit stood three times (jobs, node, and new in cluster): now resource.Amount.Exceeds.
How often an amount fits stood in the advice and new in the limits: now resource.Amount.Count.
- A request for parts goes in the message that gangs use, now shardMessage.
- Team.HasToken was called by nobody.
- The tests of keys share how keys are replaced and a node is cut off.

--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -30,19 +30,19 @@
 
 // QueryGang asks a shard's owner for its part of a gang's state.
 func (n otherShards) QueryGang(ctx context.Context, shard cluster.ShardID, query scheduler.GangQuery) (scheduler.GangState, error) {
-	msg := gangMessage[scheduler.GangQuery]{shard, query}
+	msg := shardMessage[scheduler.GangQuery]{shard, query}
 	return callOwner(ctx, n.Node, shard, pathGang, msg, peerTimeout, n.handleGangState)
 }
 
 // StartGang orders a shard's owner to start members of a gang.
 func (n otherShards) StartGang(ctx context.Context, shard cluster.ShardID, start scheduler.GangStart) error {
-	msg := gangMessage[scheduler.GangStart]{shard, start}
+	msg := shardMessage[scheduler.GangStart]{shard, start}
 	_, err := callOwner(ctx, n.Node, shard, pathMembers, msg, peerTimeout, n.handleGangStart)
 	return err
 }
 
 // handleGangState returns the state of a gang of which a shard owned here runs a part.
-func (n *Node) handleGangState(_ context.Context, msg gangMessage[scheduler.GangQuery]) (scheduler.GangState, error) {
+func (n *Node) handleGangState(_ context.Context, msg shardMessage[scheduler.GangQuery]) (scheduler.GangState, error) {
 	o := n.local(msg.Shard)
 	if o == nil {
 		return scheduler.GangState{}, errNotOwner()
@@ -55,7 +55,7 @@
 }
 
 // handleGangStart starts members of a gang on a shard owned here.
-func (n *Node) handleGangStart(_ context.Context, msg gangMessage[scheduler.GangStart]) (empty, error) {
+func (n *Node) handleGangStart(_ context.Context, msg shardMessage[scheduler.GangStart]) (empty, error) {
 	o := n.local(msg.Shard)
 	if o == nil {
 		return empty{}, errNotOwner()
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"switchbank.example/switchbank/internal/cluster"
-	"switchbank.example/switchbank/internal/owner"
 	"switchbank.example/switchbank/internal/scheduler"
 	"switchbank.example/switchbank/internal/tables"
 )
@@ -118,18 +117,12 @@
 	ValidMS int64            `json:"valid_ms"`
 }
 
-// gangMessage carries a query or an order about a gang that several shards run together.
-type gangMessage[T any] struct {
+// shardMessage carries a query or an order of one shard's owner to that of another.
+type shardMessage[T any] struct {
 	Shard cluster.ShardID `json:"shard"`
 	What  T               `json:"what"`
 }
 
-// teamPartsMessage asks a shard's owner for parts of teams' limits.
-type teamPartsMessage struct {
-	Shard   cluster.ShardID        `json:"shard"`
-	Request owner.TeamPartsRequest `json:"request"`
-}
-
 type takeRequest struct {
 	Shard cluster.ShardID `json:"shard"`
 	// Version is the version of the owner's row that is to be replaced.
--- a/internal/cell/teamparts.go
+++ b/internal/cell/teamparts.go
@@ -18,16 +18,16 @@
 
 // RequestTeamParts asks a shard's owner for parts of teams' limits.
 func (n otherShards) RequestTeamParts(ctx context.Context, shard cluster.ShardID, req owner.TeamPartsRequest) (owner.TeamPartsReply, error) {
-	return callOwner(ctx, n.Node, shard, pathTeams, teamPartsMessage{shard, req}, teamPartsTimeout, n.handleTeamParts)
+	return callOwner(ctx, n.Node, shard, pathTeams, shardMessage[owner.TeamPartsRequest]{shard, req}, teamPartsTimeout, n.handleTeamParts)
 }
 
 // handleTeamParts gives parts of teams' limits of a shard owned here to another shard.
-func (n *Node) handleTeamParts(ctx context.Context, msg teamPartsMessage) (owner.TeamPartsReply, error) {
+func (n *Node) handleTeamParts(ctx context.Context, msg shardMessage[owner.TeamPartsRequest]) (owner.TeamPartsReply, error) {
 	o := n.local(msg.Shard)
 	if o == nil {
 		return owner.TeamPartsReply{}, errNotOwner()
 	}
-	reply, err := o.HandleTeamParts(ctx, msg.Request)
+	reply, err := o.HandleTeamParts(ctx, msg.What)
 	if err != nil {
 		return reply, httpx.NewProblem(http.StatusServiceUnavailable, "not_given", err.Error())
 	}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -227,15 +227,13 @@
 		if s.Gang {
 			need = need.Times(int64(s.Count))
 		}
-		if exceeds(need.CPUMilli, limit.CPUMilli) || exceeds(need.MemoryMB, limit.MemoryMB) || exceeds(need.Accelerators, limit.Accelerators) {
+		if need.Exceeds(limit) {
 			return false
 		}
 	}
 	return true
 }
 
-func exceeds(need, limit int64) bool { return limit > 0 && need > limit }
-
 // Validate checks the job, and names the first invalid field.
 func (j *Job) Validate() error {
 	if len(j.Steps) == 0 {
--- a/internal/jobs/schedule.go
+++ b/internal/jobs/schedule.go
@@ -298,18 +298,12 @@
 	if w.allAtOnce {
 		n = int64(len(w.specs))
 	}
-	if exceeds(used.Add(w.spec.Size.Times(n)), t.Limit) {
+	if used.Add(w.spec.Size.Times(n)).Exceeds(t.Limit) {
 		return "team " + t.Name + " is at its limit"
 	}
 	return ""
 }
 
-// exceeds reports whether a is above limit in any resource; a limit of 0 means none.
-func exceeds(a, limit resource.Amount) bool {
-	over := func(a, limit int64) bool { return limit > 0 && a > limit }
-	return over(a.CPUMilli, limit.CPUMilli) || over(a.MemoryMB, limit.MemoryMB) || over(a.Accelerators, limit.Accelerators)
-}
-
 // reserve reserves resources for the job's tasks in one worker shard after the other. If
 // tasks remain and the class of the job allows it, it preempts other tasks, but never for
 // an all-at-once job.
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -299,9 +299,7 @@
 	if wl.Kind == api.KindAllAtOnce {
 		need = wl.Size.Times(int64(wl.Tasks))
 	}
-	l := t.Limit
-	return l.CPUMilli > 0 && need.CPUMilli > l.CPUMilli || l.MemoryMB > 0 && need.MemoryMB > l.MemoryMB ||
-		l.Accelerators > 0 && need.Accelerators > l.Accelerators
+	return need.Exceeds(t.Limit)
 }
 
 // checkWorkerSize returns an error if no known worker of the cell is large enough for
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -39,6 +39,22 @@
 	return b.CPUMilli <= a.CPUMilli && b.MemoryMB <= a.MemoryMB && b.Accelerators <= a.Accelerators
 }
 
+// Exceeds reports whether a is above a limit in any resource; a resource of 0 has no limit.
+func (a Amount) Exceeds(limit Amount) bool {
+	over := func(a, limit int64) bool { return limit > 0 && a > limit }
+	return over(a.CPUMilli, limit.CPUMilli) || over(a.MemoryMB, limit.MemoryMB) || over(a.Accelerators, limit.Accelerators)
+}
+
+// Count returns how many times b fits into a, at most most times.
+func (a Amount) Count(b Amount, most int64) int64 {
+	for _, r := range [][2]int64{{a.CPUMilli, b.CPUMilli}, {a.MemoryMB, b.MemoryMB}, {a.Accelerators, b.Accelerators}} {
+		if r[1] > 0 {
+			most = min(most, r[0]/r[1])
+		}
+	}
+	return max(most, 0)
+}
+
 // Max returns the maximum of a and b in each resource.
 func (a Amount) Max(b Amount) Amount {
 	return Amount{max(a.CPUMilli, b.CPUMilli), max(a.MemoryMB, b.MemoryMB), max(a.Accelerators, b.Accelerators)}
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -197,17 +197,11 @@
 
 // fitsIn returns how many tasks of a step fit in some room on one worker.
 func fitsIn(free resource.Amount, st *step) int64 {
-	need := st.spec.Allocation()
-	n := int64(st.spec.Count)
-	for _, p := range [][2]int64{{free.CPUMilli, need.CPUMilli}, {free.MemoryMB, need.MemoryMB}, {free.Accelerators, need.Accelerators}} {
-		if p[1] > 0 {
-			n = min(n, p[0]/p[1])
-		}
-	}
+	most := int64(st.spec.Count)
 	if limit := int64(st.spec.MaxPerWorker); limit > 0 {
-		n = min(n, limit)
+		most = min(most, limit)
 	}
-	return max(n, 0)
+	return free.Count(st.spec.Allocation(), most)
 }
 
 // AdviceReplied takes the reply that the advice service gave at a time: tickets for the
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -17,7 +17,7 @@
 func (s *Shard) placeAll(now time.Time) {
 	s.round++
 	s.reservingSteps, s.gangReserved = 0, false
-	for _, t := range s.teams {
+	for _, t := range s.teamList {
 		t.blocked = resource.Amount{}
 	}
 	for _, j := range s.active {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -140,9 +140,10 @@
 	// mention them to this owner.
 	movedAway map[string]movedJob
 	takeover  takeover
-	// teams are those of the configuration and of the jobs, and ledger holds this shard's
+	// teams are those of the configuration and of the jobs, teamList the same by name, and ledger holds this shard's
 	// parts of their limits. unseenRound is the round in which the teams' unseen was computed.
 	teams       map[string]*teamState
+	teamList    []*teamState
 	ledger      *quota.Ledger
 	unseenRound int64
 	// newlyBlocked is set once tasks of a team wait at its limit that did not before.
--- a/internal/scheduler/teamenforce.go
+++ b/internal/scheduler/teamenforce.go
@@ -22,9 +22,9 @@
 	if !s.partsKnown {
 		return
 	}
-	for _, t := range s.teams {
+	for _, t := range s.teamList {
 		over := t.used.Sub(s.limitHere(t))
-		if !exceeds(over) {
+		if (resource.Amount{}).Fits(over) {
 			t.overSince = time.Time{}
 			continue
 		}
@@ -37,11 +37,6 @@
 	}
 }
 
-// exceeds reports whether an amount is above 0 in any resource.
-func exceeds(a resource.Amount) bool {
-	return a.CPUMilli > 0 || a.MemoryMB > 0 || a.Accelerators > 0
-}
-
 // stopAboveLimit stops runs of a team until what is left over is at most its limit: those first
 // that lose the least work, and long-running tasks last.
 func (s *Shard) stopAboveLimit(now time.Time, t *teamState, over resource.Amount) {
@@ -62,7 +57,7 @@
 	})
 	stopped := 0
 	for _, r := range list {
-		if !exceeds(over) {
+		if (resource.Amount{}).Fits(over) {
 			break
 		}
 		if r.stopping {
--- a/internal/scheduler/teamlimit.go
+++ b/internal/scheduler/teamlimit.go
@@ -112,6 +112,8 @@
 	if t == nil {
 		t = &teamState{name: name, since: now, weight: 1, jobsIn: make(map[int64]int)}
 		s.teams[name] = t
+		s.teamList = append(s.teamList, t)
+		slices.SortFunc(s.teamList, func(a, b *teamState) int { return cmp.Compare(a.name, b.name) })
 	}
 	return t
 }
@@ -140,18 +142,7 @@
 	case now.Before(t.heldUntil) && t.heldFor.Before(st.job.urgency()):
 		return 0
 	}
-	return min(n, countWithin(s.headroom(t), st.quotaUse()))
-}
-
-// countWithin returns how many times an amount fits into a room.
-func countWithin(room, one resource.Amount) int {
-	n := int64(cluster.MaxTasks)
-	for _, r := range [][2]int64{{room.CPUMilli, one.CPUMilli}, {room.MemoryMB, one.MemoryMB}, {room.Accelerators, one.Accelerators}} {
-		if r[1] > 0 {
-			n = min(n, max(0, r[0])/r[1])
-		}
-	}
-	return int(n)
+	return int(s.headroom(t).Count(st.quotaUse(), int64(n)))
 }
 
 // limitBlocks notes that n tasks of a step can't start for their team's limit.
@@ -210,7 +201,7 @@
 			unknown = unknown.Add(w.info.Capacity)
 		}
 	}
-	for _, t := range s.teams {
+	for _, t := range s.teamList {
 		t.unseen = unknown
 	}
 	if !s.takeover.open {
@@ -223,7 +214,7 @@
 		}
 	}
 	room, bounded := s.unansweredCapacity()
-	for _, t := range s.teams {
+	for _, t := range s.teamList {
 		use := uncertain[t].reserved.Add(t.endedUnseen)
 		if bounded {
 			use = use.Min(room)
@@ -305,10 +296,9 @@
 			waiting[j.team]++
 		}
 	}
-	list := make([]TeamUse, 0, len(s.teams))
-	for _, t := range s.teams {
+	list := make([]TeamUse, 0, len(s.teamList))
+	for _, t := range s.teamList {
 		list = append(list, TeamUse{t.name, t.used.Add(t.unseen), t.blocked, waiting[t]})
 	}
-	slices.SortFunc(list, func(a, b TeamUse) int { return cmp.Compare(a.Team, b.Team) })
 	return list
 }
--- a/internal/scheduler/teamparts.go
+++ b/internal/scheduler/teamparts.go
@@ -45,7 +45,7 @@
 	if s.takeover.open {
 		return nil
 	}
-	for _, t := range s.teams {
+	for _, t := range s.teamList {
 		if t.blocked == (resource.Amount{}) {
 			continue
 		}
@@ -58,15 +58,9 @@
 			wants = append(wants, w)
 		}
 	}
-	slices.SortFunc(wants, func(a, b TeamWant) int { return cmp.Compare(a.Team, b.Team) })
 	return wants
 }
 
-// sortParts sorts parts by team.
-func sortParts(list []TeamPart) {
-	slices.SortFunc(list, func(a, b TeamPart) int { return cmp.Compare(a.Team, b.Team) })
-}
-
 // GiveTeamParts gives to another shard of the parts that it wants those for which this shard has
 // no use now, or a less urgent one, and reports whether it gave any. They must be persisted before
 // the other shard is told. An owner that does not know yet all that runs here gives none.
@@ -125,7 +119,7 @@
 	for name, total := range s.ledger.GivenTo(shard) {
 		given = append(given, TeamPart{name, total})
 	}
-	sortParts(given)
+	slices.SortFunc(given, func(a, b TeamPart) int { return cmp.Compare(a.Team, b.Team) })
 	return given
 }
 
--- a/internal/team/team.go
+++ b/internal/team/team.go
@@ -43,11 +43,8 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// HasToken reports whether a token is one of the team's. It compares all digests in constant
-// time, so that the time taken reveals nothing about them.
-func (t *Team) HasToken(token string) bool { return AnyDigestOf(t.TokenSHA256, token) }
-
-// AnyDigestOf reports whether one of the hex digests is that of the token, in constant time.
+// AnyDigestOf reports whether one of the hex digests is that of the token. It compares all of
+// them in constant time, so that the time taken reveals nothing about them.
 func AnyDigestOf(digests []string, token string) bool {
 	got := []byte(Digest(token))
 	ok := 0
--- a/matrix/site/keys_test.go
+++ b/matrix/site/keys_test.go
@@ -53,6 +53,21 @@
 	}
 }
 
+// replaceRedKeys replaces the keys of the first team, and waits until that is in force.
+func (env *testEnv) replaceRedKeys(keys ...string) {
+	teams := twoTeams()
+	teams[0].Keys = keys
+	env.site.ConfigureTeams(2, teams, keyedRoutes()...)
+	time.Sleep(configTime)
+}
+
+// cutOff partitions a node from the store and from all other nodes.
+func (env *testEnv) cutOff(node string) {
+	for _, other := range append(otherNodes(env, node), storeHost) {
+		env.net.SetPartitioned(node, other, true)
+	}
+}
+
 // TestUnknownKeyServed guards against calls that are served without a key in force.
 func TestUnknownKeyServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -116,10 +131,7 @@
 		defer env.close()
 		body := env.encodeJob("x", stepBody{Count: 2, CPU: 100, EstimateMS: 6000})
 		env.wantStatus(http.StatusOK, "red-1", http.MethodPost, "/batch/"+keyedJob, body)
-		teams := twoTeams()
-		teams[0].Keys = []string{"red-2", "red-3"}
-		env.site.ConfigureTeams(2, teams, keyedRoutes()...)
-		time.Sleep(configTime)
+		env.replaceRedKeys("red-2", "red-3")
 		env.wantStatus(http.StatusUnauthorized, "red-1", http.MethodGet, "/batch/"+keyedJob, "")
 		env.wantStatus(http.StatusOK, "red-3", http.MethodGet, "/batch/"+keyedJob, "")
 		time.Sleep(10 * time.Second)
@@ -135,14 +147,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		env := newTeamEnv(t)
 		defer env.close()
-		for _, other := range []string{storeHost, "n1", "n2"} {
-			env.net.SetPartitioned("n0", other, true)
-		}
-		time.Sleep(configTime)
-		teams := twoTeams()
-		teams[0].Keys = []string{"red-3"}
-		env.site.ConfigureTeams(2, teams, keyedRoutes()...)
+		env.cutOff("n0")
 		time.Sleep(configTime)
+		env.replaceRedKeys("red-3")
 		for key, want := range map[string]int{"red-3": http.StatusServiceUnavailable, "": http.StatusUnauthorized} {
 			if got, _ := env.callAs(key, "n0", http.MethodGet, "/batch/", ""); got != want {
 				t.Errorf("key %q is answered with %d by a node that is cut off, want %d", key, got, want)
@@ -161,9 +168,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			env := newTeamEnvWith(t, settings.Tokens{Strict: strict, MaxAgeMS: 5000}, twoTeams())
 			defer env.close()
-			for _, other := range []string{storeHost, "n1", "n2"} {
-				env.net.SetPartitioned("n0", other, true)
-			}
+			env.cutOff("n0")
 			time.Sleep(6 * time.Second)
 			// The count needs the owners of the shards, which the node may not reach.
 			got, data := env.callAs("red-1", "n0", http.MethodGet, "/batch/", "")
@@ -183,10 +188,7 @@
 		defer env.close()
 		env.net.SetPartitioned("n0", storeHost, true)
 		time.Sleep(configTime)
-		teams := twoTeams()
-		teams[0].Keys = []string{"red-3"}
-		env.site.ConfigureTeams(2, teams, keyedRoutes()...)
-		time.Sleep(configTime)
+		env.replaceRedKeys("red-3")
 		env.wantStatus(http.StatusOK, "red-3", http.MethodGet, "/batch/", "")
 		env.wantStatus(http.StatusUnauthorized, "red-1", http.MethodGet, "/batch/", "")
 	})
