quota: a shard that can't read what it gave counts only on what it receives

Found by reading. Two faults of rows that another program has spoiled: - A total below 0 raised the shard's part above what it had. - An unreadable row left the shard what it received, although it may have given that away, and the next gift overwrote the row, so that the next owner forgot the earlier ones.

Change: such a row counts as unreadable. The shard counts only on what it receives after each other shard's first answer. What it gives from then on is told from earlier gifts by a generation.

--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -38,7 +38,7 @@
 	QueryGang(ctx context.Context, shard cluster.ShardID, query scheduler.GangQuery) (scheduler.GangState, error)
 	StartGang(ctx context.Context, shard cluster.ShardID, start scheduler.GangStart) error
 	// RequestTeamParts asks another shard's owner for parts of teams' limits.
-	RequestTeamParts(ctx context.Context, shard cluster.ShardID, req TeamPartsRequest) (TeamPartsReply, error)
+	RequestTeamParts(ctx context.Context, shard cluster.ShardID, req TeamPartsRequest) (scheduler.GivenParts, error)
 }
 
 const (
--- a/internal/owner/teamparts.go
+++ b/internal/owner/teamparts.go
@@ -13,6 +13,7 @@
 
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/quota"
 	"switchbank.example/switchbank/internal/scheduler"
 	"switchbank.example/switchbank/internal/tables"
 	"switchbank.example/switchbank/internal/team"
@@ -39,12 +40,6 @@
 // teamPartsKey is the key of the row that holds what a shard has given to others.
 const teamPartsKey = "!teams"
 
-// teamPartsRow is the value of that row.
-type teamPartsRow struct {
-	// Given holds, by team, the totals given to each shard.
-	Given map[string][]int64 `json:"given"`
-}
-
 // TeamPartsRequest asks a shard's owner for parts of teams' limits, and for what it has given
 // before.
 type TeamPartsRequest struct {
@@ -53,11 +48,6 @@
 	Wants []scheduler.TeamWant `json:"wants,omitempty"`
 }
 
-// TeamPartsReply holds what was given in total to the shard that asks.
-type TeamPartsReply struct {
-	Given []scheduler.TeamPart `json:"given,omitempty"`
-}
-
 // teamParts is the state of an owner's exchange of parts.
 type teamParts struct {
 	// mu serializes the writes of the row.
@@ -86,23 +76,26 @@
 // applyTeamParts takes what earlier owners have given to other shards. The caller holds mu.
 func (o *Owner) applyTeamParts(r tables.Row) {
 	o.teamParts.version = r.Version
-	var row teamPartsRow
-	if err := json.Unmarshal(r.Value, &row); err != nil {
-		o.Log.Warn("unreadable row of given parts: the shard counts on none", events.RowSkipped, zap.String("key", r.Key), zap.Error(err))
-		o.shard.GiveUpTeamParts()
+	if o.cfg.Layout.Shards == 1 {
+		return // There is nobody to give to.
+	}
+	var state quota.State
+	if err := json.Unmarshal(r.Value, &state); err != nil || !state.Valid() {
+		o.Log.Warn("unreadable row of given parts: the shard counts only on what it receives", events.RowSkipped, zap.String("key", r.Key), zap.Error(err))
+		o.shard.ForgetTeamPartsGiven()
 		return
 	}
-	o.shard.SetTeamPartsGiven(row.Given)
+	o.shard.RestoreTeamParts(state)
 }
 
 // HandleTeamParts gives parts of teams' limits to another shard, as far as this one has no use
 // for them, and answers with what that shard was given in total.
-func (o *Owner) HandleTeamParts(ctx context.Context, req TeamPartsRequest) (TeamPartsReply, error) {
+func (o *Owner) HandleTeamParts(ctx context.Context, req TeamPartsRequest) (scheduler.GivenParts, error) {
 	p := &o.teamParts
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var reply TeamPartsReply
-	var given map[string][]int64
+	var given scheduler.GivenParts
+	var state quota.State
 	ok := false
 	o.updateShard(func(s *scheduler.Shard, now time.Time) {
 		if ok = o.loaded && s.HasOtherShard(req.From); !ok {
@@ -111,24 +104,24 @@
 		if !o.fallback.active() && s.GiveTeamParts(now, req.From, req.Wants) {
 			p.unsaved = true
 		}
-		given, reply.Given = s.TeamPartsGiven(), s.GivenTo(req.From)
+		given, state = s.GivenTo(req.From), s.TeamPartsState()
 	})
 	if !ok {
-		return TeamPartsReply{}, &Error{"give parts", KindRefused, errors.New("the shard is not loaded, or there is no shard that asks")}
+		return scheduler.GivenParts{}, &Error{"give parts", KindRefused, errors.New("the shard is not loaded, or there is no shard that asks")}
 	}
 	if p.unsaved {
-		if err := o.saveTeamParts(ctx, given); err != nil {
-			return TeamPartsReply{}, err
+		if err := o.saveTeamParts(ctx, state); err != nil {
+			return scheduler.GivenParts{}, err
 		}
 	}
-	return reply, nil
+	return given, nil
 }
 
 // saveTeamParts persists what was given. What could not be saved stays given, and is saved before
 // the next answer. The caller holds the mu of teamParts.
-func (o *Owner) saveTeamParts(ctx context.Context, given map[string][]int64) error {
+func (o *Owner) saveTeamParts(ctx context.Context, state quota.State) error {
 	p := &o.teamParts
-	value, err := json.Marshal(teamPartsRow{given})
+	value, err := json.Marshal(state)
 	if err != nil {
 		panic("owner: given parts hold only names and numbers: " + err.Error())
 	}
@@ -180,7 +173,7 @@
 	wants := o.shard.TeamWants(time.Now())
 	o.mu.Unlock()
 	targets := o.teamPartsTargets(len(wants) > 0)
-	replies := make([]*TeamPartsReply, len(targets))
+	replies := make([]*scheduler.GivenParts, len(targets))
 	var wg sync.WaitGroup
 	for i, shard := range targets {
 		wg.Go(func() {
@@ -199,7 +192,7 @@
 		for i, reply := range replies {
 			if reply != nil {
 				o.teamParts.answered[targets[i].Index] = true
-				received = s.ReceiveTeamParts(targets[i].Index, reply.Given) || received
+				received = s.ReceiveTeamParts(targets[i].Index, *reply) || received
 			}
 		}
 		if len(o.teamParts.answered) == o.cfg.Layout.Shards-1 {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -14,13 +14,12 @@
 // # Usage
 //
 //	l := quota.NewLedger(shard, shards)
-//	l.Give("inkasoft", other, 20_000) // persist l.Given(), then tell the other shard
-//	l.Receive("inkasoft", other, 50_000)
+//	l.Give("inkasoft", other, 20_000) // persist l.State(), then tell the other shard
+//	l.Receive(other, 0, totals)
 //	limit := quota.Scale(team.Limit, l.Part("inkasoft"))
 package quota
 
 import (
-	"maps"
 	"math/bits"
 	"slices"
 
@@ -35,8 +34,48 @@
 	shard, shards int
 	// base is the shard's part before anything was given or received.
 	base int64
-	// given and received hold, by team, the totals given to and received from each shard.
-	given, received map[string][]int64
+	// generation is 0, or a number by which what the shard gives is told from gifts that it has
+	// forgotten. It counts then only on what it receives after each shard's first answer, since it
+	// may have given away all else: discounted holds, by team, the totals of the first answers.
+	generation int64
+	discounted map[string]map[source]int64
+	// missing are the shards whose first answer is missing.
+	missing map[int]bool
+	// given holds, by team, the totals given to each shard, and received those received.
+	given    map[string][]int64
+	received map[string]map[source]int64
+}
+
+// source is a shard, with its generation, that has given something.
+type source struct {
+	shard      int
+	generation int64
+}
+
+// State is what is persisted of a ledger.
+type State struct {
+	Generation int64 `json:"generation,omitempty"`
+	// Given holds, by team, the totals given to each shard.
+	Given      map[string][]int64 `json:"given"`
+	Discounted []Discount         `json:"discounted,omitempty"`
+}
+
+// Discount is a total that was received from a shard and doesn't count.
+type Discount struct {
+	Team       string `json:"team"`
+	Shard      int    `json:"shard"`
+	Generation int64  `json:"generation,omitempty"`
+	Total      int64  `json:"total"`
+}
+
+// Valid reports whether no total is below 0.
+func (s *State) Valid() bool {
+	for _, totals := range s.Given {
+		if slices.ContainsFunc(totals, func(n int64) bool { return n < 0 }) {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(s.Discounted, func(d Discount) bool { return d.Total < 0 })
 }
 
 // NewLedger returns the ledger of the shard with that index, with an equal part of each limit.
@@ -46,7 +85,10 @@
 	if shard < Whole%shards {
 		base++
 	}
-	return &Ledger{shard: shard, shards: shards, base: base, given: make(map[string][]int64), received: make(map[string][]int64)}
+	return &Ledger{
+		shard: shard, shards: shards, base: base, given: make(map[string][]int64),
+		received: make(map[string]map[source]int64), discounted: make(map[string]map[source]int64),
+	}
 }
 
 // Part returns the shard's part of a team's limit. It is below 0 while the shard doesn't know yet
@@ -56,6 +98,9 @@
 	for _, n := range l.received[team] {
 		part += n
 	}
+	for _, n := range l.discounted[team] {
+		part -= n
+	}
 	for _, n := range l.given[team] {
 		part -= n
 	}
@@ -65,12 +110,21 @@
 // Has reports whether there is another shard with that index.
 func (l *Ledger) Has(other int) bool { return other >= 0 && other < l.shards && other != l.shard }
 
-// Give gives a part of a team's limit to another shard, which may count it once Given is
+// MayGive reports whether the shard knows what it may give.
+func (l *Ledger) MayGive() bool { return len(l.missing) == 0 }
+
+// Give gives a part of a team's limit to another shard, which may count it once the State is
 // persisted.
 func (l *Ledger) Give(team string, to int, part int64) {
-	l.total(l.given, team)[to] += part
+	if l.given[team] == nil {
+		l.given[team] = make([]int64, l.shards)
+	}
+	l.given[team][to] += part
 }
 
+// Generation returns the generation of what the shard gives.
+func (l *Ledger) Generation() int64 { return l.generation }
+
 // GivenTo returns what another shard was given in total, by team.
 func (l *Ledger) GivenTo(shard int) map[string]int64 {
 	totals := make(map[string]int64)
@@ -82,46 +136,74 @@
 	return totals
 }
 
-// GiveUp leaves the shard only what it receives.
-func (l *Ledger) GiveUp() { l.base = 0 }
+// Forget records that it isn't known what the shard has given. The generation must be above all
+// that it had before.
+func (l *Ledger) Forget(generation int64) {
+	l.generation, l.base = generation, 0
+	l.missing = make(map[int]bool)
+	for i := range l.shards {
+		if i != l.shard {
+			l.missing[i] = true
+		}
+	}
+}
 
-// Receive records what another shard has given to this one in total, and reports whether that is
-// more than was known.
-func (l *Ledger) Receive(team string, from int, total int64) bool {
-	if !l.Has(from) || total <= 0 {
+// Receive records what another shard has given to this one in total, by team, and reports whether
+// that is more than was known. A shard that has forgotten what it gave may only be told answers
+// to what it has asked since.
+func (l *Ledger) Receive(from int, generation int64, totals map[string]int64) (more bool) {
+	if !l.Has(from) {
 		return false
 	}
-	list := l.total(l.received, team)
-	if total <= list[from] {
-		return false
+	first := l.missing[from]
+	delete(l.missing, from)
+	by := source{from, generation}
+	for team, total := range totals {
+		if total <= l.received[team][by] {
+			continue
+		}
+		set(l.received, team, by, total)
+		if first {
+			set(l.discounted, team, by, total)
+		}
+		more = true
 	}
-	list[from] = total
-	return true
+	return more
 }
 
-// Given returns what the shard has given, by team and shard, to be persisted.
-func (l *Ledger) Given() map[string][]int64 {
-	given := maps.Clone(l.given)
-	for team, list := range given {
-		given[team] = slices.Clone(list)
+func set(m map[string]map[source]int64, team string, by source, total int64) {
+	if m[team] == nil {
+		m[team] = make(map[source]int64)
 	}
-	return given
+	m[team][by] = total
 }
 
-// SetGiven sets what the shard has given, as it was persisted.
-func (l *Ledger) SetGiven(given map[string][]int64) {
-	l.given = make(map[string][]int64, len(given))
-	for team, list := range given {
-		copy(l.total(l.given, team), list)
+// State returns what has to be persisted.
+func (l *Ledger) State() State {
+	state := State{Generation: l.generation, Given: make(map[string][]int64, len(l.given))}
+	for team, list := range l.given {
+		state.Given[team] = slices.Clone(list)
+	}
+	for team, totals := range l.discounted {
+		for by, total := range totals {
+			state.Discounted = append(state.Discounted, Discount{team, by.shard, by.generation, total})
+		}
 	}
+	return state
 }
 
-// total returns a team's totals in one of the ledger's maps.
-func (l *Ledger) total(m map[string][]int64, team string) []int64 {
-	if m[team] == nil {
-		m[team] = make([]int64, l.shards)
+// Restore sets what was persisted.
+func (l *Ledger) Restore(state State) {
+	if l.generation = state.Generation; l.generation > 0 {
+		l.base = 0
+	}
+	for team, list := range state.Given {
+		l.given[team] = make([]int64, l.shards)
+		copy(l.given[team], list)
+	}
+	for _, d := range state.Discounted {
+		set(l.discounted, d.Team, source{d.Shard, d.Generation}, d.Total)
 	}
-	return m[team]
 }
 
 // Scale returns a part of a limit, rounded down. A resource without a limit has none in any part.
--- a/internal/scheduler/teamparts.go
+++ b/internal/scheduler/teamparts.go
@@ -65,7 +65,7 @@
 // no use now, or a less urgent one, and reports whether it gave any. They must be persisted before
 // the other shard is told. An owner that does not know yet all that runs here gives none.
 func (s *Shard) GiveTeamParts(now time.Time, to int, wants []TeamWant) (changed bool) {
-	if s.takeover.open {
+	if s.takeover.open || !s.ledger.MayGive() {
 		return false
 	}
 	s.unseenRound = -1
@@ -108,35 +108,43 @@
 	return 0
 }
 
-// TeamPartsGiven returns what this shard has given in total, by team and shard.
-func (s *Shard) TeamPartsGiven() map[string][]int64 { return s.ledger.Given() }
+// TeamPartsState returns what has to be persisted of the parts.
+func (s *Shard) TeamPartsState() quota.State { return s.ledger.State() }
 
 // HasOtherShard reports whether the service has another shard with that index.
 func (s *Shard) HasOtherShard(index int) bool { return s.ledger.Has(index) }
 
+// GivenParts is what a shard has given to another one in total. Gifts of another generation of the
+// same shard come on top.
+type GivenParts struct {
+	Generation int64      `json:"generation,omitempty"`
+	Parts      []TeamPart `json:"parts,omitempty"`
+}
+
 // GivenTo returns what this shard has given to another one in total.
-func (s *Shard) GivenTo(shard int) (given []TeamPart) {
+func (s *Shard) GivenTo(shard int) GivenParts {
+	given := GivenParts{Generation: s.ledger.Generation()}
 	for name, total := range s.ledger.GivenTo(shard) {
-		given = append(given, TeamPart{name, total})
+		given.Parts = append(given.Parts, TeamPart{name, total})
 	}
-	slices.SortFunc(given, func(a, b TeamPart) int { return cmp.Compare(a.Team, b.Team) })
+	slices.SortFunc(given.Parts, func(a, b TeamPart) int { return cmp.Compare(a.Team, b.Team) })
 	return given
 }
 
-// SetTeamPartsGiven sets what this shard has given, as it was persisted.
-func (s *Shard) SetTeamPartsGiven(given map[string][]int64) { s.ledger.SetGiven(given) }
+// RestoreTeamParts sets what was persisted of the parts.
+func (s *Shard) RestoreTeamParts(state quota.State) { s.ledger.Restore(state) }
 
-// GiveUpTeamParts leaves this shard only what others give to it, since it is not known what it
-// has given.
-func (s *Shard) GiveUpTeamParts() { s.ledger.GiveUp() }
+// ForgetTeamPartsGiven records that it isn't known what this shard has given.
+func (s *Shard) ForgetTeamPartsGiven() { s.ledger.Forget(s.params.Epoch) }
 
 // ReceiveTeamParts records what another shard has given to this one in total, and reports whether
 // that is more than was known.
-func (s *Shard) ReceiveTeamParts(from int, totals []TeamPart) (more bool) {
-	for _, p := range totals {
-		more = s.ledger.Receive(p.Team, from, p.Part) || more
+func (s *Shard) ReceiveTeamParts(from int, given GivenParts) (more bool) {
+	totals := make(map[string]int64, len(given.Parts))
+	for _, p := range given.Parts {
+		totals[p.Team] = p.Part
 	}
-	return more
+	return s.ledger.Receive(from, given.Generation, totals)
 }
 
 // TeamPartsKnown records that all other shards have said what they have given to this one.
--- a/matrix/site/corruptrows_test.go
+++ b/matrix/site/corruptrows_test.go
@@ -35,6 +35,7 @@
 		{"the layout", "cell", "", "layout/" + service, "succeeded"},
 		{"the fence", owner.TableProgress, owner.ProgressPart(shard), owner.FenceRow(shard).Key, "succeeded"},
 		{"the list of workers", owner.TableProgress, owner.ProgressPart(shard), "!workers", "succeeded"},
+		{"the parts of limits that were given", owner.TableProgress, owner.ProgressPart(shard), "!teams", "succeeded"},
 		{"the job's pin", owner.TablePins, part, corruptJobID, "succeeded"},
 		{"the job's progress", owner.TableProgress, owner.ProgressPart(shard), corruptJobID, "succeeded"},
 		{"the job's row", owner.TableJobs(shard), part, corruptJobID, "running"},
--- a/matrix/site/teamlimit_test.go
+++ b/matrix/site/teamlimit_test.go
@@ -14,6 +14,8 @@
 	"testing/synctest"
 	"time"
 
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/owner"
 	"switchbank.example/switchbank/standin/site"
 )
 
@@ -184,6 +186,28 @@
 	})
 }
 
+// TestUnreadablePartsExceedLimit makes unreadable what a shard has given of a team's limit, under
+// load, and kills the owners. The team may not exceed its limit, and its jobs have to end with the
+// half of it that the other shard has.
+func TestUnreadablePartsExceedLimit(t *testing.T) {
+	const limit = 12_000
+	for _, value := range []string{`{"given":5`, `{"given":{"red":[0,-900000]}}`} {
+		synctest.Test(t, func(t *testing.T) {
+			env := newLimitedEnvWith(t, limit)
+			defer env.close()
+			load := env.startLoad(loadDuration, faultStart)
+			shard := cluster.ShardID{Service: service}
+			env.site.Store.PutRaw(owner.TableProgress, owner.ProgressPart(shard), "!teams", []byte(value))
+			for _, name := range env.killAll() {
+				env.startNode(name + "b")
+			}
+			load.Wait()
+			env.checkJobsSettled()
+			env.checkTeamLimit()
+		})
+	}
+}
+
 // teamCores returns the cores that the team uses according to the metrics of all nodes.
 func (env *testEnv) teamCores() (sum float64) {
 	for _, name := range env.nodeNames() {
