e2e: the soak's callers have a team whose limit and keys change

Each configuration of a run has another limit for the callers' team and a key of its own; the last one withdraws the key before it. No start may take the team above the higher of its limits, and each node serves the new key and refuses the withdrawn one and an unknown one.

--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -52,6 +52,8 @@
 	links map[string]*link
 	// workersPerShard is the maximum number of workers of a shard.
 	workersPerShard int
+	// key is the key of the callers' team; empty if calls need none.
+	key string
 }
 
 // siteNode is a node's settings and process.
@@ -265,6 +267,9 @@
 	}
 	r.Host = "h"
 	r.Header.Set("X-Switchbank-Deadline-Ms", "3000")
+	if c.key != "" {
+		r.Header.Set("X-Switchbank-Credential", c.key)
+	}
 	res, err := (&http.Client{Timeout: 5 * time.Second}).Do(r)
 	if err != nil {
 		return 0
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -92,6 +92,7 @@
 //   - the store, parts of it, and workers fail; some workers fail all runs that start there;
 //   - another writer corrupts entries of the directory;
 //   - the configuration grows by many routes, also on nodes with slow links;
+//   - the limit of the callers' team changes with each configuration, and a key is withdrawn;
 //   - a task crashes each worker on which it starts.
 //
 // No guarantee may be violated, according to the records of workers and callers. After the
@@ -149,6 +150,9 @@
 		faultActive: make(map[string]bool), canceled: make(map[string]bool), refused: make(map[string]bool), failing: make(map[string]bool), gangs: make(map[string]bool),
 		linkFaults: make(map[string][]faultInterval), workerAddresses: make(map[string]string),
 	}
+	if s.hasTeams() {
+		s.key = soakKey
+	}
 	s.ports = freePorts(t, 3+2*soakWorkers+5*soakNodes)
 	s.storeAddress, s.serviceAddresses = s.nextAddress(), [2]string{s.nextAddress(), s.nextAddress()}
 	s.addWorkers()
@@ -256,7 +260,7 @@
 		return unfinished == ""
 	})
 	s.checkConfig()
-	for _, violation := range s.site.Violations(site.Expectations{Refused: s.refused, OrdersDelayed: s.ordersDelayed, LongRunning: checkedJobs}) {
+	for _, violation := range s.site.Violations(site.Expectations{Refused: s.refused, OrdersDelayed: s.ordersDelayed, LongRunning: checkedJobs, Teams: s.teamExpectations()}) {
 		s.t.Error(violation)
 	}
 }
--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -215,7 +215,7 @@
 	for i := range s.extraRoutes {
 		routes = append(routes, site.Route{Name: fmt.Sprintf("more%d", i), Host: "another", PathPrefix: fmt.Sprintf("/more%d/", i), MaxAttempts: 3, Stretch: 2, Upstream: "billing", Advice: urgent.Advice})
 	}
-	s.site.Configure(s.version, routes...)
+	s.site.ConfigureTeams(s.version, s.teams(), routes...)
 }
 
 // The pause between two extensions of the configuration, and the routes that each one adds.
@@ -258,6 +258,7 @@
 // node still serves a route that it removed.
 func (s *soak) checkConfig() {
 	s.publishConfig()
+	s.checkKeys()
 	path := func(version int64) string { return fmt.Sprintf("/extra%d/", version) }
 	for _, n := range s.nodes {
 		s.waitUntil(n.name+" has the last configuration", func() bool {
