Data centres are evacuated by the operators' order

Cause: no code read the operators' orders to evacuate a data centre, so that starts went there as before.

Change: the orders are rows of the table that every node follows for the configuration. A node keeps the latest order for each data centre, by the version of its row; a list of the whole table withdraws what it lacks, and an order older than that list counts no more. Nodes that the store turns away learn the orders from the answers to their pings. An owner's shard starts nothing on workers of these data centres: new runs, retries, copies, gangs and preempting ones all pass the same check, and such workers count neither for the shard's load nor for what it could hold, so that jobs move on. What runs there goes on.

Evidence: TestEvacuatedDataCentre gives the order 20 ms before each of 30 faults and withdraws it 7 s after. TestEvacuationsKeepTheNewestOrder covers old orders and old lists. scheduler/evacuate.go, which is about workers that leave, is now drain.go.

--- a/internal/cell/configuration.go
+++ b/internal/cell/configuration.go
@@ -26,18 +26,19 @@
 // at once.
 const configFetchTimeout = 600 * time.Millisecond
 
-// followConfig follows the operators' configuration in the store.
+// followConfig follows the operators' configuration and evacuations in the store.
 func (n *Node) followConfig(ctx context.Context) {
 	f := tables.Follower{
 		Service: directStore{n.store, n.relay}, Table: n.Configs.Table(), Parts: []string{""}, FeedWait: configFeedWait,
-		Apply: func(rows []tables.Row, full bool) {
-			for _, r := range rows {
-				n.applyConfigRow(r, full)
-			}
-		},
 		OnCurrent: n.configConfirmed.note,
 		OnError:   n.logReadFailure(n.Configs.Table()),
 	}
+	f.Apply = func(rows []tables.Row, full bool) {
+		n.applyEvacuationRows(rows, full, f.ListedVersion())
+		for _, r := range rows {
+			n.applyConfigRow(r, full)
+		}
+	}
 	f.Run(ctx)
 }
 
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -67,6 +67,8 @@
 	// Owns lists the shards that the node owns.
 	Owns    []ownedShard `json:"owns,omitempty"`
 	Members []member     `json:"members,omitempty"`
+	// Evacuations are the operators' orders that the node knows.
+	Evacuations []cluster.EvacuationOrder `json:"evacuations,omitempty"`
 	// AboutAnswers tells whether the node named in About answered the ping.
 	AboutAnswers bool `json:"about_answers,omitempty"`
 }
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -66,11 +66,14 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Configs decodes the operators' configuration from its row.
+// Configs decodes the rows of the operators' table.
 type Configs interface {
 	Table() string
 	// Decode returns false for a row that doesn't hold the configuration.
 	Decode(row tables.Row) (cfg cluster.Config, ok bool, err error)
+	// EvacuatedDataCentre returns the data centre that a row orders to evacuate; ok is false
+	// for other rows. The deletion of the row withdraws the order.
+	EvacuatedDataCentre(row tables.Row) (name string, ok bool)
 }
 
 // Advice calls the advice service from this node.
@@ -109,6 +112,7 @@
 	metrics      *metrics.Set
 	config       atomic.Pointer[cluster.Config]
 	configLag    configLag
+	evacuations  evacuations
 	// configConfirmed is when the configuration in force was last known to be the newest.
 	configConfirmed confirmation
 	// fetching is set while a configuration is being fetched from a peer.
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -302,6 +302,7 @@
 		return
 	}
 	n.updateTeams()
+	n.updateEvacuations()
 	n.group.Go(func() error {
 		defer workers.Close()
 		err := o.Run(n.ctx)
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -59,7 +59,7 @@
 	n.peers.recordContact(req.From)
 	reply := pingReply{
 		Me: n.me, Draining: n.Draining(), StoreGood: n.relay.DirectAvailable() && !n.store.down(),
-		ConfigVersion: versionOf(n.Config()),
+		ConfigVersion: versionOf(n.Config()), Evacuations: n.evacuations.orders(),
 	}
 	n.mu.Lock()
 	owned := maps.Clone(n.owned)
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -109,6 +109,7 @@
 	TeamOverLimit         = zap.String(Field, "SB1641")
 	TeamWaits             = zap.String(Field, "SB1642")
 	TeamPartGiven         = zap.String(Field, "SB1643")
+	DataCentresEvacuated  = zap.String(Field, "SB1644")
 )
 
 // The events of nodes on a platform.
@@ -136,6 +137,7 @@
 	SilentConnsClosed  = zap.String(Field, "SB1721")
 	ResponseAborted    = zap.String(Field, "SB1722")
 	HelperFailed       = zap.String(Field, "SB1723")
+	EvacuationsChanged = zap.String(Field, "SB1724")
 )
 
 // LogLinesDropped is written by the log's writer itself, not through the logger.
--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/drain.go
@@ -5,17 +5,17 @@
 import "time"
 
 const (
-	// evacuateMargin is how long before the exit of a draining worker its checkpointing
+	// stopMargin is how long before the exit of a draining worker its checkpointing
 	// tasks are stopped, in addition to the time that a stop takes.
-	evacuateMargin = 700 * time.Millisecond
+	stopMargin = 700 * time.Millisecond
 	// defaultNotice is the remaining time that is assumed if the worker does not say when
 	// it exits.
 	defaultNotice = 2 * time.Second
 )
 
-// evacuateWorkers stops the runs on draining workers that would not end before the worker
+// stopOnLeavingWorkers stops the runs on draining workers that would not end before the worker
 // exits, so that they start again elsewhere.
-func (s *Shard) evacuateWorkers(now time.Time) {
+func (s *Shard) stopOnLeavingWorkers(now time.Time) {
 	for _, w := range s.workerList {
 		if (!w.info.Draining && !w.leaving) || w.silent || !w.answered {
 			continue
@@ -39,13 +39,13 @@
 func (s *Shard) mustStopNow(now time.Time, r *run, left time.Duration) bool {
 	spec := r.task.step.spec
 	if spec.LongRunning {
-		return spec.MaxUnavailable == 0 || s.unavailableTasks(r.task.step) < spec.MaxUnavailable || left < s.params.StopTime+evacuateMargin
+		return spec.MaxUnavailable == 0 || s.unavailableTasks(r.task.step) < spec.MaxUnavailable || left < s.params.StopTime+stopMargin
 	}
 	if s.remainingTime(now, r)+s.params.StopTime < left {
 		return false
 	}
 	if spec.Checkpoints {
-		return left < s.params.StopTime+evacuateMargin
+		return left < s.params.StopTime+stopMargin
 	}
 	return true
 }
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -30,7 +30,7 @@
 func (s *Shard) measureLoad(now time.Time) float64 {
 	var capacity, demand resource.Amount
 	for _, w := range s.workerList {
-		if w.acceptsStarts(now) {
+		if s.acceptsStarts(now, w) {
 			capacity = capacity.Add(w.info.Capacity)
 			demand = demand.Add(w.used)
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -140,6 +140,8 @@
 	// mention them to this owner.
 	movedAway map[string]movedJob
 	takeover  takeover
+	// evacuated are the data centres on whose workers nothing may start.
+	evacuated map[string]bool
 	// teams are those of the configuration and of the jobs, teamList the same by name, and ledger holds this shard's
 	// parts of their limits. unseenRound is the round in which the teams' unseen was computed.
 	teams       map[string]*teamState
@@ -251,7 +253,7 @@
 	s.forgetIncarnations(now)
 	s.checkProgress(now)
 	s.detectLeavingWorkers(now)
-	s.evacuateWorkers(now)
+	s.stopOnLeavingWorkers(now)
 	s.paceBestEffortRuns(now)
 	s.enforceLimits(now)
 	s.forgetFinished(now)
--- a/internal/scheduler/waitlog.go
+++ b/internal/scheduler/waitlog.go
@@ -21,6 +21,7 @@
 	obstacleNone          obstacle = iota
 	obstacleSilent                 // it does not answer
 	obstacleLeaving                // it drains or leaves, or its entry is invalid or of another incarnation
+	obstacleEvacuated              // its data centre is evacuated
 	obstacleQuarantined            // it is quarantined
 	obstacleProbing                // its quarantine is over, and a run that probes it still has to end
 	obstacleBusy                   // it has just replied that it is busy
@@ -36,7 +37,7 @@
 
 // obstacleNames are the keys of the obstacles in the log.
 var obstacleNames = [obstacleCount]string{
-	"usable", "away", "leaving", "aside", "probing", "refuses", "unknown_runs", "unfit", "rejected", "unasked", "ticket_over", "spread", "full",
+	"usable", "away", "leaving", "evacuated", "aside", "probing", "refuses", "unknown_runs", "unfit", "rejected", "unasked", "ticket_over", "spread", "full",
 }
 
 // obstacleTo returns what keeps a task of a step from a worker. Its health is checked
@@ -47,6 +48,8 @@
 		return obstacleSilent
 	case !w.available():
 		return obstacleLeaving
+	case !s.open(w):
+		return obstacleEvacuated
 	case now.Before(w.busyUntil):
 		return obstacleBusy
 	case len(w.unknownRuns) > 0:
--- a/internal/tables/follow.go
+++ b/internal/tables/follow.go
@@ -35,8 +35,9 @@
 	OnError func(err error)
 
 	failing bool
-	// listedAt is when the table was last listed.
-	listedAt time.Time
+	// listedAt is when the table was last listed, and listedVersion as of which version.
+	listedAt      time.Time
+	listedVersion int64
 	// quietVersion is a version up to which the feed has shown no change, and quietAt when it
 	// did. They are used only if RelistAfter is 0.
 	quietVersion int64
@@ -99,6 +100,9 @@
 	}
 }
 
+// ListedVersion returns the version as of which the table was last listed, for Apply.
+func (f *Follower) ListedVersion() int64 { return f.listedVersion }
+
 // noteCurrent calls OnCurrent.
 func (f *Follower) noteCurrent() {
 	if f.OnCurrent != nil {
@@ -127,7 +131,7 @@
 		f.handleError(ctx, err)
 		return after
 	}
-	f.failing, f.listedAt, f.quietVersion = false, time.Now(), 0
+	f.failing, f.listedAt, f.quietVersion, f.listedVersion = false, time.Now(), 0, version
 	f.Apply(rows, true)
 	f.noteCurrent()
 	return version
--- a/standin/site/announce.go
+++ b/standin/site/announce.go
@@ -52,11 +52,14 @@
 // entry returns the worker's entry in the directory. The caller holds mu.
 func (w *Worker) entry() directoryEntry {
 	return directoryEntry{
-		Upstream: cmp.Or(w.cfg.Service, w.site.cfg.Service), Address: w.Address, Zone: "dc", Version: "v1", Slots: workerSlots, State: "ready",
+		Upstream: cmp.Or(w.cfg.Service, w.site.cfg.Service), Address: w.Address, Zone: w.dataCentre(), Version: "v1", Slots: workerSlots, State: "ready",
 		Capacity: capacity{CPU: w.cfg.CPUMilli, MemoryMB: w.cfg.MemoryMB}, Labels: w.labels(), ClockMS: w.clock(), Seq: w.clock(), StartTime: w.startTime,
 	}
 }
 
+// dataCentre returns the worker's data centre.
+func (w *Worker) dataCentre() string { return cmp.Or(w.cfg.DataCentre, "dc") }
+
 // labels returns the worker's kind, its rack and, if it has one, its own label.
 func (w *Worker) labels() []string {
 	labels := []string{"a", w.cfg.Rack}
--- a/standin/site/orders.go
+++ b/standin/site/orders.go
@@ -117,7 +117,7 @@
 		w.site.joinGang(t)
 	}
 	w.running[req.Task] = t
-	w.site.addEvent(Event{Worker: w.ID, Task: req.Task, Run: req.Run, Kind: EventStart, Fence: req.Fence, CPUMilli: t.spec.cpu})
+	w.site.addEvent(Event{Worker: w.ID, Task: req.Task, Run: req.Run, Kind: EventStart, Fence: req.Fence, CPUMilli: t.spec.cpu, DataCentre: w.dataCentre()})
 	if t.crashesWorker() {
 		time.AfterFunc(t.spec.crashesAfter, func() { w.crashUnder(t) })
 	}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -58,6 +58,8 @@
 	events        []Event
 	// drainedAt is when each worker's announcement that it is draining was stored.
 	drainedAt map[string]time.Time
+	// evacuations are the operators' orders so far.
+	evacuations []evacuation
 	// gangs are the runs of gangs, by step and run.
 	gangs        map[gangKey]*gangRun
 	incarnations int
@@ -76,6 +78,8 @@
 	Fence int64
 	// CPUMilli is what a run that starts takes according to its Spec.
 	CPUMilli int64
+	// DataCentre is that of the worker on which a run starts.
+	DataCentre string
 	// Failed is set for the end of a run that failed by itself or because of its worker.
 	Failed bool
 }
--- a/standin/site/violations.go
+++ b/standin/site/violations.go
@@ -44,6 +44,8 @@
 // checker holds the state that follows from the events checked so far.
 type checker struct {
 	expected Expectations
+	// evacuations are the times in which a data centre was evacuated.
+	evacuations []evacuation
 	// running is the worker on which each task runs, highestFence the highest fence that each
 	// worker has accepted.
 	running      map[string]string
@@ -70,7 +72,7 @@
 // Violations checks the events on the workers against the scheduler's guarantees, and
 // describes each violation.
 func (s *Site) Violations(want Expectations) []string {
-	c := &checker{expected: want, running: make(map[string]string), runningCPU: make(map[string]int64), highestFence: make(map[string]int64),
+	c := &checker{expected: want, evacuations: s.evacuationsSoFar(), running: make(map[string]string), runningCPU: make(map[string]int64), highestFence: make(map[string]int64),
 		succeeded: make(map[string][]int64), restartedAfter: make(map[runKey]bool), confirmed: make(map[string]bool),
 		crashes: make(map[string]int), startsAfterCrashes: make(map[string]int)}
 	for _, e := range s.Events() {
@@ -130,6 +132,7 @@
 	c.running[e.Task] = e.Worker
 	c.runningCPU[e.Task] = e.CPUMilli
 	c.checkTeams(e, job)
+	c.checkEvacuations(e)
 	for _, run := range c.succeeded[e.Task] {
 		c.restartedAfter[runKey{e.Task, run}] = true
 	}
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -11,6 +11,8 @@
 // WorkerConfig describes a worker.
 type WorkerConfig struct {
 	Rack string
+	// DataCentre is where the worker is; "": in "dc".
+	DataCentre string
 	// Label is an additional label beside those of the kind and the rack; "": none.
 	Label    string
 	CPUMilli int64
