matrix/site: faults of nodes on a team's limit over 15 shards

The tests of teams' limits so far have two shards, where each part of a limit holds a task. Here 15 shards of one rack each share the limit, and no part holds a task of the batches, so that parts have to be gathered while owners are killed, drained and paused.

--- a/matrix/site/teamlimit_test.go
+++ b/matrix/site/teamlimit_test.go
@@ -272,3 +272,30 @@
 		env.checkTeamLimit()
 	})
 }
+
+// TestTeamExceedsLimitOfManyShards runs faults of nodes on a service of 15 shards of one rack each.
+// No shard's part of the team's limit holds a task of its batches.
+func TestTeamExceedsLimitOfManyShards(t *testing.T) {
+	const shards, workersOfShard = 15, 2
+	for _, f := range nodeFaults() {
+		t.Run(f.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newEnvWith(t, shards*workersOfShard, workersOfShard, func(env *testEnv) {
+					env.key = redKey
+					env.configureLimit(1, teamLimit)
+				})
+				defer env.close()
+				load := env.startLoad(loadDuration, 0)
+				env.injectFault(f, faultStart)
+				load.Wait()
+				for i := range shards {
+					if env.ownerRow(cluster.ShardID{Service: service, Index: i}).Epoch == 0 {
+						t.Errorf("there is no shard %d", i)
+					}
+				}
+				env.checkJobsSettled()
+				env.checkTeamLimit()
+			})
+		})
+	}
+}
