owner: requests for parts of a limit end while they wait for their turn

Cause: HandleTeamParts held a mutex while it wrote its row. A request that waited for the mutex could not end with its context, so that a write over a connection that had gone silent held all of them. Seen as TestTeamExceedsLimitOfManyShards/open_connections_go_silent, which stood still in virtual time in 1 of 3 runs with five processors (a goroutine blocked in Mutex.Lock).

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -123,7 +123,7 @@
 	cfg.MaxWriteBytes = cmp.Or(cfg.MaxWriteBytes, math.MaxInt)
 	return &Owner{
 		cfg: cfg, Deps: deps, startedAt: time.Now(), shard: scheduler.New(cfg.Params, time.Now(), deps.Log),
-		holdLoops: make(map[string]bool), invalidEntries: newInvalidEntries(), teamParts: teamParts{answered: make(map[int]bool), next: cfg.Shard.Index},
+		holdLoops: make(map[string]bool), invalidEntries: newInvalidEntries(), teamParts: teamParts{writing: make(chan struct{}, 1), answered: make(map[int]bool), next: cfg.Shard.Index},
 		wakeScheduler: make(chan struct{}, 1), wakePersist: make(chan struct{}, 1), wakeMachineList: make(chan struct{}, 1), wakeTeamParts: make(chan struct{}, 1),
 	}
 }
--- a/internal/owner/teamparts.go
+++ b/internal/owner/teamparts.go
@@ -50,8 +50,8 @@
 
 // teamParts is the state of an owner's exchange of parts.
 type teamParts struct {
-	// mu serializes the writes of the row.
-	mu sync.Mutex
+	// writing holds a value while the row is being written.
+	writing chan struct{}
 	// version is that of the row, and unsaved is set while it may not hold all that was given.
 	version int64
 	unsaved bool
@@ -92,8 +92,12 @@
 // for them, and answers with what that shard was given in total.
 func (o *Owner) HandleTeamParts(ctx context.Context, req TeamPartsRequest) (scheduler.GivenParts, error) {
 	p := &o.teamParts
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	select {
+	case p.writing <- struct{}{}:
+		defer func() { <-p.writing }()
+	case <-ctx.Done():
+		return scheduler.GivenParts{}, &Error{"give parts", KindRefused, ctx.Err()}
+	}
 	var given scheduler.GivenParts
 	var state quota.State
 	ok := false
@@ -118,7 +122,7 @@
 }
 
 // saveTeamParts persists what was given. What could not be saved stays given, and is saved before
-// the next answer. The caller holds the mu of teamParts.
+// the next answer. The caller has the turn to write.
 func (o *Owner) saveTeamParts(ctx context.Context, state quota.State) error {
 	p := &o.teamParts
 	value, err := json.Marshal(state)
