cell, directory: one node reads the directory for the owners of all shards

Cause: each owner followed the whole table in which workers announce themselves, every one to two seconds each, and listed all machines. With 6,000 workers and 32 owners that is workers x owners: some 1.2 MB a second an owner, and 30 pages of machines each 3 s an owner where the platform serves 200 a second to all.

Change: the first candidate for the table's name follows the directory and keeps a copy of it (package directory). Owners ask it, by a long poll, for the rows of their own shard that say something new; readings of the clock are nothing new. The list of machines goes the same way at any speed of link, is shared for 0.2 s and 0.1 ms a machine, and tells its age, so that it is no evidence about a worker that became known since.

--- a/internal/cell/candidates.go
+++ b/internal/cell/candidates.go
@@ -63,6 +63,17 @@
 	return before
 }
 
+// firstCandidate returns the first of all nodes in the order of candidates for a key, this one
+// included; ok is false if there is no other node.
+func (n *Node) firstCandidate(key string) (m member, ok bool) {
+	self := n.asCandidate()
+	best, ok := n.peers.bestCandidate(self, key)
+	if ok && self.compareForShard(xxhash.Sum64String(key), best) < 0 {
+		return self.member, true
+	}
+	return best.member, ok
+}
+
 // sortCandidates sorts nodes in the order in which they are candidates for a shard.
 func sortCandidates(shard cluster.ShardID, nodes []candidate) []candidate {
 	hash := xxhash.Sum64String(shard.String())
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -81,12 +81,17 @@
 	Advise(ctx context.Context, step scheduler.StepID, workers []string) (tickets []cluster.Ticket, validFor time.Duration, err error)
 }
 
+// Machines lists the platform's machines.
+type Machines interface {
+	Machines(ctx context.Context) ([]cluster.Machine, error)
+}
+
 // Deps are the services of the platform that a node uses.
 type Deps struct {
 	Store     tables.Service
 	Workers   owner.Workers
 	Advice    Advice
-	Machines  owner.Machines
+	Machines  Machines
 	Directory owner.Directory
 	Configs   Configs
 	// Callers returns the handler of callers' requests to the node.
@@ -109,6 +114,7 @@
 	peers        *peers
 	helperServer *fanout.Server
 	machineCache machineCache
+	directory    directoryReader
 	metrics      *metrics.Set
 	config       atomic.Pointer[cluster.Config]
 	configLag    configLag
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -294,7 +294,7 @@
 	o := owner.New(owner.Config{
 		Shard: shard, Layout: layout, Row: row, Fence: fence, MaxParallelReads: n.parallelReads(), MaxWriteBytes: n.writeBytes(), Params: n.schedulerParams(shard, &layout, rec.Epoch),
 	}, owner.Deps{
-		Tables: proxiedStore{n.store, n}, Workers: workers, Advisers: n.peers, Machines: proxiedMachines{n, shard.Service}, Directory: n.Directory, Shards: otherShards{n},
+		Tables: n.newOwnerStore(shard), Workers: workers, Advisers: n.peers, Machines: proxiedMachines{n, shard.Service}, Directory: n.Directory, Shards: otherShards{n},
 		CountInvalidEntry: n.countInvalidEntry, Log: n.Log,
 	})
 	if !n.registerOwner(shard, o, rec, row.Version) {
--- a/internal/cell/proxyread.go
+++ b/internal/cell/proxyread.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/conns"
 	"switchbank.example/switchbank/internal/tables"
@@ -23,36 +25,64 @@
 	// proxyTimeout bounds the wait for the first bytes of an answer: a list takes 0.4 s while
 	// the store is 100 times slower.
 	proxyTimeout = 600 * time.Millisecond
-	// machineCacheTTL is how long a node answers other nodes with the same list of machines.
-	machineCacheTTL = 200 * time.Millisecond
+	// machineCacheTTL is how long a node answers other nodes with the same list of machines. It
+	// grows by machineCachePerMachine for each machine, so that the pages that are read a second
+	// don't grow with the machines.
+	machineCacheTTL        = 200 * time.Millisecond
+	machineCachePerMachine = 100 * time.Microsecond
 )
 
 // machineList is the reply to a node that reads the list of machines through this one.
 type machineList struct {
 	Machines []cluster.Machine `json:"machines"`
+	// AgeMS is how long ago the list was requested.
+	AgeMS int64 `json:"age_ms"`
 }
 
 // machineCache holds the last list of machines that this node read for others.
 type machineCache struct {
+	// reads lets concurrent calls share one list.
+	reads singleflight.Group
+
 	mu   sync.Mutex
 	list []cluster.Machine
-	at   time.Time
+	// at is when the list was requested.
+	at time.Time
+}
+
+// get returns the last list, and when it was requested.
+func (c *machineCache) get() ([]cluster.Machine, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.list, c.at
+}
+
+// set replaces the list.
+func (c *machineCache) set(list []cluster.Machine, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list, c.at = list, at
 }
 
 // handleMachines lists the machines for another node.
 func (n *Node) handleMachines(ctx context.Context, _ empty) (machineList, error) {
-	n.machineCache.mu.Lock()
-	defer n.machineCache.mu.Unlock()
-	if time.Since(n.machineCache.at) < machineCacheTTL {
-		return machineList{n.machineCache.list}, nil
-	}
-	began := time.Now()
-	list, err := n.Machines.Machines(ctx)
-	if err != nil {
-		return machineList{}, err
+	c := &n.machineCache
+	list, at := c.get()
+	if time.Since(at) >= machineCacheTTL+time.Duration(len(list))*machineCachePerMachine {
+		_, err, _ := c.reads.Do("", func() (any, error) {
+			began := time.Now()
+			list, err := n.Machines.Machines(context.WithoutCancel(ctx))
+			if err == nil {
+				c.set(list, began)
+			}
+			return nil, err
+		})
+		if err != nil {
+			return machineList{}, err
+		}
+		list, at = c.get()
 	}
-	n.machineCache.list, n.machineCache.at = list, began
-	return machineList{list}, nil
+	return machineList{list, time.Since(at).Milliseconds()}, nil
 }
 
 // readProxy returns the node through which this one reads a key; ok is false if it reads
@@ -71,16 +101,27 @@
 	service string
 }
 
-// Machines lists the machines.
-func (r proxiedMachines) Machines(ctx context.Context) ([]cluster.Machine, error) {
-	if m, ok := r.n.readProxy(r.service); ok {
-		res, err := call[empty, machineList](ctx, r.n.peers, m.Address, pathMachines, empty{}, peerTimeout)
+// Machines lists the machines, through the same node as the owners of the service's other
+// shards: a list of 6,000 machines has 30 pages, and the platform serves all nodes together 200
+// a second.
+func (r proxiedMachines) Machines(ctx context.Context) ([]cluster.Machine, time.Duration, error) {
+	m, ok := r.n.readProxy(r.service)
+	if layout, known := r.n.layout(r.service); !ok && known && layout.Shards > 1 {
+		var best candidate
+		best, ok = r.n.peers.bestCandidate(r.n.asCandidate(), r.service)
+		m = best.member
+	}
+	if ok {
+		began := time.Now()
+		res, err := call[empty, machineList](ctx, r.n.peers, m.Address, pathMachines, empty{}, machinesTimeout)
 		if err == nil {
-			return res.Machines, nil
+			return res.Machines, time.Since(began) + time.Duration(res.AgeMS)*time.Millisecond, nil
 		}
 		r.n.probeFailedHelper(m.Name)
 	}
-	return r.n.Machines.Machines(ctx)
+	began := time.Now()
+	list, err := r.n.Machines.Machines(ctx)
+	return list, time.Since(began), err
 }
 
 // proxiedStore is the store as owners use it: reads go through other nodes, a different one
@@ -90,6 +131,33 @@
 	n *Node
 }
 
+// ownerStore is the store of one shard's owner, to whom the directory has a way of its own.
+type ownerStore struct {
+	proxiedStore
+	directory *shardDirectory
+}
+
+func (n *Node) newOwnerStore(shard cluster.ShardID) ownerStore {
+	store := proxiedStore{n.store, n}
+	return ownerStore{store, &shardDirectory{n: n, shard: shard, store: store}}
+}
+
+// List reads rows.
+func (s ownerStore) List(ctx context.Context, req tables.ListRequest) (tables.ListResult, error) {
+	if req.Table == s.n.Directory.Table() {
+		return s.directory.List(ctx, req)
+	}
+	return s.proxiedStore.List(ctx, req)
+}
+
+// Feed waits for changes of rows.
+func (s ownerStore) Feed(ctx context.Context, req tables.FeedRequest) (tables.FeedResult, error) {
+	if req.Table == s.n.Directory.Table() {
+		return s.directory.Feed(ctx, req)
+	}
+	return s.proxiedStore.Feed(ctx, req)
+}
+
 // List reads rows.
 func (s proxiedStore) List(ctx context.Context, req tables.ListRequest) (tables.ListResult, error) {
 	return readThroughProxy(ctx, s, req.Table+"/"+req.Part+"/"+req.From, 0, req, tables.Service.List)
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -138,6 +138,8 @@
 	ResponseAborted    = zap.String(Field, "SB1722")
 	HelperFailed       = zap.String(Field, "SB1723")
 	EvacuationsChanged = zap.String(Field, "SB1724")
+	DirectoryReading   = zap.String(Field, "SB1725")
+	DirectoryDirect    = zap.String(Field, "SB1726")
 )
 
 // LogLinesDropped is written by the log's writer itself, not through the logger.
--- a/internal/owner/deps.go
+++ b/internal/owner/deps.go
@@ -37,7 +37,8 @@
 
 // Machines lists the platform's machines.
 type Machines interface {
-	Machines(ctx context.Context) ([]cluster.Machine, error)
+	// Machines returns the machines as they were at most age ago.
+	Machines(ctx context.Context) (list []cluster.Machine, age time.Duration, err error)
 }
 
 // Directory decodes the rows with which workers announce themselves.
--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -26,6 +26,9 @@
 	minDirectoryPause       = 200 * time.Millisecond
 	directoryPausePerWorker = 2 * time.Millisecond
 	maxDirectoryPause       = time.Second
+	// sharedDirectoryRelist is how long an owner that is told only of changes in its shard goes
+	// without a list of all of it.
+	sharedDirectoryRelist = 10 * time.Second
 	// maxInvalidEntries is how many invalid entries are remembered, so that each is reported
 	// once: as many as a large shard has workers.
 	maxInvalidEntries = 1000
@@ -35,7 +38,11 @@
 func (o *Owner) followWorkers(ctx context.Context) error {
 	f := tables.Follower{
 		Service: o.Tables, Table: o.Directory.Table(), Parts: []string{""}, FeedWait: directoryFeedWait, RelistAfter: directoryFeedWait, Pause: minDirectoryPause,
-		OnError: o.feedErrorLogger(o.Directory.Table()),
+		OnCurrent: func() { o.updateShard(func(s *scheduler.Shard, now time.Time) { s.DirectoryRead(now) }) },
+		OnError:   o.feedErrorLogger(o.Directory.Table()),
+	}
+	if o.cfg.Layout.Shards > 1 {
+		f.RelistAfter = sharedDirectoryRelist
 	}
 	f.Apply = func(rows []tables.Row, full bool) {
 		if full {
--- a/internal/owner/machines.go
+++ b/internal/owner/machines.go
@@ -46,12 +46,11 @@
 	w := machineWatcher{o: o, lastMachine: make(map[string]string), missingCount: make(map[string]int)}
 	pause := minListPause
 	for n := 0; ctx.Err() == nil; n++ {
-		requestedAt := time.Now()
 		c, cancel := conns.WithStallTimeout(ctx, machineListTimeout)
-		list, err := o.Machines.Machines(c)
+		list, age, err := o.Machines.Machines(c)
 		cancel()
 		if err == nil {
-			w.apply(list, requestedAt)
+			w.apply(list, time.Now().Add(-age))
 			pause = min(max(minListPause, time.Duration(len(list))*listPausePerMachine), maxListPause)
 		} else if ctx.Err() == nil {
 			o.Log.Info("listing machines failed", events.MachinesNotRead, zap.Error(err))
@@ -87,9 +86,9 @@
 	missingCount map[string]int
 }
 
-// apply evaluates a listing requested at the given time. The listing says nothing about
+// apply evaluates a listing of the machines as they were at the given time or later. The listing says nothing about
 // incarnations that have become known since.
-func (w *machineWatcher) apply(list []cluster.Machine, requestedAt time.Time) {
+func (w *machineWatcher) apply(list []cluster.Machine, asOf time.Time) {
 	machines := make(map[string]cluster.Machine, len(list))
 	running := make(map[string]bool, len(list))
 	var workerIDs []string
@@ -104,7 +103,7 @@
 	w.o.updateShard(func(s *scheduler.Shard, now time.Time) {
 		s.ExpectWorkers(workerIDs)
 		for _, id := range s.Workers() {
-			if s.WorkerKnownSince(id).After(requestedAt) {
+			if s.WorkerKnownSince(id).After(asOf) {
 				delete(w.missingCount, id)
 				continue
 			}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -64,6 +64,8 @@
 	gangs        map[gangKey]*gangRun
 	incarnations int
 	owner        string
+	// machineLists is how often the machines have been listed.
+	machineLists int
 	stops        []func()
 }
 
@@ -250,8 +252,16 @@
 	Labels []string `json:"Labels"`
 }
 
+// MachineLists returns how often the machines have been listed.
+func (s *Site) MachineLists() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machineLists
+}
+
 func (s *Site) serveMachines(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
+	s.machineLists++
 	workers := append([]*Worker(nil), s.workers...)
 	s.mu.Unlock()
 	list := machines{Machines: []machine{}}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -21,6 +21,8 @@
 	// changed is closed and replaced with each change.
 	changed chan struct{}
 	calls   int64
+	// rowsRead counts the rows of each table that were sent to readers.
+	rowsRead map[string]int
 	// busyUntil is when a part will have finished the writes that it has received so far.
 	busyUntil map[string]time.Time
 }
@@ -56,7 +58,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: make(map[storeKey]storeRow), changed: make(chan struct{}), busyUntil: make(map[string]time.Time)}
+	return &Store{rows: make(map[storeKey]storeRow), changed: make(chan struct{}), rowsRead: make(map[string]int), busyUntil: make(map[string]time.Time)}
 }
 
 // Calls returns how many calls the store has received.
@@ -66,6 +68,20 @@
 	return s.calls
 }
 
+// RowsRead returns how many rows of a table lists and feeds have sent to readers.
+func (s *Store) RowsRead(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rowsRead[table]
+}
+
+// countRead counts rows that are sent to a reader.
+func (s *Store) countRead(table string, rows []storeRow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rowsRead[table] += len(rows)
+}
+
 // Version returns the version of a row, or 0 if there is none.
 func (s *Store) Version(table, part, key string) int64 {
 	s.mu.Lock()
--- a/standin/site/storeread.go
+++ b/standin/site/storeread.go
@@ -22,7 +22,9 @@
 	if n, err := strconv.Atoi(q.Get("limit")); err == nil && n > 0 {
 		limit = min(n, maxListRows)
 	}
-	writeJSON(w, http.StatusOK, s.list(q, limit))
+	res := s.list(q, limit)
+	s.countRead(q.Get("table"), res.Rows)
+	writeJSON(w, http.StatusOK, res)
 }
 
 // list returns at most limit of the rows that a query selects, in the order of their keys.
@@ -78,6 +80,7 @@
 			return
 		}
 		if len(res.Rows) > 0 {
+			s.countRead(q.Get("table"), res.Rows)
 			writeJSON(w, http.StatusOK, res)
 			return
 		}
