--- a/internal/directory/mirror_test.go
+++ b/internal/directory/mirror_test.go
@@ -33,16 +33,15 @@
 	return tables.Row{Key: key, Value: fmt.Appendf(nil, "%s %s %d", rack, address, version), Version: version}
 }
 
-func onRack(rack string) func(directory.Place) bool {
-	return func(p directory.Place) bool { return p.Rack == rack }
-}
+// onFirstRack accepts the workers of the owner in these tests.
+func onFirstRack(p directory.Place) bool { return p.Rack == "r0" }
 
 // TestOwnerGetsOnlyWhatConcernsIt checks that repeated announcements, and changes of other
 // owners' workers, are not passed on.
 func TestOwnerGetsOnlyWhatConcernsIt(t *testing.T) {
 	m := directory.New("m", decode)
 	m.Apply([]tables.Row{announce("w0", "r0", "a", 1), announce("w1", "r1", "a", 2)}, true, 2)
-	rows, cursor := m.List(onRack("r0"))
+	rows, cursor := m.List(onFirstRack)
 	if len(rows) != 1 || rows[0].Key != "w0" {
 		t.Fatalf("the list has %v, want w0", rows)
 	}
@@ -62,7 +61,7 @@
 	}
 	for _, s := range steps {
 		m.Apply([]tables.Row{s.row}, false, s.row.Version)
-		rows, next, err := m.Changes(onRack("r0"), cursor)
+		rows, next, err := m.Changes(onFirstRack, cursor)
 		if err != nil {
 			t.Fatalf("%s: %v", s.name, err)
 		}
@@ -102,13 +101,12 @@
 				read[i] = version
 			}
 		}
-		accept := onRack("r0")
 		owned := make(map[string]tables.Row)
 		var cursor directory.Cursor
 		list := true
 		poll := func(i int) {
 			if list {
-				rows, next := mirrors[i].List(accept)
+				rows, next := mirrors[i].List(onFirstRack)
 				if next.Version < cursor.Version {
 					return
 				}
@@ -119,7 +117,7 @@
 				cursor, list = next, false
 				return
 			}
-			rows, next, err := mirrors[i].Changes(accept, cursor)
+			rows, next, err := mirrors[i].Changes(onFirstRack, cursor)
 			if err != nil {
 				list = true
 				return
@@ -179,11 +177,11 @@
 		t.Error("an empty mirror says that it has read the table")
 	}
 	m.Apply(nil, true, 1)
-	_, cursor := m.List(onRack("r0"))
+	_, cursor := m.List(onFirstRack)
 	for v := int64(2); v < changes; v++ {
 		m.Apply([]tables.Row{announce("w0", "r0", strconv.FormatInt(v, 10), v)}, false, v)
 	}
-	_, _, err := m.Changes(onRack("r0"), cursor)
+	_, _, err := m.Changes(onFirstRack, cursor)
 	var e *directory.Error
 	if !errors.As(err, &e) || e.Kind != directory.KindNotKept {
 		t.Errorf("changes after a forgotten cursor: %v, want %s", err, directory.KindNotKept)
