scheduler: a new owner assumes a start and a crash that the last one could not persist

Cause: a start of a suspect, and a crash under it, are known to the shard's owner before they are persisted. If the owner ends in between, the next one finds a task that runs nowhere and counts neither, and so starts it once more than is allowed after three crashes.

Change: once all workers have answered a new owner, each task with two crashes or more that runs nowhere has one more crash, and one more start if it had three. Such a crash says nothing about the cause, so that no job is given up for it alone. The loop over active jobs works on a copy, since a job may fail in it.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -243,6 +243,19 @@
 	s.failIfCauseConfirmed(now, t)
 }
 
+// assumeCrashBeforeTakeover counts one more start and crash of a suspect that an earlier owner
+// started isolated and that runs nowhere: that owner may have ended before it could persist
+// them. They say nothing about whether the task is the cause.
+func (s *Shard) assumeCrashBeforeTakeover(now time.Time, t *task) {
+	if !t.mustIsolate() || t.done || len(t.runs) > 0 {
+		return
+	}
+	if len(t.crashes.Runs) >= manyCrashes {
+		t.crashes.StartsAfterMany++
+	}
+	s.addCrash(now, t, crash{run: t.lastRun, age: time.Duration(t.crashes.LastAgeMS) * time.Millisecond, chance: 1})
+}
+
 // failIfCauseConfirmed fails the job of a task that crashes its workers. If the job is split
 // over several shards, the owner has to end it in all of them.
 func (s *Shard) failIfCauseConfirmed(now time.Time, t *task) {
--- a/internal/scheduler/searchcrash_test.go
+++ b/internal/scheduler/searchcrash_test.go
@@ -61,6 +61,16 @@
 	}
 }
 
+// TestCrashWithoutOwnerNotCounted runs seeds in which a task that crashes workers was started, or
+// crashed one, just before its shard lost the owner, so that the next owner started it too often.
+func TestCrashWithoutOwnerNotCounted(t *testing.T) {
+	for _, seed := range []uint64{747, 796, 1012, 1165, 1441} {
+		if failure, trace := runCrashSeed(t, seed, true); failure != "" {
+			t.Errorf("seed %d: %s\n%s", seed, lastLines(trace), failure)
+		}
+	}
+}
+
 // newCrashSimulation derives a simulation with jobs that crash workers from a seed.
 func newCrashSimulation(t *testing.T, seed uint64, traced bool) *simulation {
 	s := newSimulation(t, seed, traced)
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,10 +61,12 @@
 	s.takeover.complete = s.allKnown()
 	s.log.Info("takeover complete", events.TakeoverDone, zap.Int64("epoch", s.params.Epoch), zap.Int("workers", len(s.workerList)),
 		zap.Bool("machines_listed", s.takeover.machinesListed), zap.Duration("took", now.Sub(s.startedAt)))
-	for _, j := range s.active {
+	// A job that fails leaves the active ones.
+	for _, j := range slices.Clone(s.active) {
 		for st := range j.steps() {
 			for _, t := range st.tasks {
 				t.uncertain = false
+				s.assumeCrashBeforeTakeover(now, t)
 			}
 		}
 	}
