--- a/internal/cell/configuration.go
+++ b/internal/cell/configuration.go
@@ -30,8 +30,11 @@
 func (n *Node) followConfig(ctx context.Context) {
 	f := tables.Follower{
 		Service: directStore{n.store, n.relay}, Table: n.Configs.Table(), Parts: []string{""}, FeedWait: configFeedWait,
-		OnCurrent: n.configConfirmed.note,
-		OnError:   n.logReadFailure(n.Configs.Table()),
+		OnError: n.logReadFailure(n.Configs.Table()),
+	}
+	f.OnCurrent = func() {
+		n.configConfirmed.note()
+		n.scaleConfigFeed(&f)
 	}
 	f.Apply = func(rows []tables.Row, full bool) {
 		n.applyEvacuationRows(rows, full, f.ListedVersion())
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -44,9 +44,12 @@
 func (n *Node) followCell(ctx context.Context) {
 	f := tables.Follower{
 		Service: n.store, Table: TableCell, Parts: []string{""}, FeedWait: cellFeedWait, Pause: cellFeedPause,
-		Apply:   func(rows []tables.Row, _ bool) { n.applyCellRows(rows) },
 		OnError: n.logReadFailure(TableCell),
 	}
+	f.Apply = func(rows []tables.Row, _ bool) {
+		n.applyCellRows(rows)
+		n.scaleCellFeed(&f)
+	}
 	f.Run(ctx)
 }
 
--- /dev/null
+++ b/matrix/site/manynodes_test.go
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package site_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"switchbank.example/switchbank/internal/cell"
+)
+
+// TestEachStartWakesAllNodes starts 120 nodes one after the other. When each start ended the wait
+// of all nodes that were there, the answers grew with the square of the nodes.
+func TestEachStartWakesAllNodes(t *testing.T) {
+	const nodes, between = 120, 10 * time.Millisecond
+	// All nodes together read at most so often while rows change all the time, and each once more
+	// at its start.
+	const readsPerSecond, slack = 1000, 1.25
+	synctest.Test(t, func(t *testing.T) {
+		env := newEnvWith(t, cellWorkers, cellWorkers, func(env *testEnv) { env.site.Configure(1, routes()...) })
+		defer env.close()
+		time.Sleep(2 * time.Second)
+		before := env.site.Store.Reads(cell.TableCell)
+		for i := cellNodes; i < nodes; i++ {
+			env.startNode(fmt.Sprintf("n%d", i))
+			time.Sleep(between)
+		}
+		time.Sleep(2 * time.Second)
+		starting := (nodes - cellNodes) * between
+		if reads, most := env.site.Store.Reads(cell.TableCell)-before, nodes+int(readsPerSecond*starting.Seconds()*slack); reads > most {
+			t.Errorf("%d answers held rows of nodes, want %d at most", reads, most)
+		}
+	})
+}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -23,6 +23,8 @@
 	calls   int64
 	// rowsRead counts the rows of each table that were sent to readers.
 	rowsRead map[string]int
+	// reads counts the answers that held rows of each table.
+	reads map[string]int
 	// busyUntil is when a part will have finished the writes that it has received so far.
 	busyUntil map[string]time.Time
 }
@@ -58,7 +60,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: make(map[storeKey]storeRow), changed: make(chan struct{}), rowsRead: make(map[string]int), busyUntil: make(map[string]time.Time)}
+	return &Store{rows: make(map[storeKey]storeRow), changed: make(chan struct{}), rowsRead: make(map[string]int), reads: make(map[string]int), busyUntil: make(map[string]time.Time)}
 }
 
 // Calls returns how many calls the store has received.
@@ -75,11 +77,19 @@
 	return s.rowsRead[table]
 }
 
+// Reads returns how many answers of lists and feeds have sent rows of a table to readers.
+func (s *Store) Reads(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads[table]
+}
+
 // countRead counts rows that are sent to a reader.
 func (s *Store) countRead(table string, rows []storeRow) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rowsRead[table] += len(rows)
+	s.reads[table]++
 }
 
 // Version returns the version of a row, or 0 if there is none.
