cell: connections to peers close after 15 s without a call

Cause: an idle connection to a peer stayed open for 60 s. Each node pings all others at its start and then each in turn, so that among hundreds nearly all nodes were connected to each other: 967 connections on a middle node of the fleet, 4,100 descriptors allowed (reported from landed code), some 20 kB each at both ends, and twice that at twice the size.

Beyond that a ping opens a connection, of which a node makes four a second at any size.

TestEachNodeStaysConnectedToAll has 120 nodes and the bound of 200, which does not grow with them.

--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -22,6 +22,10 @@
 	// a full round of pings takes.
 	peerUpFor       = 3 * time.Second
 	peerDialTimeout = 250 * time.Millisecond
+	// peerIdleTimeout is how long an unused connection to a peer stays open: longer than the time
+	// between two pings of a peer among 40 nodes. Among many more, nearly all nodes would have a
+	// connection to each other, of some 20 kB at each end, for a ping in minutes.
+	peerIdleTimeout = 15 * time.Second
 	// idleConnsPerPeer allows for feeds and calls at the same time.
 	idleConnsPerPeer = 8
 )
@@ -65,7 +69,7 @@
 func (q *peer) untried() bool { return q.lastOK.IsZero() && q.failingSince.IsZero() }
 
 func newPeers(n *Node) *peers {
-	t := conns.New(conns.Network{Dial: n.Dial, Log: n.Log, Compressed: true, Usage: n.Usage}, idleConnsPerPeer, idleTimeout)
+	t := conns.New(conns.Network{Dial: n.Dial, Log: n.Log, Compressed: true, Usage: n.Usage}, idleConnsPerPeer, peerIdleTimeout)
 	return &peers{n: n, client: &http.Client{Transport: t}, byName: make(map[string]*peer), pinging: make(map[string]chan struct{})}
 }
 
--- a/matrix/site/manynodes_test.go
+++ b/matrix/site/manynodes_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,3 +35,28 @@
 		}
 	})
 }
+
+// TestEachNodeStaysConnectedToAll runs 120 nodes, which all ping each other at their start, for
+// longer than a connection that isn't used stays open.
+func TestEachNodeStaysConnectedToAll(t *testing.T) {
+	const nodes, settled = 120, 40 * time.Second
+	// A node pings three others each 0.7 s, is pinged as often, and keeps a connection for 15 s,
+	// which is 128. The rest is for the store, the workers and their owners.
+	const most = 200
+	synctest.Test(t, func(t *testing.T) {
+		env := newEnvWith(t, cellWorkers, cellWorkers, func(env *testEnv) { env.site.Configure(1, routes()...) })
+		defer env.close()
+		for i := cellNodes; i < nodes; i++ {
+			env.startNode(fmt.Sprintf("n%d", i))
+		}
+		time.Sleep(settled)
+		var open []int
+		for _, n := range env.nodeNames() {
+			open = append(open, env.net.Connections(n))
+		}
+		slices.Sort(open)
+		if median := open[len(open)/2]; median > most {
+			t.Errorf("the nodes have %v connections open, want %d at most in the middle", open, most)
+		}
+	})
+}
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -276,6 +276,19 @@
 	return wrapped
 }
 
+// Connections returns how many connections a host has open.
+func (n *Network) Connections(host string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for c := range n.conns {
+		if HostOf(c.local) == host {
+			count++
+		}
+	}
+	return count
+}
+
 func (c *conn) RemoteAddr() net.Addr { return addr(c.remote) }
 func (c *conn) LocalAddr() net.Addr  { return addr(c.local) }
 
