cell: among many nodes 32 read the configuration, and the others ask them

Cause: each node followed the whole configuration in the store, some 350 bytes a route and version, so that bytes grew with nodes x routes x versions: 30 MB a version with 584 nodes and 150 routes, reckoned. Between nodes the same is 17 bytes a route, compressed.

Change: from 100 other nodes on, the first 32 candidates for the table's name follow the store. Each of the others has a call open with one of them, chosen by its name, which is answered as soon as a configuration or an evacuation is newer. Only a node that has read the store itself within 4 s answers, so that no two confirm an old version to each other. A node follows the store for 5 s after its start and after its reader did not answer; pings still tell of newer versions.

After ten nodes are killed the next version and an evacuation are on all within 2 s.

--- a/internal/cell/configuration.go
+++ b/internal/cell/configuration.go
@@ -26,15 +26,16 @@
 // at once.
 const configFetchTimeout = 600 * time.Millisecond
 
-// followConfig follows the operators' configuration and evacuations in the store.
-func (n *Node) followConfig(ctx context.Context) {
-	f := tables.Follower{
+// newConfigFollower returns what follows the operators' table in the store.
+func (n *Node) newConfigFollower() *tables.Follower {
+	f := &tables.Follower{
 		Service: directStore{n.store, n.relay}, Table: n.Configs.Table(), Parts: []string{""}, FeedWait: configFeedWait,
 		OnError: n.logReadFailure(n.Configs.Table()),
 	}
 	f.OnCurrent = func() {
 		n.configConfirmed.note()
-		n.scaleConfigFeed(&f)
+		n.configRead.note()
+		n.scaleConfigFeed(f)
 	}
 	f.Apply = func(rows []tables.Row, full bool) {
 		n.applyEvacuationRows(rows, full, f.ListedVersion())
@@ -42,7 +43,7 @@
 			n.applyConfigRow(r, full)
 		}
 	}
-	f.Run(ctx)
+	return f
 }
 
 // applyConfigRow applies a row of the operators' table; listed tells that it came from a list
@@ -85,6 +86,7 @@
 	n.Log.Info("configuration in force", events.ConfigInForce, zap.Int64("version", cfg.Version), zap.String("source", source),
 		zap.Int("queues", len(cfg.Queues)), zap.Int("services", len(cfg.Services)), zap.Int("bytes", size),
 		zap.Duration("behind", behind))
+	n.configChanges.notify()
 	n.updateTeams()
 	n.watchServices(cfg.Services)
 }
--- a/internal/cell/evacuation.go
+++ b/internal/cell/evacuation.go
@@ -88,6 +88,7 @@
 			n.Log.Warn("evacuated data centre is unknown", events.EvacuationsChanged, zap.String("data_centre", name))
 		}
 	}
+	n.configChanges.notify()
 	n.updateEvacuations()
 }
 
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -119,8 +119,12 @@
 	config       atomic.Pointer[cluster.Config]
 	configLag    configLag
 	evacuations  evacuations
+	// configChanges tells of changes of the configuration and of the evacuations.
+	configChanges notifier
 	// configConfirmed is when the configuration in force was last known to be the newest.
 	configConfirmed confirmation
+	// configRead is when this node last read the configuration in the store.
+	configRead confirmation
 	// fetching is set while a configuration is being fetched from a peer.
 	fetching atomic.Bool
 	draining atomic.Bool
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -33,6 +33,7 @@
 	mux.Handle("POST "+pathMembers, httpx.Handle(maxPeerBody, n.handleGangStart))
 	mux.Handle("POST "+pathTeams, httpx.Handle(maxPeerBody, n.handleTeamParts))
 	mux.Handle("POST "+pathConfig, httpx.Handle(maxPeerBody, n.handleConfig))
+	mux.Handle("POST "+pathConfigFeed, httpx.Handle(maxPeerBody, n.handleConfigFeed))
 	mux.Handle("POST "+pathDirectory, httpx.Handle(maxPeerBody, n.handleDirectory))
 	mux.Handle("POST "+pathCommit, httpx.Handle(maxPeerBody, func(ctx context.Context, txn tables.Txn) (storeReply[tables.TxnResult], error) {
 		return storeReplyOf(n.relay.Direct().Commit(ctx, txn)), nil
--- a/internal/cluster/evacuation.go
+++ b/internal/cluster/evacuation.go
@@ -16,6 +16,15 @@
 	Withdrawn bool  `json:"withdrawn,omitempty"`
 }
 
+// NewestOrder returns the highest version of some orders, or 0.
+func NewestOrder(orders []EvacuationOrder) int64 {
+	newest := int64(0)
+	for _, o := range orders {
+		newest = max(newest, o.Version)
+	}
+	return newest
+}
+
 // Evacuations are the operators' latest orders. Orders may arrive from the store and from other
 // nodes in any order; the version of each decides which one is in force. The zero value knows
 // of none.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -140,6 +140,7 @@
 	EvacuationsChanged = zap.String(Field, "SB1724")
 	DirectoryReading   = zap.String(Field, "SB1725")
 	DirectoryDirect    = zap.String(Field, "SB1726")
+	ConfigDirect       = zap.String(Field, "SB1727")
 )
 
 // LogLinesDropped is written by the log's writer itself, not through the logger.
--- a/internal/tables/follow.go
+++ b/internal/tables/follow.go
@@ -61,9 +61,10 @@
 // below the 20 s for which the service keeps its history.
 const minQuietAge = 5 * time.Second
 
-// Run follows the table until ctx ends.
+// Run follows the table until ctx ends. Another Run goes on from there.
 func (f *Follower) Run(ctx context.Context) {
 	after, relist := f.After, f.After == 0
+	defer func() { f.After = after }()
 	for ctx.Err() == nil {
 		if relist {
 			after = f.listAndApply(ctx, after)
--- a/matrix/site/manynodes_test.go
+++ b/matrix/site/manynodes_test.go
@@ -60,3 +60,49 @@
 		}
 	})
 }
+
+// TestEachNodeReadsConfigurationFromStore changes the configuration among 120 nodes, of which 32
+// read it from the store, while some of these are lost. It must be in force everywhere in a second.
+func TestEachNodeReadsConfigurationFromStore(t *testing.T) {
+	const nodes, lost = 120, 10
+	// Nodes that see other nodes up may see other readers, and some follow the store for a while.
+	const most = nodes / 2
+	const settled, inForce = 20 * time.Second, time.Second
+	synctest.Test(t, func(t *testing.T) {
+		env := newEnvWith(t, cellWorkers, cellWorkers, func(env *testEnv) { env.site.Configure(1, routes()...) })
+		defer env.close()
+		for i := cellNodes; i < nodes; i++ {
+			env.startNode(fmt.Sprintf("n%d", i))
+		}
+		time.Sleep(settled)
+		before := env.site.Store.Reads("op")
+		env.site.Configure(2, routes()...)
+		time.Sleep(inForce)
+		env.checkMetric("switchbank_config_version", 2)
+		if reads := env.site.Store.Reads("op") - before; reads > most {
+			t.Errorf("the configuration was read from the store %d times, want %d at most", reads, most)
+		}
+		for _, n := range env.nodeNames()[:lost] {
+			env.kill(n)
+		}
+		env.site.Evacuate("dc")
+		env.site.Configure(3, routes()...)
+		time.Sleep(2 * inForce) // A node that asked a lost one notices that first.
+		env.checkMetric("switchbank_data_centres_evacuated", 1)
+		env.checkMetric("switchbank_config_version", 3)
+	})
+}
+
+// checkMetric checks that a metric has a value on all nodes.
+func (env *testEnv) checkMetric(name string, want float64) {
+	env.t.Helper()
+	others := 0
+	for _, n := range env.nodeNames() {
+		if env.metric(n, name) != want {
+			others++
+		}
+	}
+	if others > 0 {
+		env.t.Errorf("%s is not %v on %d nodes", name, want, others)
+	}
+}
