cell, tables: following the configuration isn't cut short in the middle of a call

Cause: a node looked every 5 s whether it may ask a reader, by ending the context of its follower, in small cells too. That broke off an answer which was arriving, such as a large configuration on a slow link, and closed a connection each time.

Change: the follower asks between two calls whether it is to end (Follower.Until). The wait of the directory's reader is a function of its own.

--- a/internal/cell/configread.go
+++ b/internal/cell/configread.go
@@ -28,8 +28,8 @@
 	// configReaders is how many nodes are readers then.
 	minNodesForReaders = 100
 	configReaders      = 32
-	// directConfigTime is how long a node follows the store after its start, and after its reader
-	// did not answer.
+	// directConfigTime is how long a node follows the store at least after its start, and after its
+	// reader did not answer.
 	directConfigTime = 5 * time.Second
 	// maxReaderAge is the age from which a reader's knowledge is too old to be handed on.
 	maxReaderAge = maxConfigFeedWait + time.Second
@@ -104,10 +104,14 @@
 // another node.
 func (n *Node) followConfig(ctx context.Context) {
 	f := n.newConfigFollower()
+	var since time.Time
+	f.Until = func() bool {
+		_, ok := n.configReader()
+		return ok && time.Since(since) >= directConfigTime
+	}
 	for ctx.Err() == nil {
-		direct, cancel := context.WithTimeout(ctx, directConfigTime)
-		f.Run(direct)
-		cancel()
+		since = time.Now()
+		f.Run(ctx)
 		for ctx.Err() == nil {
 			reader, ok := n.configReader()
 			if !ok || !n.askConfigReader(ctx, reader) {
--- a/internal/cell/directoryread.go
+++ b/internal/cell/directoryread.go
@@ -161,23 +161,35 @@
 		if err != nil || ready {
 			return reply, err
 		}
-		poll := time.NewTimer(directoryPollInterval)
-		if reply.Cursor.Mirror != "" {
-			poll.Reset(directoryWait) // It is there and has nothing new.
+		current := reply.Cursor.Mirror != ""
+		if waitForChange(ctx, changed, current) {
+			continue
 		}
-		select {
-		case <-changed:
-		case <-poll.C:
-		case <-ctx.Done():
-			if reply.Cursor.Mirror == "" {
-				err = &tables.Error{Op: "directory", Kind: tables.KindRefused, Err: errors.New("the directory is not read yet")}
-			}
-			return reply, err
+		if !current {
+			err = &tables.Error{Op: "directory", Kind: tables.KindRefused, Err: errors.New("the directory is not read yet")}
 		}
-		poll.Stop()
+		return reply, err
 	}
 }
 
+// waitForChange waits for a change, and returns false if ctx ends first. A copy that isn't current is
+// looked at again soon.
+func waitForChange(ctx context.Context, changed <-chan struct{}, current bool) bool {
+	pause := directoryPollInterval
+	if current {
+		pause = directoryWait
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // readMirror reads what a call asks for; ready is false while there is nothing new, or the copy
 // is too old, in which case the cursor is empty.
 func readMirror(m *directory.Mirror, accept func(directory.Place) bool, req directoryRequest) (reply directoryReply, ready bool, err error) {
--- a/internal/tables/follow.go
+++ b/internal/tables/follow.go
@@ -31,6 +31,8 @@
 	Apply func(rows []Row, full bool)
 	// OnCurrent, if not nil, is called after each call that has shown the table's present state.
 	OnCurrent func()
+	// Until, if not nil, ends Run between two calls once it returns true.
+	Until func() bool
 	// OnError is called with the error of a failed call, unless the call before it failed too.
 	OnError func(err error)
 
@@ -61,11 +63,14 @@
 // below the 20 s for which the service keeps its history.
 const minQuietAge = 5 * time.Second
 
+// ended reports whether Run ends by Until.
+func (f *Follower) ended() bool { return f.Until != nil && f.Until() }
+
 // Run follows the table until ctx ends. Another Run goes on from there.
 func (f *Follower) Run(ctx context.Context) {
 	after, relist := f.After, f.After == 0
 	defer func() { f.After = after }()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !f.ended() {
 		if relist {
 			after = f.listAndApply(ctx, after)
 			if after == 0 {
