cell: a reader of the configuration tells how old its knowledge is

Cause: a node that asks another for the configuration took the answer for the present state, though the reader may have read the store up to 4 s before, and up to 3 s more at the end of a call. How fresh the configuration is decides whether tokens are refused for good, and whether a strict node serves. Nothing was seen to fail; found on reading.

Change: the reply has the age, and a confirmation never goes back to an earlier time. The scheduler's check of a worker's data centre is called isEvacuated. Tests of keys, evacuations and many nodes pass.

--- a/internal/cell/access.go
+++ b/internal/cell/access.go
@@ -58,9 +58,19 @@
 type confirmation struct{ at atomic.Pointer[time.Time] }
 
 // note records that it is the newest now.
-func (c *confirmation) note() {
-	now := time.Now()
-	c.at.Store(&now)
+func (c *confirmation) note() { c.noteAt(time.Now()) }
+
+// noteAt records that it was the newest at a time.
+func (c *confirmation) noteAt(at time.Time) {
+	for {
+		known := c.at.Load()
+		if known != nil && !at.After(*known) {
+			return
+		}
+		if c.at.CompareAndSwap(known, &at) {
+			return
+		}
+	}
 }
 
 // age returns for how long nothing has shown that it is the newest.
--- a/internal/cell/configread.go
+++ b/internal/cell/configread.go
@@ -44,6 +44,8 @@
 
 // configFeedReply holds the configuration if it is newer, and all orders.
 type configFeedReply struct {
+	// AgeMS is how long ago the reader last read the store.
+	AgeMS       int64                     `json:"age_ms"`
 	Config      *cluster.Config           `json:"config,omitempty"`
 	Evacuations []cluster.EvacuationOrder `json:"evacuations,omitempty"`
 }
@@ -82,10 +84,11 @@
 	defer cancel()
 	for {
 		changed := n.configChanges.changed()
-		if n.Draining() || n.configRead.age() > maxReaderAge {
+		age := n.configRead.age()
+		if n.Draining() || age > maxReaderAge {
 			return configFeedReply{}, httpx.NewProblem(http.StatusServiceUnavailable, "not_current", "this node does not know the newest configuration")
 		}
-		reply := configFeedReply{Evacuations: n.evacuations.orders()}
+		reply := configFeedReply{AgeMS: age.Milliseconds(), Evacuations: n.evacuations.orders()}
 		if cfg := n.Config(); versionOf(cfg) > req.Version {
 			reply.Config = cfg
 		}
@@ -95,6 +98,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
+			reply.AgeMS = n.configRead.age().Milliseconds()
 			return reply, nil
 		}
 	}
@@ -161,6 +165,6 @@
 	if reply.Config != nil {
 		n.applyConfig(*reply.Config, reader.Name, 0)
 	}
-	n.configConfirmed.note()
+	n.configConfirmed.noteAt(time.Now().Add(-time.Duration(reply.AgeMS) * time.Millisecond))
 	return true
 }
--- a/internal/scheduler/evacuation.go
+++ b/internal/scheduler/evacuation.go
@@ -31,5 +31,5 @@
 	s.evacuated = evacuated
 }
 
-// open reports whether the operators let new runs start on the worker.
-func (s *Shard) open(w *worker) bool { return !s.evacuated[w.info.DataCentre] }
+// isEvacuated reports whether the worker's data centre is evacuated.
+func (s *Shard) isEvacuated(w *worker) bool { return s.evacuated[w.info.DataCentre] }
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -228,7 +228,7 @@
 // were empty. It stops counting at enough.
 func (s *Shard) maxTasksHere(st *step, enough int) (count int) {
 	for _, w := range s.workerList {
-		if w.info.Draining || w.leaving || w.entryInvalid || !s.open(w) || (st.spec.Label != "" && !w.info.HasLabel(st.spec.Label)) {
+		if w.info.Draining || w.leaving || w.entryInvalid || s.isEvacuated(w) || (st.spec.Label != "" && !w.info.HasLabel(st.spec.Label)) {
 			continue
 		}
 		if ans, known := st.advice.answers[w.info.ID]; known && !ans.approved {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -252,7 +252,7 @@
 
 // eligible is usable without regard to the worker's health.
 func (s *Shard) eligible(now time.Time, w *worker, st *step) bool {
-	return w.available() && s.open(w) && len(w.unknownRuns) == 0 && w.acceptsBeside(st) && !st.avoidsWorker(now, w) && !now.Before(w.busyUntil) &&
+	return w.available() && !s.isEvacuated(w) && len(w.unknownRuns) == 0 && w.acceptsBeside(st) && !st.avoidsWorker(now, w) && !now.Before(w.busyUntil) &&
 		w.info.Service == st.job.spec.Service &&
 		(st.spec.Label == "" || w.info.HasLabel(st.spec.Label)) &&
 		w.info.Capacity.Fits(st.spec.Allocation())
@@ -290,7 +290,7 @@
 
 // acceptsStarts reports whether new runs may start on a worker, apart from room.
 func (s *Shard) acceptsStarts(now time.Time, w *worker) bool {
-	return w.available() && s.open(w) && w.health.acceptsTask(now, w)
+	return w.available() && !s.isEvacuated(w) && w.health.acceptsTask(now, w)
 }
 
 // available reports whether the worker responds, is not leaving, and has a valid
--- a/internal/scheduler/waitlog.go
+++ b/internal/scheduler/waitlog.go
@@ -48,7 +48,7 @@
 		return obstacleSilent
 	case !w.available():
 		return obstacleLeaving
-	case !s.open(w):
+	case s.isEvacuated(w):
 		return obstacleEvacuated
 	case now.Before(w.busyUntil):
 		return obstacleBusy
