scheduler: a worker's notice counts from when its entry was written

Cause: the owner added the remaining time that a draining worker announces to the moment at which it read the entry. That was late by the age of the entry, and each further announcement corrected it. Since one node reads the directory for all owners, only the first one is handed on, up to 1.4 s old, more than the 0.7 s that a stop has to spare.

Change: the age of the entry, by the worker's own clock, is taken off.

Evidence: TestTaskLostWithLateDrainEntry, an entry that arrives 1.4 s late: the task runs when the worker exits without the change, and is stopped before with it.

--- a/internal/scheduler/leaving_test.go
+++ b/internal/scheduler/leaving_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/resource"
 )
 
 // runReadingDirectory advances the time while the directory is read, which lists all workers
@@ -86,3 +87,29 @@
 		})
 	}
 }
+
+// TestTaskLostWithLateDrainEntry has the entry of a draining worker arrive 1.4 s after it was
+// written. A task that saves checkpoints must be stopped before the worker exits all the same.
+func TestTaskLostWithLateDrainEntry(t *testing.T) {
+	const remaining, late = 3 * time.Second, 1400 * time.Millisecond
+	r := newRig(t, 1)
+	r.upsertWorkers()
+	r.runFor(time.Second)
+	step := tasks(1, 500)
+	step.EstimateMS, step.Checkpoints = 60_000, true
+	r.shard.AddJob(r.now, batch("a", step), nil, false)
+	r.runWithProgress(2 * time.Second)
+	written := r.now
+	r.runWithProgress(late)
+	if len(r.workers["w0"].running) != 1 {
+		t.Fatal("the task does not run")
+	}
+	r.shard.UpsertWorker(r.now, cluster.Worker{
+		ID: "w0", Address: "w0", Service: "svc", Rack: "r1-0", Labels: []string{"a"}, Capacity: resource.Amount{CPUMilli: 4000, MemoryMB: 8000},
+		Draining: true, Remaining: remaining, ClockMS: written.UnixMilli(),
+	})
+	r.runWithProgress(written.Add(remaining).Sub(r.now))
+	if running := r.workers["w0"].running; len(running) > 0 {
+		t.Errorf("%v is lost with its worker", running)
+	}
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -129,10 +129,21 @@
 	w.kind = kindOf(info.Labels, info.Rack)
 	w.info.Draining = info.Draining || draining
 	if info.Draining && info.Remaining > 0 {
-		w.leavesAt = now.Add(info.Remaining)
+		w.leavesAt = now.Add(info.Remaining - w.entryAge(now, info))
 	}
 }
 
+// entryAge returns how long ago the worker wrote its entry, by its own clock: the entry may have
+// passed through another node, which hands it on only if it says something new.
+func (w *worker) entryAge(now time.Time, info cluster.Worker) time.Duration {
+	if !w.answered || info.ClockMS <= 0 {
+		return 0
+	}
+	written := time.Duration(info.ClockMS) * time.Millisecond
+	clock := time.Duration(w.clockMS)*time.Millisecond + now.Sub(w.clockAt)
+	return min(max(0, clock-written), info.Remaining)
+}
+
 // acceptEntry reports whether an entry belongs to the known incarnation. An entry of
 // another incarnation is kept until the worker has been polled, and a late one of an
 // incarnation that has ended is dropped.
