cell: a list of machines for other nodes ends when its connection is silent

Cause: the call that lists the machines for all owners was detached from the caller's context, so that it would serve the others who wait for it, and had no bound of its own. On a connection that goes silent it never ended, and every later call waited for it; owners' own try had no time left, since the try through the other node took all of it. Found on reading the change, before it was seen.

Change: the detached call must begin to be answered within 0.7 s, as a direct one, and an owner's listing has 1.5 s, enough for both tries.

--- a/internal/cell/proxyread.go
+++ b/internal/cell/proxyread.go
@@ -70,8 +70,12 @@
 	list, at := c.get()
 	if time.Since(at) >= machineCacheTTL+time.Duration(len(list))*machineCachePerMachine {
 		_, err, _ := c.reads.Do("", func() (any, error) {
+			// The call serves all who wait for it, so it doesn't end with the first of them, but it
+			// must end: its connection may have gone silent.
+			bounded, cancel := conns.WithStallTimeout(context.WithoutCancel(ctx), machinesTimeout)
+			defer cancel()
 			began := time.Now()
-			list, err := n.Machines.Machines(context.WithoutCancel(ctx))
+			list, err := n.Machines.Machines(bounded)
 			if err == nil {
 				c.set(list, began)
 			}
--- a/internal/owner/machines.go
+++ b/internal/owner/machines.go
@@ -34,8 +34,9 @@
 	// usual.
 	minRequestedListPause = 150 * time.Millisecond
 	requestedListSpeedup  = 3
-	// machineListTimeout is the time within which a listing has to begin to arrive.
-	machineListTimeout = 700 * time.Millisecond
+	// machineListTimeout is the time within which a listing has to begin to arrive: enough for a
+	// try through another node, of 0.7 s, and a direct one.
+	machineListTimeout = 1500 * time.Millisecond
 	// minMissingLists is how many listings in a row must lack a machine or worker.
 	minMissingLists = 2
 )
--- a/matrix/site/directoryread_test.go
+++ b/matrix/site/directoryread_test.go
@@ -97,3 +97,31 @@
 		})
 	}
 }
+
+// TestListOfMachinesNeverAnswered has the connections over which nodes list the machines lose all
+// data for 2 s, so that a call which was open then gets no answer. Afterwards one node must list the
+// machines for all owners again.
+func TestListOfMachinesNeverAnswered(t *testing.T) {
+	const shards, workersOfShard, readers = 15, 2, 2
+	const settled, cut, measured, listInterval = 5 * time.Second, 2 * time.Second, 20 * time.Second, 200 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		env := newEnvWith(t, shards*workersOfShard, workersOfShard, func(env *testEnv) { env.site.Configure(1, routes()...) })
+		defer env.close()
+		time.Sleep(settled)
+		setCut := func(cut bool) {
+			for _, n := range env.nodeNames() {
+				env.net.SetPartitioned(n, "machines", cut)
+			}
+		}
+		setCut(true)
+		time.Sleep(cut)
+		setCut(false)
+		time.Sleep(settled)
+		listed := env.site.MachineLists()
+		time.Sleep(measured)
+		lists, least, most := env.site.MachineLists()-listed, int(measured/time.Second), readers*int(measured/listInterval)
+		if lists < least || lists > most {
+			t.Errorf("the machines were listed %d times, want %d to %d", lists, least, most)
+		}
+	})
+}
