--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -140,8 +140,7 @@
 		return 0
 	}
 	written := time.Duration(info.ClockMS) * time.Millisecond
-	clock := time.Duration(w.clockMS)*time.Millisecond + now.Sub(w.clockAt)
-	return min(max(0, clock-written), info.Remaining)
+	return min(max(0, w.uptime(now)-written), info.Remaining)
 }
 
 // acceptEntry reports whether an entry belongs to the known incarnation. An entry of
