directory, cell: one pause for readers of the directory, one reading of a store's reply

Found on reading the change again: the pause between two reads of the directory's feed stood in the owner and in the node that reads for all owners, three constants and a formula each; it is directory.Pause now. The error in a storeReply was decoded in two places; storeReply.result serves both.

--- a/internal/cell/directoryread.go
+++ b/internal/cell/directoryread.go
@@ -27,14 +27,9 @@
 	// directoryRelistAfter is the time after a list from which a feed without a change makes the
 	// directory be listed again: all workers may announce themselves at the same moment.
 	directoryRelistAfter = 5 * time.Second
-	// directoryPausePerWorker and the bounds of the pause between two reads batch the
-	// announcements.
-	minDirectoryPause       = 200 * time.Millisecond
-	directoryPausePerWorker = 2 * time.Millisecond
-	maxDirectoryPause       = time.Second
 	// maxDirectoryAge is the age from which a node's copy is too old for the owners: they take
 	// the directory for unread after 2 s.
-	maxDirectoryAge = directoryWait + maxDirectoryPause
+	maxDirectoryAge = directoryWait + directory.MaxPause
 	// directoryIdleTime is how long a node reads the directory after the last owner has asked.
 	directoryIdleTime = 15 * time.Second
 	// directoryPollInterval is how often an owner's call looks whether the copy is there.
@@ -119,7 +114,7 @@
 	f.Apply = func(rows []tables.Row, full bool) {
 		version := f.ListedVersion()
 		if full {
-			f.Pause = min(max(minDirectoryPause, time.Duration(len(rows))*directoryPausePerWorker), maxDirectoryPause)
+			f.Pause = directory.Pause(len(rows))
 		}
 		for _, r := range rows {
 			if !full {
@@ -306,10 +301,10 @@
 		return callRelay[directoryRequest, directoryReply](ctx, peerRelay{d.n.peers, reader.Address}, pathDirectory, req)
 	}
 	reply, err := d.n.handleDirectory(ctx, req)
-	if err == nil && reply.Failed != "" {
-		err = &tables.Error{Op: "directory", Kind: reply.Failed, Err: errors.New(reply.Detail)}
+	if err != nil {
+		return directoryReply{}, err
 	}
-	return reply.Result, err
+	return reply.result()
 }
 
 // remember records from where the owner goes on.
--- a/internal/cell/peerrelay.go
+++ b/internal/cell/peerrelay.go
@@ -74,8 +74,13 @@
 		}
 		return reply.Result, &tables.Error{Op: "relay", Kind: kind, Err: err}
 	}
-	if reply.Failed != "" {
-		return reply.Result, &tables.Error{Op: "relay", Kind: reply.Failed, Err: errors.New(reply.Detail)}
+	return reply.result()
+}
+
+// result returns what the table service has answered, or its error.
+func (r storeReply[T]) result() (T, error) {
+	if r.Failed != "" {
+		return r.Result, &tables.Error{Op: "relay", Kind: r.Failed, Err: errors.New(r.Detail)}
 	}
-	return reply.Result, nil
+	return r.Result, nil
 }
--- a/internal/directory/mirror.go
+++ b/internal/directory/mirror.go
@@ -80,6 +80,21 @@
 	changesKeptPerEntry = 4
 )
 
+const (
+	// MinPause is the shortest pause between two reads of the directory's feed, which batches the
+	// workers' announcements: some 400 bytes a worker every 1.5 s. It grows by pausePerWorker for
+	// each worker, up to MaxPause, which is half of the shortest time for which a draining worker
+	// keeps serving.
+	MinPause       = 200 * time.Millisecond
+	pausePerWorker = 2 * time.Millisecond
+	MaxPause       = time.Second
+)
+
+// Pause returns the pause between two reads of the feed of a directory of some workers.
+func Pause(workers int) time.Duration {
+	return min(max(MinPause, time.Duration(workers)*pausePerWorker), MaxPause)
+}
+
 // Mirror is a copy of the directory. It is safe for concurrent use.
 type Mirror struct {
 	id     string
--- a/internal/owner/directory.go
+++ b/internal/owner/directory.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/directory"
 	"switchbank.example/switchbank/internal/events"
 	"switchbank.example/switchbank/internal/scheduler"
 	"switchbank.example/switchbank/internal/tables"
@@ -18,14 +19,7 @@
 
 const (
 	// directoryFeedWait is how long one call of the directory's feed waits for a change.
-	// minDirectoryPause batches the workers' announcements: each owner receives a row of some
-	// 400 bytes per worker every 1.5 s. The pause grows by directoryPausePerWorker for each
-	// worker, up to maxDirectoryPause, which is half of the shortest time for which a draining
-	// worker keeps serving.
-	directoryFeedWait       = 2 * time.Second
-	minDirectoryPause       = 200 * time.Millisecond
-	directoryPausePerWorker = 2 * time.Millisecond
-	maxDirectoryPause       = time.Second
+	directoryFeedWait = 2 * time.Second
 	// sharedDirectoryRelist is how long an owner that is told only of changes in its shard goes
 	// without a list of all of it.
 	sharedDirectoryRelist = 10 * time.Second
@@ -37,7 +31,7 @@
 // followWorkers keeps the list of workers current and a hold loop running for each.
 func (o *Owner) followWorkers(ctx context.Context) error {
 	f := tables.Follower{
-		Service: o.Tables, Table: o.Directory.Table(), Parts: []string{""}, FeedWait: directoryFeedWait, RelistAfter: directoryFeedWait, Pause: minDirectoryPause,
+		Service: o.Tables, Table: o.Directory.Table(), Parts: []string{""}, FeedWait: directoryFeedWait, RelistAfter: directoryFeedWait, Pause: directory.MinPause,
 		OnCurrent: func() { o.updateShard(func(s *scheduler.Shard, now time.Time) { s.DirectoryRead(now) }) },
 		OnError:   o.feedErrorLogger(o.Directory.Table()),
 	}
@@ -46,7 +40,7 @@
 	}
 	f.Apply = func(rows []tables.Row, full bool) {
 		if full {
-			f.Pause = min(max(minDirectoryPause, time.Duration(len(rows))*directoryPausePerWorker), maxDirectoryPause)
+			f.Pause = directory.Pause(len(rows))
 		}
 		o.applyDirectory(ctx, rows, full)
 	}
