--- a/internal/directory/mirror.go
+++ b/internal/directory/mirror.go
@@ -82,12 +82,13 @@
 
 const (
 	// MinPause is the shortest pause between two reads of the directory's feed, which batches the
-	// workers' announcements: some 400 bytes a worker every 1.5 s. It grows by pausePerWorker for
-	// each worker, up to MaxPause, which is half of the shortest time for which a draining worker
+	// workers' announcements: some 400 bytes a worker every 1.5 s.
+	MinPause = 200 * time.Millisecond
+	// MaxPause is the longest one, which is half of the shortest time for which a draining worker
 	// keeps serving.
-	MinPause       = 200 * time.Millisecond
+	MaxPause = time.Second
+	// pausePerWorker is by how much the pause grows with each worker.
 	pausePerWorker = 2 * time.Millisecond
-	MaxPause       = time.Second
 )
 
 // Pause returns the pause between two reads of the feed of a directory of some workers.
