scheduler: a gang's room is counted beside long-running tasks; long waits spread it

A gang of 45 did not start in 20 s while most of the service was idle: 27 approved workers could not hold it, but 19 workers full of long-running tasks, which it never asks about, counted as if they were empty, so that it neither moved nor became joint.

What a shard can hold of a gang is now counted beside its long-running tasks, and a gang that waits for 2.5 s beside room becomes joint. TestGangLeavesShardFullOfLongRunningTasks fails on the code before.

--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -63,19 +63,37 @@
 		o.mu.Unlock()
 		var wg sync.WaitGroup
 		for _, m := range moves {
-			if m.Joint {
-				wg.Go(func() { o.moveJob(ctx, m, o.cfg.Shard) })
-			} else if to, ok := o.Shards.BetterShard(o.cfg.Shard, load, m); ok {
-				wg.Go(func() { o.moveJob(ctx, m, to) })
-			} else {
+			to, ok := o.destination(&m, load)
+			if !ok {
 				o.keepJob(m.Job.ID)
+				continue
 			}
+			wg.Go(func() { o.moveJob(ctx, m, to) })
 		}
 		wg.Wait()
 	}
 	return nil
 }
 
+// spreadMaxLoad is the load below which a shard has room for each gang that fits it at all: one
+// that waits there does so for another reason than load, such as few approved workers.
+const spreadMaxLoad = 0.7
+
+// destination returns the shard to which a job moves, which is this one for a job that all shards
+// run together from now on, and sets m.Joint for a gang that has waited for long and that they
+// should run together. ok is false if the job stays.
+func (o *Owner) destination(m *scheduler.Move, load float64) (to cluster.ShardID, ok bool) {
+	if m.Joint {
+		return o.cfg.Shard, true
+	}
+	to, ok = o.Shards.BetterShard(o.cfg.Shard, load, *m)
+	if m.Spread && (ok || load < spreadMaxLoad) && o.cfg.Layout.Shards > 1 {
+		m.Joint = true
+		return o.cfg.Shard, true
+	}
+	return to, ok
+}
+
 // keepJob lets a job start here because no better shard was found.
 func (o *Owner) keepJob(id string) {
 	o.updateShard(func(s *scheduler.Shard, _ time.Time) { s.CancelMove(id) })
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -22,6 +22,9 @@
 	Unfit bool
 	// Joint is set if all shards should run the job's gangs together.
 	Joint bool
+	// Spread is set if a gang of the job has waited for long: all shards should run it
+	// together if others have more room, or if this one should have had room for it.
+	Spread bool
 }
 
 const (
@@ -41,6 +44,9 @@
 	// jointMaxFit is how many times a gang must fit into its empty shard not to become
 	// joint.
 	jointMaxFit = 2
+	// spreadDelay is how long a gang that fits its shard waits before all shards run it
+	// together if others have more room: three seconds beside free room are too long.
+	spreadDelay = 2500 * time.Millisecond
 	// jointMinMoves is after how many moves a gang that its shard can't hold becomes
 	// joint: another shard may hold it alone, which takes less time.
 	jointMinMoves = 1
@@ -62,7 +68,7 @@
 		}
 		j := c.job
 		j.moving, j.offeredAt = true, now
-		m := Move{Job: j.spec, Version: j.version, Mark: s.movingMark(j), Unfit: c.unfit, Joint: c.joint}
+		m := Move{Job: j.spec, Version: j.version, Mark: s.movingMark(j), Unfit: c.unfit, Joint: c.joint, Spread: c.spread}
 		if j.begun {
 			m.Carried = s.encodeProgress(j, j.progress())
 		}
@@ -71,10 +77,10 @@
 	return list
 }
 
-// moveCandidate is a job that may move; unfit and joint are as in Move.
+// moveCandidate is a job that may move; unfit, joint and spread are as in Move.
 type moveCandidate struct {
-	job          *job
-	unfit, joint bool
+	job                  *job
+	unfit, joint, spread bool
 }
 
 // moveCandidates returns the jobs that may move: first those that this shard can never
@@ -87,8 +93,9 @@
 		}
 		unfit := s.unfitStep(j)
 		joint := s.shouldBeJoint(now, j, unfit)
-		if unfit != nil || joint || (!j.begun && s.load >= moveMinLoad && j.waitsTooLong(now)) {
-			list = append(list, moveCandidate{j, unfit != nil, joint})
+		spread := s.params.Shards > 1 && !joint && unfit == nil && j.gangWaits(now, spreadDelay)
+		if unfit != nil || joint || spread || (!j.begun && s.load >= moveMinLoad && j.waitsTooLong(now)) {
+			list = append(list, moveCandidate{j, unfit != nil, joint, spread})
 		}
 	}
 	slices.SortStableFunc(list, func(a, b moveCandidate) int {
@@ -179,6 +186,16 @@
 	return false
 }
 
+// gangWaits reports whether a gang of the job has waited for room for at least d.
+func (j *job) gangWaits(now time.Time, d time.Duration) bool {
+	for st := range j.steps() {
+		if st.spec.Gang && st.waitTime(now) >= d {
+			return true
+		}
+	}
+	return false
+}
+
 // shouldBeJoint reports whether all shards should run the job's gangs together; unfit is a
 // step of the job that this shard can't hold, or nil.
 func (s *Shard) shouldBeJoint(now time.Time, j *job, unfit *step) bool {
@@ -225,7 +242,10 @@
 }
 
 // maxTasksHere returns how many tasks of a step the shard's workers could run if they
-// were empty. It stops counting at enough.
+// were empty, for a gang but for the long-running tasks there. A gang never asks for advice
+// about workers on which these leave no room; counted as if they were empty, such workers
+// kept a gang in a shard whose approved workers could not hold it. It stops counting at
+// enough.
 func (s *Shard) maxTasksHere(st *step, enough int) (count int) {
 	for _, w := range s.workerList {
 		if w.info.Draining || w.leaving || w.entryInvalid || s.isEvacuated(w) || (st.spec.Label != "" && !w.info.HasLabel(st.spec.Label)) {
@@ -234,7 +254,11 @@
 		if ans, known := st.advice.answers[w.info.ID]; known && !ans.approved {
 			continue
 		}
-		if count += int(fitsIn(w.info.Capacity, st)); count >= enough {
+		room := w.info.Capacity
+		if st.spec.Gang {
+			room = room.Sub(w.longRunningAllocation())
+		}
+		if count += int(fitsIn(room, st)); count >= enough {
 			return count
 		}
 	}
--- a/internal/scheduler/widegang_test.go
+++ b/internal/scheduler/widegang_test.go
@@ -177,3 +177,51 @@
 	}
 	t.Errorf("the gang has not started within three times the duration of the tasks beside it")
 }
+
+// TestGangLeavesShardFullOfLongRunningTasks checks that a gang which its shard's approved workers
+// can't hold moves on, although other workers would hold it if the long-running tasks there ended.
+//
+// It guards against counting such workers as room that the gang has not asked about yet: it never
+// asks about them, so that it waits for ever. Seen with 116 workers, of which the gang of 45
+// asked about 97 and got 27, which could not hold it: it did not start in 20 s, while most of the
+// service was idle.
+func TestGangLeavesShardFullOfLongRunningTasks(t *testing.T) {
+	const (
+		workers, longRunning, members = 12, 6, 8
+		movesWithin                   = 3 * time.Second
+	)
+	r := newRig(t, workers)
+	r.upsertWorkers()
+	r.runFor(200 * time.Millisecond)
+	for i := range longRunning {
+		step := tasks(1, 3000)
+		step.LongRunning = true
+		id := fmt.Sprintf("l%d", i)
+		r.longRunning[id] = true
+		r.shard.AddJob(r.now, batch(id, step), nil, false)
+	}
+	r.runFor(time.Second)
+	gang := tasks(members, 2000)
+	gang.Gang = true
+	job := batch("j", gang)
+	job.Policy.Advice = &cluster.AdviceCost{BaseMS: 400, PerWorkerMS: 6, ValidMS: 2500}
+	r.shard.AddJob(r.now, job, nil, false)
+	for end := r.now.Add(movesWithin); r.now.Before(end); {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.reportAll()
+		for _, c := range commandsOf[scheduler.RequestAdvice](r.round()) {
+			var tickets []cluster.Ticket
+			for i, w := range c.Workers {
+				if i%2 == 0 {
+					tickets = append(tickets, cluster.Ticket{Worker: w, Value: "t"})
+				}
+			}
+			r.shard.AdviceReplied(r.now, c.Step, c.Workers, tickets, 2500*time.Millisecond, nil)
+		}
+		if moves := r.shard.BeginMoves(r.now, 1); len(moves) == 1 && moves[0].Unfit {
+			return
+		}
+		r.shard.CancelMove("j")
+	}
+	t.Errorf("a gang of %d, whose shard has approved room for %d, is still there after %s", members, workers-longRunning, movesWithin)
+}
