--- a/internal/tables/tables.go
+++ b/internal/tables/tables.go
@@ -57,6 +57,16 @@
 	return n
 }
 
+// Part returns the part in which the rows of the Txn lie, or "" if it has none.
+func (t Txn) Part() string {
+	for _, rows := range [][]Row{t.If, t.Put, t.Remove} {
+		if len(rows) > 0 {
+			return rows[0].Part
+		}
+	}
+	return ""
+}
+
 // MaxTxnRows is the most rows that a Txn may name (the table service's limit).
 const MaxTxnRows = 100
 
