cell: refuse calls at once whose part of the store is away

A submission in a part that answered with resets, or not at all, was repeated until 150 ms before its deadline and answered 504, and so was a cancellation; a lookup in a silent part took 2.4 s.

Nodes now track the health of each part. While some part is away, here or on another node, a part that has not answered since is read before it is written. A submission of unknown outcome is repeated once its part answers; a node does not refuse a job whose outcome it does not know.

--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"switchbank.example/switchbank/internal/cluster"
@@ -91,7 +92,7 @@
 			return reply.visibleTo(v)
 		}
 	}
-	if n.store.down() {
+	if n.store.down() || !n.partAnswers(ctx, "state", service, id) {
 		return "", AnswerRefused
 	}
 	pin, _, answer := n.lookUpPin(ctx, v, service, id)
@@ -147,8 +148,14 @@
 	if state.Finished() {
 		return AnswerOK
 	}
+	part, maybeCommitted := owner.JobPart(service, id), false
 	for n.mayRetry(ctx) {
-		if shards, ok := n.cancelOnce(ctx, v, service, id); ok {
+		if !maybeCommitted && !n.partAnswers(ctx, "cancel", service, id) {
+			n.Log.Info("cancel refused", events.CancelAccepted, zap.String("job", id), zap.String("cause", causePartAway))
+			return AnswerRefused
+		}
+		shards, err := n.cancelOnce(ctx, v, service, id)
+		if err == nil {
 			n.Log.Info("cancel accepted", events.CancelAccepted, zap.String("job", id), zap.String("state", string(state)), zap.Stringers("shards", shards))
 			for _, shard := range shards {
 				n.notifyOwner(shard, func(o *owner.Owner) { o.CancelJob(id) }, func(ctx context.Context, m member) error {
@@ -158,19 +165,41 @@
 			}
 			return AnswerOK
 		}
-		tables.Sleep(ctx, submitRetryInterval)
+		maybeCommitted = maybeCommitted || tables.IsUnknown(err)
+		n.awaitRetry(ctx, part)
 	}
 	return AnswerUnknown
 }
 
-// cancelOnce looks up a job's shards and makes one attempt to write its cancellation to them.
-func (n *Node) cancelOnce(ctx context.Context, v Viewer, service, id string) ([]cluster.ShardID, bool) {
+// partAnswers reports whether a job's part of the store is expected to answer a call, and counts
+// the calls that end because it is not.
+func (n *Node) partAnswers(ctx context.Context, kind, service, id string) bool {
+	c, cancel := attemptContext(ctx)
+	defer cancel()
+	if n.store.partAnswers(c, owner.JobPart(service, id)) {
+		return true
+	}
+	n.countPartRefusal(kind)
+	return false
+}
+
+// cancelOnce looks up a job's shards and makes one attempt to write its cancellation to them. If
+// the outcome of the write is unknown, so is the kind of the error.
+func (n *Node) cancelOnce(ctx context.Context, v Viewer, service, id string) ([]cluster.ShardID, error) {
 	c, cancel := attemptContext(ctx)
 	defer cancel()
 	pin, row, answer := n.lookUpPin(c, v, service, id)
 	if answer != AnswerOK {
-		return nil, false
+		return nil, errNotCancelled("the job's pin can't be read: " + string(answer))
 	}
 	res, err := n.store.Commit(c, owner.CancelJobTxn(pin.Shards, row))
-	return pin.Shards, err == nil && res.Committed
+	if err == nil && !res.Committed {
+		err = errNotCancelled("the job's pin has changed")
+	}
+	return pin.Shards, err
+}
+
+// errNotCancelled is the error of an attempt to cancel that wrote nothing.
+func errNotCancelled(cause string) error {
+	return &tables.Error{Op: "cancel", Kind: tables.KindRefused, Err: errors.New(cause)}
 }
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -56,16 +56,20 @@
 	From member `json:"from"`
 	// Knows is the number of other nodes that the sender knows.
 	Knows int `json:"knows"`
+	// PartsAway is how many parts of the store don't answer the sender.
+	PartsAway int `json:"parts_away,omitempty"`
 	// About names a node that the receiver should ping; empty for none.
 	About string `json:"about,omitempty"`
 }
 
 // pingReply describes the node that answers, and what it knows of others.
 type pingReply struct {
-	Me            member `json:"me"`
-	Draining      bool   `json:"draining,omitempty"`
-	StoreGood     bool   `json:"store_good,omitempty"`
-	ConfigVersion int64  `json:"config_version"`
+	Me        member `json:"me"`
+	Draining  bool   `json:"draining,omitempty"`
+	StoreGood bool   `json:"store_good,omitempty"`
+	// PartsAway is how many parts of the store don't answer the node.
+	PartsAway     int   `json:"parts_away,omitempty"`
+	ConfigVersion int64 `json:"config_version"`
 	// Owns lists the shards that the node owns.
 	Owns    []ownedShard `json:"owns,omitempty"`
 	Members []member     `json:"members,omitempty"`
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -25,6 +25,7 @@
 	n.metrics.NewGauge("switchbank_store_silent_seconds", func() float64 {
 		return n.store.silentFor().Seconds()
 	})
+	n.metrics.NewGauge("switchbank_store_parts_away", func() float64 { return float64(n.store.parts.countAway()) })
 	n.metrics.NewGauge("switchbank_config_version", func() float64 { return float64(versionOf(n.Config())) })
 	n.metrics.NewGauge("switchbank_config_behind_seconds", func() float64 { return n.configLag.duration(versionOf(n.Config())).Seconds() })
 	n.metrics.NewGauge("switchbank_directory_read", n.directory.reads)
@@ -85,6 +86,11 @@
 	n.metrics.GetOrCreateHistogram(`switchbank_call_seconds{kind="` + kind + `"}`).Update(took.Seconds())
 }
 
+// countPartRefusal counts a caller's call that ends early because its part of the store is away.
+func (n *Node) countPartRefusal(kind string) {
+	n.metrics.GetOrCreateCounter(`switchbank_store_part_refusals_total{kind="` + kind + `"}`).Inc()
+}
+
 // countInvalidEntry counts an entry of the directory that describes no valid worker.
 func (n *Node) countInvalidEntry(reason cluster.Kind) {
 	n.metrics.GetOrCreateCounter(`switchbank_worker_entries_refused_total{reason="` + string(reason) + `"}`).Inc()
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -141,6 +141,8 @@
 	layouts map[string]cluster.Layout
 	// pins caches the pins of jobs that this node has accepted or looked up.
 	pins *lru.Cache[string, owner.Pin]
+	// unresolved holds the jobs whose submission here ended with an unknown outcome.
+	unresolved *lru.Cache[string, struct{}]
 	// watched holds the services whose shards have a watcher.
 	watched map[string]bool
 
@@ -167,7 +169,7 @@
 		me:    member{Name: cfg.Node, Address: cfg.Listen.AdvertisePeers, Incarnation: newIncarnation(), DataCentre: cfg.DataCentre, CPUMilli: cfg.Limits.CPUMilli()},
 		owned: make(map[cluster.ShardID]*owner.Owner), claimed: make(map[cluster.ShardID]bool),
 		taking: make(map[cluster.ShardID]bool), owners: make(map[cluster.ShardID]ownerState),
-		layouts: make(map[string]cluster.Layout), watched: make(map[string]bool), pins: newPins(),
+		layouts: make(map[string]cluster.Layout), watched: make(map[string]bool), pins: newPins(), unresolved: newUnresolved(),
 	}
 	n.helperServer = fanout.NewServer(deps.Workers, deps.Log)
 	n.peers = newPeers(n)
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -59,9 +59,12 @@
 
 func (n *Node) handlePing(ctx context.Context, req pingRequest) (pingReply, error) {
 	n.peers.recordContact(req.From)
+	if req.PartsAway > 0 {
+		n.store.parts.suspect()
+	}
 	reply := pingReply{
 		Me: n.me, Draining: n.Draining(), StoreGood: n.relay.DirectAvailable() && !n.store.down(),
-		ConfigVersion: versionOf(n.Config()), Evacuations: n.evacuations.orders(),
+		PartsAway: n.store.parts.countAway(), ConfigVersion: versionOf(n.Config()), Evacuations: n.evacuations.orders(),
 	}
 	n.mu.Lock()
 	owned := maps.Clone(n.owned)
--- a/internal/cell/ping.go
+++ b/internal/cell/ping.go
@@ -121,7 +121,7 @@
 
 // ping pings a node and records its reply.
 func (p *peers) ping(ctx context.Context, m member) (pingReply, error) {
-	reply, err := call[pingRequest, pingReply](ctx, p, m.Address, pathPing, pingRequest{From: p.n.me, Knows: p.count()}, peerTimeout)
+	reply, err := call[pingRequest, pingReply](ctx, p, m.Address, pathPing, pingRequest{From: p.n.me, Knows: p.count(), PartsAway: p.n.store.parts.countAway()}, peerTimeout)
 	if err != nil {
 		p.recordFailure(m, err)
 		return reply, err
@@ -141,6 +141,9 @@
 	if wasDown {
 		p.n.Log.Info("peer answers again", events.PeerRecovered, zap.String("peer", reply.Me.Name))
 	}
+	if reply.PartsAway > 0 {
+		p.n.store.parts.suspect()
+	}
 	p.n.learnEvacuations(reply.Evacuations, reply.Me.Name)
 	p.n.fetchNewerConfig(reply)
 	return reply, nil
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -36,7 +36,9 @@
 // callers are refused at once while the store is down.
 type watchedStore struct {
 	tables.Service
-	log *zap.Logger
+	relay *tables.Relay
+	log   *zap.Logger
+	parts *storeParts
 
 	mu sync.Mutex
 	// lastSeen is when a call was last answered, or when the node started.
@@ -51,8 +53,8 @@
 	failedAt time.Time
 }
 
-func newWatchedStore(svc tables.Service, log *zap.Logger) *watchedStore {
-	return &watchedStore{Service: svc, log: log, lastSeen: time.Now(), pending: make(map[int64]time.Time)}
+func newWatchedStore(relay *tables.Relay, log *zap.Logger) *watchedStore {
+	return &watchedStore{Service: relay, relay: relay, log: log, parts: newStoreParts(log), lastSeen: time.Now(), pending: make(map[int64]time.Time)}
 }
 
 // begin records that a call is sent, and returns its ID.
@@ -88,6 +90,9 @@
 	if slow {
 		s.log.Warn("store is slow", events.StoreSlow, zap.Duration("took", took), zap.Bool("answered", answered))
 	}
+	if answered && wasFailing && outage > storeFailingAfter {
+		s.parts.reset()
+	}
 	if answered && wasFailing && outage > storeDownAfter {
 		s.log.Info("store answers again", events.StoreRecovered, zap.Duration("away", outage))
 	}
@@ -119,6 +124,13 @@
 	return failed || s.down()
 }
 
+// lastAnswer returns when the store last answered.
+func (s *watchedStore) lastAnswer() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastSeen
+}
+
 // silentFor returns the time since the store last answered.
 func (s *watchedStore) silentFor() time.Duration {
 	s.mu.Lock()
@@ -126,13 +138,16 @@
 	return time.Since(s.lastSeen)
 }
 
-// probe calls the store while it is down. No other calls are made meanwhile, so that an
+// probe calls the store while it is down, and parts of it that are away. No other calls are made meanwhile, so that an
 // outage doesn't multiply the calls of all followers and retries.
 func (s *watchedStore) probe(ctx context.Context) {
 	for ctx.Err() == nil {
 		if s.failing() {
 			go s.probeOnce(ctx)
 		}
+		if !s.down() {
+			s.probeIdleParts()
+		}
 		tables.Sleep(ctx, probeInterval)
 	}
 }
@@ -156,9 +171,10 @@
 	if s.down() {
 		return tables.TxnResult{}, errStoreDown("commit")
 	}
-	id := s.begin()
+	id, sent := s.begin(), time.Now()
 	res, err := s.Service.Commit(ctx, txn)
 	s.end(id, err)
+	s.parts.record(ctx, txn.Part(), sent, s.lastAnswer(), err)
 	return res, err
 }
 
@@ -167,9 +183,10 @@
 	if s.down() {
 		return tables.ListResult{}, errStoreDown("list")
 	}
-	id := s.begin()
+	id, sent := s.begin(), time.Now()
 	res, err := s.Service.List(ctx, req)
 	s.end(id, err)
+	s.parts.record(ctx, req.Part, sent, s.lastAnswer(), err)
 	return res, err
 }
 
