site: tests of an outage of parts of the store

The stand-in's parts could be silent but not reset their connections, and no test looked at how long callers are held while a part is away.

--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -18,6 +18,10 @@
 	faults  StoreFaults
 	// unavailableParts are the parts whose calls get no answer, while those of other parts do.
 	unavailableParts []string
+	// resetParts are the parts whose calls are answered with a reset of the connection.
+	resetParts []string
+	// partCalls counts the reads and writes of each part.
+	partCalls map[string]int
 	// changed is closed and replaced with each change.
 	changed chan struct{}
 	calls   int64
@@ -60,7 +64,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: make(map[storeKey]storeRow), changed: make(chan struct{}), rowsRead: make(map[string]int), reads: make(map[string]int), busyUntil: make(map[string]time.Time)}
+	return &Store{rows: make(map[storeKey]storeRow), changed: make(chan struct{}), rowsRead: make(map[string]int), reads: make(map[string]int), busyUntil: make(map[string]time.Time), partCalls: make(map[string]int)}
 }
 
 // Calls returns how many calls the store has received.
@@ -70,6 +74,13 @@
 	return s.calls
 }
 
+// PartCalls returns how many reads and writes of a part the store has received.
+func (s *Store) PartCalls(part string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.partCalls[part]
+}
+
 // RowsRead returns how many rows of a table lists and feeds have sent to readers.
 func (s *Store) RowsRead(table string) int {
 	s.mu.Lock()
--- a/standin/site/storefaults.go
+++ b/standin/site/storefaults.go
@@ -46,6 +46,30 @@
 	s.unavailableParts = parts
 }
 
+// SetResetParts replaces the set of parts whose calls have no effect and are answered with a
+// reset of the connection. It is independent of the other faults.
+func (s *Store) SetResetParts(parts ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resetParts = parts
+}
+
+// failsPart counts a call of a part, and reports whether the part is unavailable. Such a call has
+// got no answer when failsPart returns, or ends with a reset of its connection.
+func (s *Store) failsPart(r *http.Request, part string) bool {
+	s.mu.Lock()
+	s.partCalls[part]++
+	silent, reset := slices.Contains(s.unavailableParts, part), slices.Contains(s.resetParts, part)
+	s.mu.Unlock()
+	switch {
+	case reset:
+		panic(http.ErrAbortHandler)
+	case silent:
+		leaveUnanswered(r)
+	}
+	return silent
+}
+
 // isDown reports whether the store is down.
 func (s *Store) isDown() bool {
 	s.mu.Lock()
@@ -60,13 +84,6 @@
 	return s.faults.AnswerDelay
 }
 
-// hasUnavailable reports whether one of the parts is unavailable.
-func (s *Store) hasUnavailable(parts ...string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.ContainsFunc(parts, func(p string) bool { return slices.Contains(s.unavailableParts, p) })
-}
-
 // maxSilence bounds how long an unanswered call is kept open; no caller waits that long.
 const maxSilence = 30 * time.Second
 
--- a/standin/site/storetxn.go
+++ b/standin/site/storetxn.go
@@ -25,8 +25,7 @@
 		writeJSON(w, http.StatusBadRequest, problem{reason})
 		return
 	}
-	if s.hasUnavailable(txn.parts()...) {
-		leaveUnanswered(r)
+	if s.failsPart(r, txn.part()) {
 		return
 	}
 	s.waitForPart(r, &txn)
@@ -73,15 +72,6 @@
 	}
 }
 
-// parts returns the parts of all rows of the transaction.
-func (t *storeTxn) parts() []string {
-	var parts []string
-	for _, r := range t.rows() {
-		parts = append(parts, r.Part)
-	}
-	return parts
-}
-
 // waitForPart waits until a busy part has finished the writes that came before and this one.
 func (s *Store) waitForPart(r *http.Request, t *storeTxn) {
 	s.mu.Lock()
