conns: know of a failed call that nothing of it was written

A connection to the store that was reset before the request was written counted as a call of unknown outcome, so that a submission was held and answered 504 although nothing could have been committed. The transport now counts the writes of each connection that a call used.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -13,6 +13,9 @@
 // WithStallTimeout bounds a call by the progress of its response: a large response on a
 // slow link may take any time, while one that doesn't begin, or stalls, is given up.
 //
+// A call that fails after a connection was made may have reached the server. If no byte of it
+// was written, its error is an Error of KindNotSent: it had no effect.
+//
 // # Usage
 //
 //	client := &http.Client{Transport: conns.New(conns.Network{Dial: dial, Log: log}, 8, time.Minute)}
@@ -79,10 +82,11 @@
 // silent since it was sent are closed.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	sent, usage := t.now(), t.Usage.countCall(r)
-	res, err := t.http.RoundTrip(r)
+	var used usedConns
+	res, err := t.http.RoundTrip(r.WithContext(used.trace(r.Context())))
 	if err != nil {
 		t.closeSilent(dialAddress(r.URL), sent)
-		return res, err
+		return res, used.wrapError(err)
 	}
 	recordProgress(r.Context())
 	res.Body = &responseBody{ReadCloser: res.Body, t: t, r: r, sent: sent, usage: usage}
@@ -150,6 +154,7 @@
 	// awaiting is set from a request until its response begins to arrive.
 	awaiting atomic.Bool
 	tag      atomic.Int64
+	written  writeCount
 }
 
 // Tagged is a connection of a Transport to which its user may attach a number.
@@ -171,7 +176,14 @@
 // Write writes to the connection, which then awaits a response.
 func (k *conn) Write(b []byte) (int, error) {
 	k.awaiting.Store(true)
-	return k.Conn.Write(b)
+	if !k.written.begin() {
+		return 0, net.ErrClosed
+	}
+	n, err := k.Conn.Write(b)
+	if n == 0 && err != nil {
+		k.written.undo()
+	}
+	return n, err
 }
 
 // Close closes the connection and stops tracking it.
--- a/internal/conns/stall.go
+++ b/internal/conns/stall.go
@@ -23,21 +23,33 @@
 	KindSilent Kind = "silent"
 	// KindStalled means that the response began to arrive and then stalled.
 	KindStalled Kind = "stalled"
+	// KindNotSent means that no byte of the request was written to a connection, and none will
+	// be: the request had no effect.
+	KindNotSent Kind = "not_sent"
 )
 
-// Error is the error type of this package: why a call under a stall timeout was ended.
+// Error is the error type of this package: why a call under a stall timeout was ended, or that
+// a failed call was not sent.
 type Error struct {
 	Op   string
 	Kind Kind
 	// After is how long nothing had arrived.
 	After time.Duration
+	// Err is the cause of a call that was not sent.
+	Err error
 }
 
-// Error returns the operation, kind and time.
+// Error returns the operation, kind and time or cause.
 func (e *Error) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("conns: %s: %s: %v", e.Op, e.Kind, e.Err)
+	}
 	return fmt.Sprintf("conns: %s: %s: nothing arrived for %s", e.Op, e.Kind, e.After)
 }
 
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
 // stallTimer ends a call when nothing of its response arrives.
 type stallTimer struct {
 	timer   *time.Timer
@@ -58,10 +70,10 @@
 	t := &stallTimer{}
 	t.timer = time.AfterFunc(begin, func() {
 		if t.arrived.Load() {
-			cancel(&Error{"call", KindStalled, StallTimeout})
+			cancel(&Error{Op: "call", Kind: KindStalled, After: StallTimeout})
 			return
 		}
-		cancel(&Error{"call", KindSilent, begin})
+		cancel(&Error{Op: "call", Kind: KindSilent, After: begin})
 	})
 	return context.WithValue(c, stallTimerKey{}, t), func() {
 		t.timer.Stop()
