cell: don't refuse a job that another node may have submitted

A caller that is told 504 repeats the job at any node. While the job's part of the store was away, the next node refused it with 503, although the first attempt had taken effect or could still do so. The node that got no answer now tells the owners of the job's candidate shards, and a node asks them before it refuses a job.

--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -151,7 +151,6 @@
 	part, maybeCommitted := owner.JobPart(service, id), false
 	for n.mayRetry(ctx) {
 		if !maybeCommitted && !n.partAnswers(ctx, "cancel", service, id) {
-			n.Log.Info("cancel refused", events.CancelAccepted, zap.String("job", id), zap.String("cause", causePartAway))
 			return AnswerRefused
 		}
 		shards, err := n.cancelOnce(ctx, v, service, id)
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -16,6 +16,7 @@
 	pathJob        = "/peer/v2/job"
 	pathCancel     = "/peer/v2/cancel"
 	pathState      = "/peer/v2/state"
+	pathUnresolved = "/peer/v2/unresolved"
 	pathWaiting    = "/peer/v2/waiting"
 	pathAdvise     = "/peer/v2/advise"
 	pathWorkers    = "/peer/v2/workers"
@@ -104,6 +105,9 @@
 	State cluster.State `json:"state,omitempty"`
 	// Team is the team to which the job belongs.
 	Team string `json:"team,omitempty"`
+	// Unresolved tells whether a node got no answer when it submitted the job, so that it may
+	// be accepted although the owner doesn't know it.
+	Unresolved bool `json:"unresolved,omitempty"`
 }
 
 type waitingQuery struct {
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -26,6 +26,7 @@
 	mux.Handle("POST "+pathJob, httpx.Handle(maxPeerBody, n.handleJob))
 	mux.Handle("POST "+pathCancel, httpx.Handle(maxPeerBody, n.handleCancel))
 	mux.Handle("POST "+pathState, httpx.Handle(maxPeerBody, n.handleState))
+	mux.Handle("POST "+pathUnresolved, httpx.Handle(maxPeerBody, n.handleUnresolved))
 	mux.Handle("POST "+pathWaiting, httpx.Handle(maxPeerBody, n.handleWaiting))
 	mux.Handle("POST "+pathAdvise, httpx.Handle(maxPeerBody, n.handleAdvise))
 	mux.Handle("POST "+pathTake, httpx.Handle(maxPeerBody, n.handleTake))
@@ -113,7 +114,7 @@
 		return stateReply{}, errNotOwner()
 	}
 	state, team, ok := o.JobState(q.ID)
-	return stateReply{Known: ok, State: state, Team: team}, nil
+	return stateReply{Known: ok, State: state, Team: team, Unresolved: n.unresolved.Contains(unresolvedKey(q.Shard.Service, q.ID))}, nil
 }
 
 func (n *Node) handleWaiting(_ context.Context, q waitingQuery) (waitingReply, error) {
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -6,7 +6,6 @@
 	"context"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
 	"go.uber.org/zap"
 
 	"switchbank.example/switchbank/internal/cluster"
@@ -51,12 +50,12 @@
 		return n.refuse(job.ID, err.Error())
 	}
 	if n.store.down() {
-		return n.answerUnsent(&job, "the store does not answer")
+		return n.answerUnsent(ctx, &job, "the store does not answer")
 	}
 	leave, ok := n.enterPart(ctx, txn.Part())
 	if !ok {
 		n.countPartRefusal("submit")
-		return n.answerUnsent(&job, causePartAway)
+		return n.answerUnsent(ctx, &job, causePartAway)
 	}
 	defer leave()
 	began := time.Now()
@@ -72,24 +71,25 @@
 			n.refuse(job.ID, "a job of another team has this ID")
 			return AnswerConflict
 		case err == nil:
-			// The job was accepted before, perhaps by an attempt whose answer was lost.
-			n.Log.Info("job already accepted", events.JobAccepted, zap.String("job", job.ID), zap.String("queue", job.Queue))
-			return AnswerOK
+			return n.answerAccepted(&job)
 		case tables.KindOf(err) == tables.KindInvalid && !maybeCommitted:
 			n.refuse(job.ID, err.Error())
 			return AnswerImpossible
 		case !tables.IsUnknown(err) && !maybeCommitted:
-			return n.answerUnsent(&job, err.Error())
+			return n.answerUnsent(ctx, &job, err.Error())
 		case n.store.down():
-			return n.answerUnknown(&job)
+			return n.answerUnknown(job.ID)
+		}
+		if !maybeCommitted {
+			maybeCommitted = true
+			n.noteUnresolved(&job)
 		}
-		maybeCommitted = true
 		n.awaitRetry(ctx, txn.Part())
 	}
 	if !maybeCommitted {
-		return n.answerUnsent(&job, "the caller's deadline is too near")
+		return n.answerUnsent(ctx, &job, "the caller's deadline is too near")
 	}
-	return n.answerUnknown(&job)
+	return n.answerUnknown(job.ID)
 }
 
 // causePartAway is the cause of a refusal for the sake of a part that is away.
@@ -116,35 +116,6 @@
 	}
 }
 
-// answerUnsent returns the answer for a job of which this call has written nothing. An earlier
-// call may have: a job that was accepted, or whose outcome is unknown to this node, is not
-// refused.
-func (n *Node) answerUnsent(job *cluster.Job, cause string) Answer {
-	if pin, ok := n.pins.Get(job.ID); ok && pin.Shards[0].Service == job.Service && pin.Team == job.Team {
-		n.Log.Info("job already accepted", events.JobAccepted, zap.String("job", job.ID), zap.String("queue", job.Queue))
-		return AnswerOK
-	}
-	if n.unresolved.Contains(unresolvedKey(job)) {
-		return n.answerUnknown(job)
-	}
-	return n.refuse(job.ID, cause)
-}
-
-// unresolvedSize is how many jobs of unknown outcome a node remembers: more than callers repeat
-// within seconds after an outage.
-const unresolvedSize = 2000
-
-// unresolvedKey is the key of a job of unknown outcome.
-func unresolvedKey(job *cluster.Job) string { return job.Service + "/" + job.ID }
-
-func newUnresolved() *lru.Cache[string, struct{}] {
-	c, err := lru.New[string, struct{}](unresolvedSize)
-	if err != nil {
-		panic("cell: invalid size of the cache of unresolved jobs: " + err.Error())
-	}
-	return c
-}
-
 // acceptedBefore reports whether the job itself was accepted before, by the pin that kept it from
 // being accepted now, and not a job of another team with the same ID.
 func (n *Node) acceptedBefore(job *cluster.Job, current []tables.Row) bool {
@@ -158,9 +129,8 @@
 
 // answerUnknown returns the answer for a job whose commit got no answer from the store, and
 // logs it.
-func (n *Node) answerUnknown(job *cluster.Job) Answer {
-	n.unresolved.Add(unresolvedKey(job), struct{}{})
-	n.Log.Warn("outcome of job submission unknown", events.JobRefused, zap.String("job", job.ID), zap.String("answer", string(AnswerUnknown)))
+func (n *Node) answerUnknown(id string) Answer {
+	n.Log.Warn("outcome of job submission unknown", events.JobRefused, zap.String("job", id), zap.String("answer", string(AnswerUnknown)))
 	return AnswerUnknown
 }
 
--- /dev/null
+++ b/internal/cell/unresolved.go
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"context"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/owner"
+)
+
+// The load that this file addresses: callers repeat a submission without a known outcome at any
+// node, while its part of the store is away. The node that got no answer tells the owners of the
+// shards that may get the job, and a node asks them before it refuses a job. This is soft state:
+// a node that has lost it refuses a job that an earlier call may have submitted.
+
+const (
+	// unresolvedSize is how many jobs of unknown outcome a node remembers: more than callers
+	// repeat within seconds after an outage.
+	unresolvedSize = 2000
+	// ownerLookupTimeout bounds how long a refusal waits for the owners, which answer within
+	// 2 ms: the caller is to be refused within 0.2 s.
+	ownerLookupTimeout = 100 * time.Millisecond
+)
+
+func newUnresolved() *lru.Cache[string, struct{}] {
+	c, err := lru.New[string, struct{}](unresolvedSize)
+	if err != nil {
+		panic("cell: invalid size of the cache of unresolved jobs: " + err.Error())
+	}
+	return c
+}
+
+// unresolvedKey is the key of a job of unknown outcome.
+func unresolvedKey(service, id string) string { return service + "/" + id }
+
+// noteUnresolved remembers that a job may have been accepted, here and at the owners of the
+// shards that may get it.
+func (n *Node) noteUnresolved(job *cluster.Job) {
+	n.unresolved.Add(unresolvedKey(job.Service, job.ID), struct{}{})
+	for _, shard := range n.likelyShards(job.Service, job.ID) {
+		n.notifyOwner(shard, func(*owner.Owner) {}, func(ctx context.Context, m member) error {
+			_, err := call[jobQuery, empty](ctx, n.peers, m.Address, pathUnresolved, jobQuery{shard, job.ID}, peerTimeout)
+			return err
+		})
+	}
+}
+
+// handleUnresolved remembers that a peer doesn't know whether a job was accepted.
+func (n *Node) handleUnresolved(_ context.Context, q jobQuery) (empty, error) {
+	n.unresolved.Add(unresolvedKey(q.Shard.Service, q.ID), struct{}{})
+	return empty{}, nil
+}
+
+// answerUnsent returns the answer for a job of which this call has written nothing. An earlier
+// call may have: a job that was accepted, or may have been, is not refused, as far as this node
+// and the owners know.
+func (n *Node) answerUnsent(ctx context.Context, job *cluster.Job, cause string) Answer {
+	if pin, ok := n.pins.Get(job.ID); ok && pin.Shards[0].Service == job.Service && pin.Team == job.Team {
+		return n.answerAccepted(job)
+	}
+	unresolved := n.unresolved.Contains(unresolvedKey(job.Service, job.ID))
+	c, cancel := context.WithTimeout(ctx, ownerLookupTimeout)
+	defer cancel()
+	for _, shard := range n.likelyShards(job.Service, job.ID) {
+		reply := n.stateFromOwner(c, shard, job.ID)
+		if reply.Known && reply.Team == job.Team {
+			return n.answerAccepted(job)
+		}
+		unresolved = unresolved || reply.Unresolved
+	}
+	if unresolved {
+		return n.answerUnknown(job.ID)
+	}
+	return n.refuse(job.ID, cause)
+}
+
+// answerAccepted returns the answer for a job that was accepted before, perhaps by an attempt
+// whose answer was lost.
+func (n *Node) answerAccepted(job *cluster.Job) Answer {
+	n.Log.Info("job already accepted", events.JobAccepted, zap.String("job", job.ID), zap.String("queue", job.Queue))
+	return AnswerOK
+}
