--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -16,6 +16,7 @@
 	pathJob        = "/peer/v2/job"
 	pathCancel     = "/peer/v2/cancel"
 	pathState      = "/peer/v2/state"
+	pathUnresolved = "/peer/v2/unresolved"
 	pathWaiting    = "/peer/v2/waiting"
 	pathAdvise     = "/peer/v2/advise"
 	pathWorkers    = "/peer/v2/workers"
@@ -56,16 +57,20 @@
 	From member `json:"from"`
 	// Knows is the number of other nodes that the sender knows.
 	Knows int `json:"knows"`
+	// PartsAway is how many parts of the store don't answer the sender.
+	PartsAway int `json:"parts_away,omitempty"`
 	// About names a node that the receiver should ping; empty for none.
 	About string `json:"about,omitempty"`
 }
 
 // pingReply describes the node that answers, and what it knows of others.
 type pingReply struct {
-	Me            member `json:"me"`
-	Draining      bool   `json:"draining,omitempty"`
-	StoreGood     bool   `json:"store_good,omitempty"`
-	ConfigVersion int64  `json:"config_version"`
+	Me        member `json:"me"`
+	Draining  bool   `json:"draining,omitempty"`
+	StoreGood bool   `json:"store_good,omitempty"`
+	// PartsAway is how many parts of the store don't answer the node.
+	PartsAway     int   `json:"parts_away,omitempty"`
+	ConfigVersion int64 `json:"config_version"`
 	// Owns lists the shards that the node owns.
 	Owns    []ownedShard `json:"owns,omitempty"`
 	Members []member     `json:"members,omitempty"`
@@ -100,6 +105,9 @@
 	State cluster.State `json:"state,omitempty"`
 	// Team is the team to which the job belongs.
 	Team string `json:"team,omitempty"`
+	// Unresolved tells whether a node got no answer when it submitted the job, so that it may
+	// be accepted although the owner doesn't know it.
+	Unresolved bool `json:"unresolved,omitempty"`
 }
 
 type waitingQuery struct {
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -50,8 +50,14 @@
 		return n.refuse(job.ID, err.Error())
 	}
 	if n.store.down() {
-		return n.refuse(job.ID, "the store does not answer")
+		return n.answerUnsent(ctx, &job, "the store does not answer")
 	}
+	leave, ok := n.enterPart(ctx, txn.Part())
+	if !ok {
+		n.countPartRefusal("submit")
+		return n.answerUnsent(ctx, &job, causePartAway)
+	}
+	defer leave()
 	began := time.Now()
 	maybeCommitted := false
 	for n.mayRetry(ctx) {
@@ -65,23 +71,51 @@
 			n.refuse(job.ID, "a job of another team has this ID")
 			return AnswerConflict
 		case err == nil:
-			// The job was accepted before, perhaps by an attempt whose answer was lost.
-			n.Log.Info("job already accepted", events.JobAccepted, zap.String("job", job.ID), zap.String("queue", job.Queue))
-			return AnswerOK
+			return n.answerAccepted(&job)
 		case tables.KindOf(err) == tables.KindInvalid && !maybeCommitted:
 			n.refuse(job.ID, err.Error())
 			return AnswerImpossible
 		case !tables.IsUnknown(err) && !maybeCommitted:
-			return n.refuse(job.ID, err.Error())
+			return n.answerUnsent(ctx, &job, err.Error())
 		case n.store.down():
 			return n.answerUnknown(job.ID)
 		}
-		maybeCommitted = true
-		tables.Sleep(ctx, submitRetryInterval)
+		if !maybeCommitted {
+			maybeCommitted = true
+			n.noteUnresolved(&job)
+		}
+		n.awaitRetry(ctx, txn.Part())
+	}
+	if !maybeCommitted {
+		return n.answerUnsent(ctx, &job, "the caller's deadline is too near")
 	}
 	return n.answerUnknown(job.ID)
 }
 
+// causePartAway is the cause of a refusal for the sake of a part that is away.
+const causePartAway = "its part of the store does not answer"
+
+// enterPart admits a submission to its part of the store, or returns false if nothing should be
+// written there now.
+func (n *Node) enterPart(ctx context.Context, part string) (leave func(), ok bool) {
+	c, cancel := attemptContext(ctx)
+	defer cancel()
+	if !n.store.partAnswers(c, part) {
+		return nil, false
+	}
+	return n.store.parts.enter(c, part)
+}
+
+// awaitRetry waits until an attempt without an answer should be repeated to determine its
+// outcome: not while its part of the store is away.
+func (n *Node) awaitRetry(ctx context.Context, part string) {
+	tables.Sleep(ctx, submitRetryInterval)
+	for n.mayRetry(ctx) && n.store.parts.isAway(part) {
+		n.store.probeIfDue(part, partProbeInterval)
+		tables.Sleep(ctx, submitRetryInterval)
+	}
+}
+
 // acceptedBefore reports whether the job itself was accepted before, by the pin that kept it from
 // being accepted now, and not a job of another team with the same ID.
 func (n *Node) acceptedBefore(job *cluster.Job, current []tables.Row) bool {
