cell: a repeated submission waits for its part of the store to show the outcome

A caller that repeats a job of unknown outcome while its part of the store is away was told 504 at once, used up its retries within the outage and was not served. The call now waits until the part answers, as the first attempt does, within the caller's deadline.

--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -52,14 +52,21 @@
 	if n.store.down() {
 		return n.answerUnsent(ctx, &job, "the store does not answer")
 	}
+	maybeCommitted := false
 	leave, ok := n.enterPart(ctx, txn.Part())
-	if !ok {
+	if ok {
+		defer leave()
+	} else {
 		n.countPartRefusal("submit")
-		return n.answerUnsent(ctx, &job, causePartAway)
+		if answer := n.answerUnsent(ctx, &job, causePartAway); answer != AnswerUnknown {
+			return answer
+		}
+		// An earlier call may have submitted the job. The caller has few retries, so that this
+		// call waits until the part shows the outcome.
+		maybeCommitted = true
+		n.awaitRetry(ctx, txn.Part())
 	}
-	defer leave()
 	began := time.Now()
-	maybeCommitted := false
 	for n.mayRetry(ctx) {
 		c, cancel := attemptContext(ctx)
 		res, err := n.store.Commit(c, txn)
