scheduler: late work waits behind work that can still end on time

By due time alone, a shard whose load stays above its capacity places the jobs that are late already first, and each job ends slightly too late. Reservations made it worse: room that a job had reserved was withheld from earlier jobs of the same priority whose next step had just become ready, so that about 20 batch jobs were under way where 7 fit.

While a shard is overloaded, jobs of one priority that have not begun and can't end on time now wait behind those that can, for at most a minute, and reservations yield to jobs that come earlier. The time to the end includes the learned time between the first and the last start of a step.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -18,10 +18,12 @@
 type job struct {
 	spec cluster.Job
 	// team is the job's team; nil: it has none.
-	team    *teamState
-	rank    Rank
-	repeats []*repeat
-	state   cluster.State
+	team *teamState
+	rank Rank
+	// deferralEnded is set once the job was deferred for maxDeferral beyond its due time.
+	deferralEnded bool
+	repeats       []*repeat
+	state         cluster.State
 	// begun is set once a run of the job was ordered, or found on a worker.
 	begun bool
 	// inherited is set for jobs that an earlier owner may have started.
@@ -72,6 +74,9 @@
 	waitingSince time.Time
 	// limitSince is since when a gang waits for its team's limit; zero: it does not.
 	limitSince time.Time
+	// firstStart is when its first task started, and allStarted is set once all have.
+	firstStart time.Time
+	allStarted bool
 	// noRoomAt is when the step last found no room to reserve.
 	noRoomAt time.Time
 }
@@ -126,7 +131,7 @@
 	if slices.ContainsFunc(j.Steps, func(s cluster.Step) bool { return s.LongRunning }) {
 		priority = longRunningPriority
 	}
-	return Rank{Priority: priority, Due: now.Add(allowed - age)}
+	return Rank{Priority: priority, Due: now.Add(allowed - age), Accepted: now.Add(-age)}
 }
 
 // maxCountedAge bounds the time since acceptance that is taken into account: the
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"switchbank.example/switchbank/internal/cluster"
@@ -17,19 +16,25 @@
 // priority and due time alone its jobs would delay all that come after them, those of other teams
 // and its own. What a team sends beyond its weight therefore waits for what is within.
 
-// Rank orders work: what is beyond its team's weight last, then by priority, then by the time at
-// which it is due.
+// Rank orders work: what is beyond its team's weight last, then by priority, then, in an
+// overloaded shard, by whether it can still end on time, and by the time at which it is due. What
+// is of no use any more is ordered by acceptance.
 type Rank struct {
-	BeyondWeight bool
-	Priority     int
-	Due          time.Time
+	BeyondWeight  bool
+	Priority      int
+	Lateness      Lateness
+	Due, Accepted time.Time
 }
 
 // Before reports whether r comes before o.
 func (r Rank) Before(o Rank) bool { return r.compare(o) < 0 }
 
 func (r Rank) compare(o Rank) int {
-	return cmp.Or(compareBool(r.BeyondWeight, o.BeyondWeight), cmp.Compare(r.Priority, o.Priority), r.Due.Compare(o.Due))
+	c := cmp.Or(compareBool(r.BeyondWeight, o.BeyondWeight), cmp.Compare(r.Priority, o.Priority), cmp.Compare(r.Lateness, o.Lateness))
+	if c == 0 && r.Lateness == OfNoUse {
+		c = r.Accepted.Compare(o.Accepted)
+	}
+	return cmp.Or(c, r.Due.Compare(o.Due))
 }
 
 // compareBool orders false before true.
@@ -80,10 +85,10 @@
 	changed := false
 	for _, j := range s.active {
 		if j.rank.BeyondWeight && now.Sub(j.rank.Due) > maxDeferral {
-			j.rank.BeyondWeight, changed = false, true
+			j.rank.BeyondWeight, j.deferralEnded, changed = false, true, true
 		}
 	}
 	if changed {
-		slices.SortStableFunc(s.active, func(a, b *job) int { return a.rank.compare(b.rank) })
+		s.sortActive()
 	}
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -74,6 +74,7 @@
 		// starve.
 		slices.SortStableFunc(waiting, func(a, b *task) int { return a.waitingSince.Compare(b.waitingSince) })
 	}
+	all := len(waiting)
 	if waiting = s.withinLimit(now, st, waiting); len(waiting) == 0 {
 		st.waitingSince = time.Time{}
 		return
@@ -93,6 +94,7 @@
 			placed++
 		}
 	}
+	s.noteStarts(now, st, placed, all-placed)
 	if queued > 0 && st.needsTicket() {
 		s.awaitsAdvice(now, st, queued)
 	}
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -49,6 +49,10 @@
 	// neededAt is when the step is expected to use it; zero: it is being freed by
 	// preemption.
 	neededAt time.Time
+	// yields is set if jobs of the same priority that come before the step's may use the room.
+	// In an overloaded shard, steps that have just become ready would else wait for room that
+	// jobs behind them have reserved, and far more jobs would be under way than fit.
+	yields bool
 }
 
 // blocks reports whether a step's reservation is unavailable to another step, which is
@@ -61,6 +65,8 @@
 		return true
 	case other.job.rank.Priority < owner.job.rank.Priority:
 		return false
+	case res.yields && other.job.rank.Priority == owner.job.rank.Priority && other.job.rank.Before(owner.job.rank):
+		return false
 	}
 	return now.Add(other.estimate()).After(res.neededAt)
 }
@@ -81,6 +87,7 @@
 	}
 	for _, p := range places {
 		p.w.reserve(st, now.Add(reservationTTL), now.Add(p.in))
+		p.w.setYields(st, s.overloaded && s.ordering.reservationsYield && st.mayYield())
 	}
 }
 
@@ -129,6 +136,17 @@
 	w.reserved[st] = res
 }
 
+// mayYield reports whether the step's reservations may yield. Those of the most urgent jobs do
+// not: such jobs are short, and would wait more often for the runs of others.
+func (st *step) mayYield() bool { return st.job.hasObjective() && st.job.rank.Priority > 0 }
+
+// setYields sets whether a step's reservation yields to jobs before the step's.
+func (w *worker) setYields(st *step, yields bool) {
+	res := w.reserved[st]
+	res.yields = yields
+	w.reserved[st] = res
+}
+
 // slack returns for how long a step may wait without making its job late.
 func (s *Shard) slack(now time.Time, st *step) time.Duration {
 	return st.job.rank.Due.Sub(now) - s.criticalPathFrom(st)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -189,6 +189,13 @@
 	// load is what Load returns, measured at loadMeasuredAt.
 	load           float64
 	loadMeasuredAt time.Time
+	// overloaded is set while the load is above the capacity, and latenessAt is when the
+	// lateness of the jobs was last determined.
+	overloaded bool
+	latenessAt time.Time
+	ordering   ordering
+	// startSpreads are the learned times between the first and the last start of a step.
+	startSpreads map[stepKind]*meanSpread
 }
 
 // runKey identifies a run.
@@ -215,6 +222,7 @@
 		dirty: make(map[string]*job), movedAway: make(map[string]movedJob), takeover: takeover{open: true, jobsLoadedAt: now},
 		approvalRates: make(map[string]float64), ratios: make(map[stepKind]*ratio), kindSpeeds: make(map[string]*kindSpeed), load: unknownLoad,
 		teams: make(map[string]*teamState), ledger: quota.NewLedger(params.Index, params.Shards), unseenRound: -1, partsKnown: params.Shards <= 1,
+		ordering: byLateness, startSpreads: make(map[stepKind]*meanSpread),
 	}
 }
 
@@ -258,6 +266,7 @@
 	s.enforceLimits(now)
 	s.forgetFinished(now)
 	s.updateLoad(now)
+	s.updateLateness(now)
 	s.updateSlowness()
 	s.logWaitingTasks(now)
 }
