--- a/internal/scheduler/lateness.go
+++ b/internal/scheduler/lateness.go
@@ -22,11 +22,11 @@
 type Lateness uint8
 
 const (
-	// InTime jobs can still end on time, or have begun and can still be of use.
+	// InTime jobs can still end on time, or keep their turn although they are late.
 	InTime Lateness = iota
 	// Late jobs have not begun and can't end on time, but can still be of use.
 	Late
-	// OfNoUse jobs end too late to be of any use.
+	// OfNoUse jobs have not begun and can only end too late to be of any use.
 	OfNoUse
 )
 
@@ -80,8 +80,8 @@
 	changed := false
 	for _, j := range s.active {
 		l := InTime
-		if s.overloaded && j.hasObjective() && !j.rank.BeyondWeight {
-			l = lateness(now, j.rank, s.remainingPath(now, j), j.keepsTurn())
+		if s.overloaded && j.hasObjective() && !j.rank.BeyondWeight && !j.keepsTurn() {
+			l = lateness(now, j.rank, s.remainingPath(now, j))
 		}
 		if l != j.rank.Lateness {
 			j.rank.Lateness, changed = l, true
@@ -98,13 +98,12 @@
 }
 
 // lateness returns the lateness of a job that needs the given time from now to its end.
-func lateness(now time.Time, r Rank, remaining time.Duration, begun bool) Lateness {
+func lateness(now time.Time, r Rank, remaining time.Duration) Lateness {
 	late := now.Add(remaining).Sub(r.Due)
-	useful := late < (usefulObjectives-1)*r.Due.Sub(r.Accepted)
 	switch {
-	case late <= 0, begun && useful, late > maxHopelessWait:
+	case late <= 0, late > maxHopelessWait:
 		return InTime
-	case useful:
+	case late < (usefulObjectives-1)*r.Due.Sub(r.Accepted):
 		return Late
 	}
 	return OfNoUse
