--- /dev/null
+++ b/internal/forecast/job.go
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forecast
+
+import (
+	"slices"
+	"time"
+
+	"switchbank.example/switchbank/internal/cluster"
+)
+
+// LongRunningPriority is the priority of jobs with long-running tasks.
+const LongRunningPriority = -1
+
+// Job holds the properties of a job that the forecast needs.
+type Job struct {
+	Queue    string
+	Priority int
+	// WorkMilliSec is the work of all tasks, in milli-CPU x seconds.
+	WorkMilliSec int64
+	// CriticalPath is the longest chain of the estimates of dependent steps.
+	CriticalPath time.Duration
+	// Objective is the time within which the job should end; 0 if its queue declares none.
+	Objective time.Duration
+	// Due is when the job is due, from now.
+	Due time.Duration
+	// WidestMilli is the CPU that all tasks of the widest step occupy together.
+	WidestMilli int64
+}
+
+// FromJob returns the properties of a job that arrives now, by its specification and policy.
+func FromJob(j *cluster.Job) Job {
+	f := Job{Queue: j.Queue, Priority: j.Policy.Priority}
+	for i := range j.Steps {
+		st := &j.Steps[i]
+		milli := int64(st.Count) * st.Allocation().CPUMilli
+		f.WidestMilli = max(f.WidestMilli, milli)
+		f.WorkMilliSec += milli * st.EstimateMS / 1000
+	}
+	f.WorkMilliSec *= int64(max(1, j.Repeats))
+	f.CriticalPath = criticalPath(j.Steps)
+	// A job can't end before its critical path, so the scheduler counts a smaller stretch as 1.
+	f.Due = time.Duration(float64(f.CriticalPath)*max(1, j.Policy.Stretch)) + time.Duration(j.Policy.TargetMS)*time.Millisecond
+	if j.Policy.Stretch > 0 || j.Policy.TargetMS > 0 {
+		f.Objective = f.Due
+	}
+	if slices.ContainsFunc(j.Steps, func(s cluster.Step) bool { return s.LongRunning }) {
+		f.Priority = LongRunningPriority
+	}
+	return f
+}
+
+// criticalPath returns the longest chain of dependent steps by their estimates.
+func criticalPath(steps []cluster.Step) (longest time.Duration) {
+	ends := make([]time.Duration, len(steps))
+	for i := range steps {
+		for _, k := range steps[i].After {
+			ends[i] = max(ends[i], ends[k])
+		}
+		ends[i] += time.Duration(steps[i].EstimateMS) * time.Millisecond
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
