scheduler, owner, cell: summary of a shard, reported with its load

A node that places a job knew only the load of each shard, which does not tell how long a job would wait. Each shard now builds a summary of its capacity and backlog every 100 ms, learns per queue how far its forecasts are off, and sends the summary in the reply to a ping. Nodes keep the latest valid one per shard and discard others with one log line per owner and minute; nothing decides by them yet.

--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -3,6 +3,7 @@
 package cell
 
 import (
+	"encoding/json"
 	"time"
 
 	"switchbank.example/switchbank/internal/cluster"
@@ -81,6 +82,9 @@
 	// Load is the share of the shard's capacity that is in use or requested; 1 is a full
 	// shard.
 	Load float64 `json:"load"`
+	// Forecast is the encoded summary of the shard, if it is known. It is decoded apart from the
+	// reply, so that a summary of another version does not make the owner seem to be down.
+	Forecast json.RawMessage `json:"forecast,omitempty"`
 }
 
 type jobMessage struct {
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -95,6 +95,7 @@
 	n.updateUsageMetrics()
 	n.metrics.WritePrometheus(w)
 	n.writeTeamMetrics(w)
+	n.writeForecastMetrics(w)
 }
 
 // updateUsageMetrics copies the counters of this node's outgoing calls into its metrics.
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -35,6 +35,7 @@
 	"switchbank.example/switchbank/internal/conns"
 	"switchbank.example/switchbank/internal/events"
 	"switchbank.example/switchbank/internal/fanout"
+	"switchbank.example/switchbank/internal/forecast"
 	"switchbank.example/switchbank/internal/owner"
 	"switchbank.example/switchbank/internal/scheduler"
 	"switchbank.example/switchbank/internal/settings"
@@ -119,6 +120,8 @@
 	config       atomic.Pointer[cluster.Config]
 	configLag    configLag
 	evacuations  evacuations
+	// forecasts holds the summaries that the owners of shards reported last.
+	forecasts forecast.Received
 	// configChanges tells of changes of the configuration and of the evacuations.
 	configChanges notifier
 	// configConfirmed is when the configuration in force was last known to be the newest.
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -67,7 +67,7 @@
 	owned := maps.Clone(n.owned)
 	n.mu.Unlock()
 	for shard, o := range owned {
-		reply.Owns = append(reply.Owns, ownedShard{shard, o.Load()})
+		reply.Owns = append(reply.Owns, ownedShard{shard, o.Load(), n.encodeForecast(o)})
 	}
 	reply.Members = n.peers.membersFor(req)
 	if req.About != "" {
--- a/internal/cell/ping.go
+++ b/internal/cell/ping.go
@@ -141,6 +141,7 @@
 	if wasDown {
 		p.n.Log.Info("peer answers again", events.PeerRecovered, zap.String("peer", reply.Me.Name))
 	}
+	p.n.receiveForecasts(reply)
 	p.n.learnEvacuations(reply.Evacuations, reply.Me.Name)
 	p.n.fetchNewerConfig(reply)
 	return reply, nil
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -51,8 +51,10 @@
 const (
 	// SummaryVersion is the version of the summaries that this package writes and reads.
 	SummaryVersion = 1
-	// MaxLanes and MaxQueues bound the lists of a summary.
-	MaxLanes, MaxQueues = 8, 32
+	// MaxLanes is how many priorities a summary tells apart at most.
+	MaxLanes = 8
+	// MaxQueues is of how many queues a summary holds statistics at most.
+	MaxQueues = 32
 	// MaxAge is the age from which a summary tells nothing any more: a shard fills up or empties
 	// within seconds.
 	MaxAge = 2 * time.Second
@@ -86,20 +88,27 @@
 	// Waiting is the remaining work of accepted jobs that does not run yet, by due time from
 	// now, in buckets bounded by DueBounds.
 	Waiting []int64 `json:"waiting"`
-	// ArrivalMilli is the work accepted per second, decayed over 10 s, in milli-CPU.
+	// Begun is the part of Waiting that belongs to jobs that have started: mostly steps that wait
+	// for the runs of earlier ones.
+	Begun int64 `json:"begun,omitempty"`
+	// ArrivalMilli is the work accepted per second, decayed over 10 s, in milli-CPU. Long-running
+	// tasks count with the CPU that they occupy.
 	ArrivalMilli int64 `json:"arrival"`
 }
 
 // QueueStats holds the learned statistics of a queue.
 type QueueStats struct {
 	Queue string `json:"queue"`
-	// Ratio is the running mean of run time / estimate.
+	// Ratio is the running mean of run time / estimate: of jobs, from their first start to their
+	// end, or of tasks while few jobs have ended.
 	Ratio float64 `json:"ratio"`
 	// Approved is the fraction of workers that the advice service approves.
 	Approved float64 `json:"approved"`
 	// StartDelayMS is the mean delay of a ready step's first start beyond the wait for capacity
 	// (advice, messages).
 	StartDelayMS int64 `json:"delay_ms"`
+	// Bias is the mean ratio of the actual wait to that of the model; 0 means that it is unknown.
+	Bias float64 `json:"bias"`
 	// ErrorP50 and ErrorP90 are quantiles of the relative error of the forecast end.
 	ErrorP50 float64 `json:"p50"`
 	ErrorP90 float64 `json:"p90"`
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -3,9 +3,13 @@
 package forecast_test
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/forecast"
 	"switchbank.example/switchbank/internal/resource"
@@ -46,3 +50,47 @@
 		t.Errorf("without an objective: %+v", f)
 	}
 }
+
+// Guards against a summary that is valid but not accepted, and against figures that would make a
+// forecast absurd.
+func TestValidate(t *testing.T) {
+	if err := validSummary().Validate(); err != nil {
+		t.Fatalf("valid summary: %v", err)
+	}
+	tests := []struct {
+		name   string
+		change func(s *forecast.Summary)
+		kind   forecast.Kind
+	}{
+		{"later version", func(s *forecast.Summary) { s.Version = 2 }, forecast.KindVersion},
+		{"no version", func(s *forecast.Summary) { s.Version = 0 }, forecast.KindVersion},
+		{"capacity 0", func(s *forecast.Summary) { s.CapacityMilli = 0 }, forecast.KindInvalid},
+		{"negative capacity", func(s *forecast.Summary) { s.CapacityMilli = -1 }, forecast.KindInvalid},
+		{"absurd capacity", func(s *forecast.Summary) { s.CapacityMilli = 2e12 }, forecast.KindInvalid},
+		{"negative epoch", func(s *forecast.Summary) { s.Epoch = -1 }, forecast.KindInvalid},
+		{"negative free", func(s *forecast.Summary) { s.FreeMilli = -1 }, forecast.KindInvalid},
+		{"free above capacity", func(s *forecast.Summary) { s.FreeMilli = 200_000 }, forecast.KindInvalid},
+		{"negative work", func(s *forecast.Summary) { s.Lanes[1].Waiting[3] = -1 }, forecast.KindInvalid},
+		{"absurd work", func(s *forecast.Summary) { s.Lanes[1].Running = math.MaxInt64 }, forecast.KindInvalid},
+		{"negative arrival", func(s *forecast.Summary) { s.Lanes[1].ArrivalMilli = -1 }, forecast.KindInvalid},
+		{"negative begun", func(s *forecast.Summary) { s.Lanes[1].Begun = -1 }, forecast.KindInvalid},
+		{"missing bucket", func(s *forecast.Summary) { s.Lanes[1].Waiting = s.Lanes[1].Waiting[1:] }, forecast.KindInvalid},
+		{"lanes not sorted", func(s *forecast.Summary) { s.Lanes[1].Priority = 0 }, forecast.KindInvalid},
+		{"too many lanes", func(s *forecast.Summary) { s.Lanes = make([]forecast.Lane, 9) }, forecast.KindInvalid},
+		{"too many queues", func(s *forecast.Summary) { s.Queues = make([]forecast.QueueStats, 33) }, forecast.KindInvalid},
+		{"long name", func(s *forecast.Summary) { s.Queues[0].Queue = strings.Repeat("q", 300) }, forecast.KindInvalid},
+		{"ratio not a number", func(s *forecast.Summary) { s.Queues[0].Ratio = math.NaN() }, forecast.KindInvalid},
+		{"infinite ratio", func(s *forecast.Summary) { s.Queues[0].Ratio = math.Inf(1) }, forecast.KindInvalid},
+		{"negative bias", func(s *forecast.Summary) { s.Queues[0].Bias = -1 }, forecast.KindInvalid},
+		{"more than all approved", func(s *forecast.Summary) { s.Queues[0].Approved = 1.5 }, forecast.KindInvalid},
+		{"negative delay", func(s *forecast.Summary) { s.Queues[0].StartDelayMS = -1 }, forecast.KindInvalid},
+	}
+	for _, tt := range tests {
+		s := validSummary()
+		tt.change(s)
+		var e *forecast.Error
+		if err := s.Validate(); !errors.As(err, &e) || e.Kind != tt.kind {
+			t.Errorf("%s: error %v, want kind %s", tt.name, err, tt.kind)
+		}
+	}
+}
--- a/internal/forecast/validate.go
+++ b/internal/forecast/validate.go
@@ -43,6 +43,7 @@
 func (l *Lane) validate(v *validator) {
 	v.check("waiting", len(l.Waiting) == len(DueBounds)+1, "must have "+strconv.Itoa(len(DueBounds)+1)+" buckets")
 	v.figure("running", float64(l.Running))
+	v.figure("begun", float64(l.Begun))
 	v.figure("arrival", float64(l.ArrivalMilli))
 	for _, work := range l.Waiting {
 		v.figure("waiting", float64(work))
@@ -55,6 +56,7 @@
 	v.figure("approved", q.Approved)
 	v.check("approved", q.Approved <= 1, "must not exceed 1")
 	v.figure("delay_ms", float64(q.StartDelayMS))
+	v.figure("bias", q.Bias)
 	v.figure("p50", q.ErrorP50)
 	v.figure("p90", q.ErrorP90)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -29,6 +29,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/forecast"
 	"switchbank.example/switchbank/internal/scheduler"
 	"switchbank.example/switchbank/internal/tables"
 )
@@ -259,6 +260,21 @@
 	return o.shard.Load()
 }
 
+// Forecast returns the summary of the shard's capacity and backlog and its age, or nil while it is
+// unknown, as during the takeover.
+func (o *Owner) Forecast() (summary *forecast.Summary, age time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.shard.Forecast(time.Now())
+}
+
+// ForecastErrors returns the relative errors of the forecast ends of the last jobs of each queue.
+func (o *Owner) ForecastErrors() map[string][]float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.shard.ForecastErrors()
+}
+
 // knownWorkers returns the IDs of the workers that are known now.
 func (o *Owner) knownWorkers() []string {
 	o.mu.Lock()
--- a/internal/scheduler/estimate.go
+++ b/internal/scheduler/estimate.go
@@ -51,7 +51,7 @@
 }
 
 // learnRunTime records how long a task took compared to its estimate.
-func (s *Shard) learnRunTime(st *step, took time.Duration) {
+func (s *Shard) learnRunTime(now time.Time, st *step, took time.Duration) {
 	if st.spec.EstimateMS <= 0 || st.spec.LongRunning {
 		return
 	}
@@ -61,7 +61,9 @@
 		r = &ratio{}
 		s.ratios[kind] = r
 	}
-	r.add(took.Seconds() * 1000 / float64(st.spec.EstimateMS))
+	x := took.Seconds() * 1000 / float64(st.spec.EstimateMS)
+	r.add(x)
+	s.forecasts.tracker(now, st.job.spec.Queue).TaskEnded(x)
 }
 
 // learnedRatio returns the learned ratio for a step, or nil if too few runs are known.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -12,6 +12,7 @@
 
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/forecast"
 )
 
 // job is an accepted job and its progress.
@@ -43,6 +44,8 @@
 	skippedBatches int
 	// tasksLeft is how many tasks have not succeeded.
 	tasksLeft int
+	// forecast is the forecast that was made when the job was accepted; nil: there is none.
+	forecast *forecast.Pending
 }
 
 // repeat is one execution of all steps of a job.
@@ -189,6 +192,7 @@
 		return 1
 	})
 	s.active = slices.Insert(s.active, at, j)
+	s.forecastJob(now, j)
 	s.log.Info("job added", events.JobAdded, zap.String("job", spec.ID), zap.String("queue", spec.Queue),
 		zap.Int("tasks", j.tasksLeft), zap.Int("priority", j.rank.Priority), zap.Duration("due_in", j.rank.Due.Sub(now)),
 		zap.Bool("uncertain", uncertain))
@@ -300,6 +304,7 @@
 // finishJob sets a job's final state and stops its remaining runs.
 func (s *Shard) finishJob(now time.Time, j *job, state cluster.State) {
 	j.state, j.finishedAt = state, now
+	s.forecastEnded(now, j)
 	s.noteEndedUnseen(j)
 	s.markChanged(j)
 	s.active = slices.DeleteFunc(s.active, func(o *job) bool { return o == j })
--- a/internal/scheduler/runend.go
+++ b/internal/scheduler/runend.go
@@ -79,7 +79,7 @@
 	s.workerSucceeded(now, w, r)
 	if r != nil && !r.resumed {
 		t.runTime = now.Sub(r.startedAt)
-		s.learnRunTime(t.step, t.runTime)
+		s.learnRunTime(now, t.step, t.runTime)
 		s.learnKindSpeed(t.step, w, t.runTime)
 		w.health.clearSlowSteps(t)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -189,6 +189,7 @@
 	// load is what Load returns, measured at loadMeasuredAt.
 	load           float64
 	loadMeasuredAt time.Time
+	forecasts      forecasts
 }
 
 // runKey identifies a run.
@@ -213,7 +214,7 @@
 		params: params, log: log, startedAt: now,
 		workers: make(map[string]*worker), incarnations: make(map[string]*incarnationHistory), inDoubt: make(map[string][]*run), jobs: make(map[string]*job), runs: make(map[runKey]*run),
 		dirty: make(map[string]*job), movedAway: make(map[string]movedJob), takeover: takeover{open: true, jobsLoadedAt: now},
-		approvalRates: make(map[string]float64), ratios: make(map[stepKind]*ratio), kindSpeeds: make(map[string]*kindSpeed), load: unknownLoad,
+		approvalRates: make(map[string]float64), ratios: make(map[stepKind]*ratio), kindSpeeds: make(map[string]*kindSpeed), load: unknownLoad, forecasts: newForecasts(),
 		teams: make(map[string]*teamState), ledger: quota.NewLedger(params.Index, params.Shards), unseenRound: -1, partsKnown: params.Shards <= 1,
 	}
 }
@@ -258,6 +259,7 @@
 	s.enforceLimits(now)
 	s.forgetFinished(now)
 	s.updateLoad(now)
+	s.updateForecast(now)
 	s.updateSlowness()
 	s.logWaitingTasks(now)
 }
