forecast: model and learned corrections under overload

The first model assumed that jobs run one after the other and that all free CPU is usable. In a full shard neither holds: a fifth to a quarter of the CPU stays free beside tasks of 4.5 of 16 cores, and later jobs that are due sooner start first. The wait is now the work due before the job, plus that of the same priority which will overtake it, over the CPU in use less that of more urgent work. Per queue the owner learns the run time of steps, a mean delay, and the ratio of waits with a prior; without the prior the ratio doubled the median error at twice the capacity.

--- a/internal/forecast/estimate.go
+++ b/internal/forecast/estimate.go
@@ -10,11 +10,16 @@
 const (
 	// minShare is the least share of the capacity that is assumed to be left by more urgent work.
 	minShare = 0.1
-	// lowErrors is how many median errors the end of a tenth of jobs lies before the forecast:
-	// the ratio of the two quantiles of a normal distribution.
-	lowErrors = 1.9
-	// assumedError is the median error of a queue of which nothing is known.
-	assumedError = 0.15
+	// minUsableShare is the least share of the capacity that is assumed to be usable. A shard in
+	// which work waits uses less than all, since tasks don't fill the workers exactly; but it may
+	// also have been empty a moment ago.
+	minUsableShare = 0.5
+	// absorbTime is within which time free capacity takes ready work: work that waits for advice
+	// or for an answer to its start does not show that capacity is short.
+	absorbTime = time.Second
+	// assumedLow is QueueStats.Low of a queue of which nothing is known; where it was measured, it
+	// was 0.8 to 0.9.
+	assumedLow = 0.7
 )
 
 // Estimate forecasts when a job that arrives now would start and end. age is the time since the
@@ -27,19 +32,53 @@
 	start := scale(s.Wait(j, age), q.Bias) + time.Duration(q.StartDelayMS)*time.Millisecond
 	run := scale(j.CriticalPath, q.Ratio)
 	end := start + run
-	low := max(scale(run, 1-q.ErrorP50), scale(end, 1-lowErrors*q.ErrorP50))
-	return Estimate{Start: start, End: end, EndLow: min(low, end), Known: true}
+	return Estimate{Start: start, End: end, EndLow: scale(end, min(1, q.Low)), Known: true}
 }
 
-// Wait returns how long a job that arrives now waits for its first start by the model alone,
-// without what was learned about its queue.
+// Wait returns how long a job that arrives now waits for capacity, in all of its steps, by the
+// model alone, without what was learned about its queue.
 func (s *Summary) Wait(j Job, age time.Duration) time.Duration {
-	ahead, urgent := s.workAhead(j)
-	if ahead <= 0 {
+	a := s.workAhead(j)
+	if s.FreeMilli >= j.WidestMilli && a.ready <= float64(s.FreeMilli)*absorbTime.Seconds() {
+		return 0
+	}
+	if a.waiting <= 0 {
 		return max(0, s.timeUntilFree(j.WidestMilli)-age)
 	}
-	available := max(float64(s.CapacityMilli)-urgent, minShare*float64(s.CapacityMilli))
-	return max(0, seconds(ahead/available)-age)
+	usable := max(float64(s.CapacityMilli-s.FreeMilli), minUsableShare*float64(s.CapacityMilli))
+	least := minShare * float64(s.CapacityMilli)
+	available := max(usable-a.urgent, least)
+	wait := (a.waiting + a.overtaking*a.overtakingFor.Seconds()) / available
+	if wait < a.overtakingFor.Seconds() {
+		// Work that overtakes the job comes for as long as it waits.
+		wait = min(a.overtakingFor.Seconds(), a.waiting/max(available-a.overtaking, least))
+	}
+	return max(0, seconds(wait)-age)
+}
+
+// ahead is the work that goes before a job.
+type ahead struct {
+	// waiting waits now, of which ready could run if there were capacity, in milli-CPU x seconds.
+	waiting, ready float64
+	// urgent is the rate at which more urgent work will come, and overtaking that of work of the
+	// job's priority, which is due before the job if it comes within overtakingFor; in milli-CPU.
+	urgent, overtaking float64
+	overtakingFor      time.Duration
+}
+
+func (s *Summary) workAhead(j Job) (a ahead) {
+	for i := range s.Lanes {
+		l := &s.Lanes[i]
+		switch {
+		case l.Priority < j.Priority:
+			a.urgent += float64(l.ArrivalMilli)
+			a.waiting, a.ready = a.waiting+l.total(), a.ready+l.ready()
+		case l.Priority == j.Priority:
+			a.waiting, a.ready = a.waiting+l.dueBefore(j.Due), a.ready+l.ready()
+			a.overtaking, a.overtakingFor = float64(l.ArrivalMilli), max(0, j.Due-time.Duration(l.DueMS)*time.Millisecond)
+		}
+	}
+	return a
 }
 
 // timeUntilFree returns when that much CPU is free if nothing else takes it. The runs are assumed
@@ -56,27 +95,6 @@
 	return seconds(2 * running / used * min(1, needed/used))
 }
 
-// workAhead returns the waiting work that starts before the job, and the rate at which more urgent
-// work arrives, in milli-CPU. Jobs that have begun occupy their part of the capacity with one step
-// after the other, also at the time when the job starts, so that what of them waits now delays no
-// start.
-func (s *Summary) workAhead(j Job) (ahead, urgent float64) {
-	for i := range s.Lanes {
-		l := &s.Lanes[i]
-		switch {
-		case l.Priority < j.Priority:
-			urgent += float64(l.ArrivalMilli)
-			ahead += l.notBegun(l.total())
-		case l.Priority == j.Priority:
-			ahead += l.notBegun(l.dueBefore(j.Due))
-		}
-	}
-	return ahead, urgent
-}
-
-// notBegun returns the part of some waiting work that belongs to jobs that have not begun.
-func (l *Lane) notBegun(work float64) float64 { return max(0, work-float64(l.Begun)) }
-
 func (l *Lane) total() (sum float64) {
 	for _, work := range l.Waiting {
 		sum += float64(work)
@@ -84,23 +102,35 @@
 	return sum
 }
 
+// ready returns the waiting work that could run if there were capacity.
+func (l *Lane) ready() float64 { return max(0, l.total()-float64(l.NotReady)) }
+
 // dueBefore returns the waiting work that is due before a time from now. Within a bucket the due
-// times are assumed to be spread evenly.
+// times are assumed to be spread evenly, up to the latest one.
 func (l *Lane) dueBefore(due time.Duration) (sum float64) {
 	for i, work := range l.Waiting {
-		share := 1.0
-		if i > 0 {
-			from, to := DueBounds[i-1], 2*DueBounds[i-1]
-			if i < len(DueBounds) {
-				to = DueBounds[i]
-			}
-			share = min(1, max(0, float64(due-from)/float64(to-from)))
-		}
-		sum += share * float64(work)
+		sum += float64(work) * l.shareBefore(i, due)
 	}
 	return sum
 }
 
+// shareBefore returns which share of a bucket is due before a time from now.
+func (l *Lane) shareBefore(bucket int, due time.Duration) float64 {
+	if bucket == 0 {
+		return 1
+	}
+	from, to, latest := DueBounds[bucket-1], 2*DueBounds[bucket-1], time.Duration(l.LatestMS)*time.Millisecond
+	switch {
+	case bucket == len(DueBounds):
+		to = max(to, latest)
+	case latest > from:
+		to = min(DueBounds[bucket], latest)
+	default:
+		to = DueBounds[bucket]
+	}
+	return min(1, max(0, float64(due-from)/float64(to-from)))
+}
+
 // queue returns the statistics of a queue, with neutral values for those that are not known.
 func (s *Summary) queue(name string) QueueStats {
 	q := QueueStats{Queue: name, Approved: 1}
@@ -110,8 +140,8 @@
 		}
 	}
 	q.Ratio, q.Bias = orOne(q.Ratio), orOne(q.Bias)
-	if q.ErrorP50 == 0 {
-		q.ErrorP50 = assumedError
+	if q.Low == 0 {
+		q.Low = assumedLow
 	}
 	return q
 }
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -88,9 +88,13 @@
 	// Waiting is the remaining work of accepted jobs that does not run yet, by due time from
 	// now, in buckets bounded by DueBounds.
 	Waiting []int64 `json:"waiting"`
-	// Begun is the part of Waiting that belongs to jobs that have started: mostly steps that wait
-	// for the runs of earlier ones.
-	Begun int64 `json:"begun,omitempty"`
+	// NotReady is the part of Waiting whose steps wait for the end of earlier ones, and not for
+	// capacity.
+	NotReady int64 `json:"later,omitempty"`
+	// LatestMS is the latest due time of the waiting work, in milliseconds from now.
+	LatestMS int64 `json:"latest,omitempty"`
+	// DueMS is the mean due time of the work when it is accepted, in milliseconds from then.
+	DueMS int64 `json:"due,omitempty"`
 	// ArrivalMilli is the work accepted per second, decayed over 10 s, in milli-CPU. Long-running
 	// tasks count with the CPU that they occupy.
 	ArrivalMilli int64 `json:"arrival"`
@@ -99,16 +103,18 @@
 // QueueStats holds the learned statistics of a queue.
 type QueueStats struct {
 	Queue string `json:"queue"`
-	// Ratio is the running mean of run time / estimate: of jobs, from their first start to their
-	// end, or of tasks while few jobs have ended.
+	// Ratio is the running mean of run time / estimate, of the longest task of each step.
 	Ratio float64 `json:"ratio"`
 	// Approved is the fraction of workers that the advice service approves.
 	Approved float64 `json:"approved"`
-	// StartDelayMS is the mean delay of a ready step's first start beyond the wait for capacity
-	// (advice, messages).
+	// StartDelayMS is the mean delay of the starts of a job's chain of steps beyond the wait for
+	// capacity (advice, messages).
 	StartDelayMS int64 `json:"delay_ms"`
 	// Bias is the mean ratio of the actual wait to that of the model; 0 means that it is unknown.
 	Bias float64 `json:"bias"`
+	// Low is the ratio of the actual to the forecast end that a tenth of jobs stay below; 0 means
+	// that it is unknown.
+	Low float64 `json:"low"`
 	// ErrorP50 and ErrorP90 are quantiles of the relative error of the forecast end.
 	ErrorP50 float64 `json:"p50"`
 	ErrorP90 float64 `json:"p90"`
@@ -116,7 +122,8 @@
 
 // Estimate is the forecast for a job.
 type Estimate struct {
-	// Start and End are the expected times from now.
+	// Start and End are the expected times from now. Start is the time after which the job runs
+	// without more waits: single tasks of it may run before, and others wait meanwhile.
 	Start, End time.Duration
 	// EndLow is optimistic: a tenth of jobs end sooner.
 	EndLow time.Duration
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -73,7 +73,7 @@
 		{"negative work", func(s *forecast.Summary) { s.Lanes[1].Waiting[3] = -1 }, forecast.KindInvalid},
 		{"absurd work", func(s *forecast.Summary) { s.Lanes[1].Running = math.MaxInt64 }, forecast.KindInvalid},
 		{"negative arrival", func(s *forecast.Summary) { s.Lanes[1].ArrivalMilli = -1 }, forecast.KindInvalid},
-		{"negative begun", func(s *forecast.Summary) { s.Lanes[1].Begun = -1 }, forecast.KindInvalid},
+		{"negative part that is not ready", func(s *forecast.Summary) { s.Lanes[1].NotReady = -1 }, forecast.KindInvalid},
 		{"missing bucket", func(s *forecast.Summary) { s.Lanes[1].Waiting = s.Lanes[1].Waiting[1:] }, forecast.KindInvalid},
 		{"lanes not sorted", func(s *forecast.Summary) { s.Lanes[1].Priority = 0 }, forecast.KindInvalid},
 		{"too many lanes", func(s *forecast.Summary) { s.Lanes = make([]forecast.Lane, 9) }, forecast.KindInvalid},
@@ -82,6 +82,7 @@
 		{"ratio not a number", func(s *forecast.Summary) { s.Queues[0].Ratio = math.NaN() }, forecast.KindInvalid},
 		{"infinite ratio", func(s *forecast.Summary) { s.Queues[0].Ratio = math.Inf(1) }, forecast.KindInvalid},
 		{"negative bias", func(s *forecast.Summary) { s.Queues[0].Bias = -1 }, forecast.KindInvalid},
+		{"negative low", func(s *forecast.Summary) { s.Queues[0].Low = -1 }, forecast.KindInvalid},
 		{"more than all approved", func(s *forecast.Summary) { s.Queues[0].Approved = 1.5 }, forecast.KindInvalid},
 		{"negative delay", func(s *forecast.Summary) { s.Queues[0].StartDelayMS = -1 }, forecast.KindInvalid},
 	}
--- a/internal/forecast/tracker.go
+++ b/internal/forecast/tracker.go
@@ -8,22 +8,37 @@
 	"time"
 )
 
-// This file addresses shards whose demand exceeds their capacity: jobs that have started and ended
-// show how far the model is off for their queue, and correct it.
+// This file addresses shards whose demand exceeds their capacity: jobs that have ended show how far
+// the model is off for their queue, and correct it.
 
 const (
 	// maxWeight bounds the weight of the past in a running mean, in observations.
 	maxWeight = 30
 	// minObservations is how many observations are needed before they are used.
 	minObservations = 5
-	// maxErrors is how many of the last errors are kept.
-	maxErrors = 100
-	// maxCorrection bounds the correction of a wait, in both directions: a larger one follows
+	// maxOutcomes is how many of the last jobs are kept for the errors and the correction.
+	maxOutcomes = 100
+	// maxBias bounds the correction of a wait by a factor, in both directions: a larger one follows
 	// from a fault, not from the model.
-	maxCorrection = 4.0
-	// minLearnedWait is the wait from which a forecast counts for the correction: the ratio of
-	// shorter waits says more about delays than about the capacity.
-	minLearnedWait = time.Second
+	maxBias = 4.0
+	// minLowOutcomes is how many jobs are needed to tell a tenth of them apart.
+	minLowOutcomes = 20
+	// maxLow keeps the optimistic end apart from the expected one while the backlog grows: the ends
+	// of the jobs that came first are forecast too early.
+	maxLow = 0.9
+	// biasPrior is the wait in seconds that counts as if the model had been right about it. Jobs
+	// that have ended waited less than those that come now if the backlog grows; without the prior,
+	// their ratio doubled the median error at twice the capacity (from 0.06 to 0.20).
+	biasPrior = 1000.0
+	// minBiasWait is the least wait whose ratio is learned: the ratio of a shorter one says more
+	// about delays than about the capacity.
+	minBiasWait = time.Second
+	// maxResidual bounds what one job adds to the delay that is learned, and maxUnseenResidual what
+	// a job does for which the model had no wait.
+	maxResidual       = 10 * time.Second
+	maxUnseenResidual = 2 * time.Second
+	// maxStartDelay bounds the delay that is learned.
+	maxStartDelay = 5 * time.Second
 )
 
 // mean is a running mean over about the last maxWeight observations.
@@ -47,83 +62,119 @@
 
 // Tracker learns the statistics of one queue. The zero value has observed nothing.
 type Tracker struct {
-	// tasks is run time / estimate of tasks, and runs (end - start) / critical path of jobs.
-	tasks, runs mean
-	// waited and modelled are the actual waits and those of the model, whose quotient corrects
-	// the model. delay is the wait of jobs for which the model had none.
-	waited, modelled, delay mean
-	// errors holds the last relative errors, the oldest at next once it is full.
-	errors []float64
-	next   int
-	p50    float64
-	p90    float64
+	// tasks is run time / estimate of tasks, and steps the same of the longest task of each step.
+	tasks, steps mean
+	// delay is how much longer jobs wait than by the model, in seconds.
+	delay mean
+	// outcomes holds the last jobs, the oldest at next once it is full.
+	outcomes            []outcome
+	next                int
+	bias, low, p50, p90 float64
 }
 
+// outcome is what became of a job: how long it waited, in seconds, how long it should have by the
+// model, the relative error of the forecast end, and the ratio of the actual end to it.
+type outcome struct{ waited, modelled, err, endRatio float64 }
+
 // Pending is the forecast of an accepted job, kept until its end.
 type Pending struct {
 	Job      Job
 	Estimate Estimate
-	// Wait is the wait by the model, without the learned correction.
+	// Wait is the wait by the model, without what was learned.
 	Wait time.Duration
-	// AcceptedAt is when the forecast was made, and StartedAt when the job started; zero: it has
-	// not.
-	AcceptedAt, StartedAt time.Time
+	// AcceptedAt is when the forecast was made.
+	AcceptedAt time.Time
 }
 
 // TaskEnded learns from the run time of a task compared to its estimate.
 func (t *Tracker) TaskEnded(ratio float64) { t.tasks.add(ratio) }
 
+// StepEnded learns from the run time of the longest task of a step compared to its estimate.
+func (t *Tracker) StepEnded(ratio float64) { t.steps.add(ratio) }
+
 // TaskRatio returns the mean ratio of the run time of tasks to their estimates.
 func (t *Tracker) TaskRatio() float64 { return t.tasks.or(1) }
 
-// Started learns from the first start of a job.
-func (t *Tracker) Started(p *Pending, now time.Time) {
-	p.StartedAt = now
-	waited := now.Sub(p.AcceptedAt)
-	switch {
-	case p.Wait >= minLearnedWait:
-		t.waited.add(waited.Seconds())
-		t.modelled.add(p.Wait.Seconds())
-	case p.Wait == 0:
-		t.delay.add(waited.Seconds())
+// stepRatio returns the mean ratio of the run time of steps to their estimates.
+func (t *Tracker) stepRatio() float64 { return t.steps.or(t.TaskRatio()) }
+
+// JobEnded learns from the success of a job for which there was a forecast.
+func (t *Tracker) JobEnded(p *Pending, now time.Time) {
+	took := max(now.Sub(p.AcceptedAt), time.Millisecond)
+	waited := max(0, took-scale(p.Job.CriticalPath, t.stepRatio()))
+	residual := min(maxResidual, max(-maxResidual, waited-p.Wait))
+	if p.Wait == 0 {
+		residual = min(residual, maxUnseenResidual)
+	}
+	t.delay.add(residual.Seconds())
+	t.add(outcome{
+		waited: waited.Seconds(), modelled: p.Wait.Seconds(),
+		err: math.Abs(float64(p.Estimate.End-took)) / float64(took), endRatio: float64(took) / float64(max(p.Estimate.End, time.Millisecond)),
+	})
+}
+
+func (t *Tracker) add(o outcome) {
+	if len(t.outcomes) < maxOutcomes {
+		t.outcomes = append(t.outcomes, o)
+	} else {
+		t.outcomes[t.next] = o
+		t.next = (t.next + 1) % maxOutcomes
 	}
+	t.bias = t.newBias()
+	errs := t.Errors()
+	slices.Sort(errs)
+	t.p50, t.p90 = Quantile(errs, 0.5), Quantile(errs, 0.9)
+	t.low = t.newLow()
 }
 
-// Ended learns from the success of a job.
-func (t *Tracker) Ended(p *Pending, now time.Time) {
-	if p.StartedAt.IsZero() || p.Job.CriticalPath <= 0 {
-		return
+// newLow returns the ratio of actual to forecast ends that a tenth of the last jobs stay below; 0
+// while there are too few.
+func (t *Tracker) newLow() float64 {
+	if len(t.outcomes) < minLowOutcomes {
+		return 0
 	}
-	t.runs.add(float64(now.Sub(p.StartedAt)) / float64(p.Job.CriticalPath))
-	if p.Estimate.Known {
-		took := max(now.Sub(p.AcceptedAt), time.Millisecond)
-		t.addError(math.Abs(float64(p.Estimate.End-took)) / float64(took))
+	ratios := make([]float64, len(t.outcomes))
+	for i, o := range t.outcomes {
+		ratios[i] = o.endRatio
 	}
+	slices.Sort(ratios)
+	return min(maxLow, Quantile(ratios, 0.1))
 }
 
-func (t *Tracker) addError(e float64) {
-	if len(t.errors) < maxErrors {
-		t.errors = append(t.errors, e)
-	} else {
-		t.errors[t.next] = e
-		t.next = (t.next + 1) % maxErrors
+// newBias returns the ratio of the waits of the last jobs, without the mean delay, to those of the
+// model.
+func (t *Tracker) newBias() float64 {
+	waited, modelled := biasPrior, biasPrior
+	delay := t.startDelay().Seconds()
+	for _, o := range t.outcomes {
+		if o.modelled >= minBiasWait.Seconds() {
+			waited += max(0, o.waited-delay)
+			modelled += o.modelled
+		}
 	}
-	sorted := slices.Sorted(slices.Values(t.errors))
-	t.p50, t.p90 = Quantile(sorted, 0.5), Quantile(sorted, 0.9)
+	return min(maxBias, max(1/maxBias, waited/modelled))
+}
+
+// startDelay returns how much longer jobs wait than by the model.
+func (t *Tracker) startDelay() time.Duration {
+	return min(maxStartDelay, max(0, seconds(t.delay.or(0))))
 }
 
 // Errors returns the relative errors of the forecast ends of the last 100 jobs, in no order.
-func (t *Tracker) Errors() []float64 { return slices.Clone(t.errors) }
+func (t *Tracker) Errors() []float64 {
+	errs := make([]float64, len(t.outcomes))
+	for i, o := range t.outcomes {
+		errs[i] = o.err
+	}
+	return errs
+}
 
-// Stats returns what was learned about the queue, rounded to what a summary needs.
+// Stats returns what was learned about the queue, rounded to what a summary needs. approved is the
+// fraction of workers that advice approves.
 func (t *Tracker) Stats(queue string, approved float64) QueueStats {
-	bias := 1.0
-	if modelled := t.modelled.or(0); modelled > 0 {
-		bias = min(maxCorrection, max(1/maxCorrection, t.waited.value/modelled))
-	}
 	return QueueStats{
-		Queue: queue, Ratio: round(t.runs.or(t.TaskRatio())), Approved: round(approved), Bias: round(bias),
-		StartDelayMS: int64(1000 * t.delay.or(0)), ErrorP50: round(t.p50), ErrorP90: round(t.p90),
+		Queue: queue, Ratio: round(t.stepRatio()), Approved: round(approved), Bias: round(t.bias), Low: round(t.low),
+		StartDelayMS: t.startDelay().Milliseconds(), ErrorP50: round(t.p50), ErrorP90: round(t.p90),
 	}
 }
 
--- a/internal/forecast/validate.go
+++ b/internal/forecast/validate.go
@@ -43,7 +43,9 @@
 func (l *Lane) validate(v *validator) {
 	v.check("waiting", len(l.Waiting) == len(DueBounds)+1, "must have "+strconv.Itoa(len(DueBounds)+1)+" buckets")
 	v.figure("running", float64(l.Running))
-	v.figure("begun", float64(l.Begun))
+	v.figure("later", float64(l.NotReady))
+	v.figure("latest", float64(l.LatestMS))
+	v.figure("due", float64(l.DueMS))
 	v.figure("arrival", float64(l.ArrivalMilli))
 	for _, work := range l.Waiting {
 		v.figure("waiting", float64(work))
@@ -57,6 +59,7 @@
 	v.check("approved", q.Approved <= 1, "must not exceed 1")
 	v.figure("delay_ms", float64(q.StartDelayMS))
 	v.figure("bias", q.Bias)
+	v.figure("low", q.Low)
 	v.figure("p50", q.ErrorP50)
 	v.figure("p90", q.ErrorP90)
 }
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -54,12 +54,14 @@
 // arrivalDecay.
 type arrivals struct {
 	work float64
-	at   time.Time
+	// due is the sum of work x due time in seconds from its acceptance.
+	due float64
+	at  time.Time
 }
 
 func (a *arrivals) decay(now time.Time) {
-	a.work *= math.Exp(-float64(now.Sub(a.at)) / float64(arrivalDecay))
-	a.at = now
+	by := math.Exp(-float64(now.Sub(a.at)) / float64(arrivalDecay))
+	a.work, a.due, a.at = a.work*by, a.due*by, now
 }
 
 // rate returns the work accepted per second, in milli-CPU, of an owner that began at a time.
@@ -71,6 +73,7 @@
 
 // Forecast returns the summary of the shard and its age, or nil while it is unknown.
 func (s *Shard) Forecast(now time.Time) (summary *forecast.Summary, age time.Duration) {
+	s.updateForecast(now)
 	return s.forecasts.summary, now.Sub(s.forecasts.builtAt)
 }
 
@@ -132,7 +135,9 @@
 			delete(s.forecasts.arrivals, priority)
 			continue
 		}
-		lanes.of(priority).ArrivalMilli += rate
+		lane := lanes.of(priority)
+		lane.ArrivalMilli += rate
+		lane.DueMS = max(0, int64(1000*a.due/a.work))
 	}
 	return lanes.sorted()
 }
@@ -157,11 +162,14 @@
 				continue
 			}
 			work += left * st.taskWork(ratio)
+			if !st.ready(now) {
+				lane.NotReady += left * st.taskWork(ratio)
+			}
 		}
 	}
-	lane.Waiting[dueBucket(j.forecastDue().Sub(now))] += work
-	if j.begun {
-		lane.Begun += work
+	if due := j.forecastDue().Sub(now); work > 0 {
+		lane.Waiting[dueBucket(due)] += work
+		lane.LatestMS = max(lane.LatestMS, due.Milliseconds())
 	}
 }
 
@@ -178,9 +186,8 @@
 		lane.Running += int64(s.remainingTime(now, r).Seconds() * float64(st.spec.Allocation().CPUMilli))
 	}
 	if r.task.runs[0] == r {
-		work := st.taskWork(s.taskRatio(j.spec.Queue))
 		bucket := &lane.Waiting[dueBucket(j.forecastDue().Sub(now))]
-		*bucket, lane.Begun = max(0, *bucket-work), max(0, lane.Begun-work)
+		*bucket = max(0, *bucket-st.taskWork(s.taskRatio(j.spec.Queue)))
 	}
 }
 
@@ -227,7 +234,9 @@
 	slices.SortFunc(list, func(a, b forecast.Lane) int { return cmp.Compare(a.Priority, b.Priority) })
 	for len(list) > forecast.MaxLanes {
 		last, into := list[len(list)-1], &list[len(list)-2]
-		into.Running, into.Begun, into.ArrivalMilli = into.Running+last.Running, into.Begun+last.Begun, into.ArrivalMilli+last.ArrivalMilli
+		into.Running, into.ArrivalMilli = into.Running+last.Running, into.ArrivalMilli+last.ArrivalMilli
+		into.DueMS = max(into.DueMS, last.DueMS)
+		into.NotReady, into.LatestMS = into.NotReady+last.NotReady, max(into.LatestMS, last.LatestMS)
 		for i, work := range last.Waiting {
 			into.Waiting[i] += work
 		}
@@ -309,23 +318,32 @@
 		s.forecasts.arrivals[j.rank.Priority] = a
 	}
 	a.decay(now)
-	ratio := s.taskRatio(j.spec.Queue)
+	ratio, work := s.taskRatio(j.spec.Queue), 0.0
 	for st := range j.steps() {
-		a.work += float64(int64(len(st.tasks)-st.done) * st.taskWork(ratio))
+		work += float64(int64(len(st.tasks)-st.done) * st.taskWork(ratio))
 	}
+	a.work, a.due = a.work+work, a.due+work*j.forecastDue().Sub(now).Seconds()
 }
 
-// forecastStarted learns from the first start of a job.
-func (s *Shard) forecastStarted(now time.Time, j *job) {
-	if j.forecast != nil {
-		s.forecasts.tracker(now, j.spec.Queue).Started(j.forecast, now)
+// learnStepTime records how long the longest task of a finished step took compared to its
+// estimate.
+func (s *Shard) learnStepTime(now time.Time, st *step) {
+	if st.done < len(st.tasks) || st.spec.EstimateMS <= 0 || st.spec.LongRunning {
+		return
+	}
+	longest := time.Duration(0)
+	for _, t := range st.tasks {
+		longest = max(longest, t.runTime)
+	}
+	if longest > 0 {
+		s.forecasts.tracker(now, st.job.spec.Queue).StepEnded(float64(longest) / float64(st.estimate()))
 	}
 }
 
 // forecastEnded learns from the end of a job.
 func (s *Shard) forecastEnded(now time.Time, j *job) {
 	if j.forecast != nil && j.state == cluster.StateSucceeded {
-		s.forecasts.tracker(now, j.spec.Queue).Ended(j.forecast, now)
+		s.forecasts.tracker(now, j.spec.Queue).JobEnded(j.forecast, now)
 	}
 	j.forecast = nil
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -341,6 +341,7 @@
 	st.job.tasksLeft--
 	s.counts.Done++
 	s.markChanged(st.job)
+	s.learnStepTime(now, st)
 	for _, r := range t.runs {
 		if !st.spec.Gang {
 			s.stop(now, r, "another copy has succeeded")
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -115,7 +115,6 @@
 	if j := t.step.job; !j.begun {
 		j.begun = true
 		s.markChanged(j)
-		s.forecastStarted(now, j)
 	}
 	return r
 }
