forecast: failure tests, bounds of absurd figures, cost and size of a summary

An absurd estimate of one job, a name that is too long or a ninth priority would have made nodes discard the whole summary. The owner bounds its figures now, and an overflow no longer makes a full shard look empty.

--- a/internal/cell/forecasts.go
+++ b/internal/cell/forecasts.go
@@ -30,6 +30,8 @@
 	Summary *forecast.Summary
 	// Age is the time since the summary was received, or built if the shard is owned here.
 	Age time.Duration
+	// Local is set if the shard is owned here.
+	Local bool
 }
 
 // ShardForecasts returns the latest summaries of shards, in their order. refreshLoads makes the
@@ -39,6 +41,7 @@
 	for _, shard := range shards {
 		f := ShardForecast{Shard: shard}
 		if o := n.local(shard); o != nil {
+			f.Local = true
 			f.Summary, f.Age = o.Forecast()
 		} else {
 			rec, _ := n.owner(shard)
--- a/internal/forecast/codec.go
+++ b/internal/forecast/codec.go
@@ -20,7 +20,7 @@
 		if excess <= 0 || len(short.Queues) == 0 {
 			return data, nil
 		}
-		short.Queues = short.Queues[:max(0, len(short.Queues)-max(1, excess/maxQueueName))]
+		short.Queues = short.Queues[:max(0, len(short.Queues)-max(1, excess/MaxQueueName))]
 	}
 }
 
--- a/internal/forecast/estimate.go
+++ b/internal/forecast/estimate.go
@@ -17,6 +17,8 @@
 	// absorbTime is within which time free capacity takes ready work: work that waits for advice
 	// or for an answer to its start does not show that capacity is short.
 	absorbTime = time.Second
+	// maxForecast bounds the forecast times, so that absurd figures don't overflow them.
+	maxForecast = 1000 * time.Hour
 	// assumedLow is QueueStats.Low of a queue of which nothing is known; where it was measured, it
 	// was 0.8 to 0.9.
 	assumedLow = 0.7
@@ -75,7 +77,9 @@
 			a.waiting, a.ready = a.waiting+l.total(), a.ready+l.ready()
 		case l.Priority == j.Priority:
 			a.waiting, a.ready = a.waiting+l.dueBefore(j.Due), a.ready+l.ready()
-			a.overtaking, a.overtakingFor = float64(l.ArrivalMilli), max(0, j.Due-time.Duration(l.DueMS)*time.Millisecond)
+			if l.DueMS > 0 {
+				a.overtaking, a.overtakingFor = float64(l.ArrivalMilli), max(0, j.Due-time.Duration(l.DueMS)*time.Millisecond)
+			}
 		}
 	}
 	return a
@@ -153,6 +157,10 @@
 	return x
 }
 
-func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+// scale returns a multiple of a duration, up to maxForecast.
+func scale(d time.Duration, by float64) time.Duration { return seconds(d.Seconds() * by) }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// seconds returns a duration, up to maxForecast.
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, maxForecast.Seconds()) * float64(time.Second))
+}
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -80,44 +80,55 @@
 	Queues []QueueStats `json:"queues,omitempty"`
 }
 
-// Lane is the remaining work of one priority, in milli-CPU x seconds.
+// Lane is the remaining work of one priority, in milli-CPU x seconds. The names of its fields are
+// short in JSON, as those of QueueStats, so that a summary fits in MaxEncoded.
 type Lane struct {
 	Priority int `json:"p"`
 	// Running is the remaining work of runs.
-	Running int64 `json:"running"`
+	Running int64 `json:"r"`
 	// Waiting is the remaining work of accepted jobs that does not run yet, by due time from
 	// now, in buckets bounded by DueBounds.
-	Waiting []int64 `json:"waiting"`
+	Waiting []int64 `json:"w"`
 	// NotReady is the part of Waiting whose steps wait for the end of earlier ones, and not for
 	// capacity.
-	NotReady int64 `json:"later,omitempty"`
+	NotReady int64 `json:"n,omitempty"`
 	// LatestMS is the latest due time of the waiting work, in milliseconds from now.
-	LatestMS int64 `json:"latest,omitempty"`
-	// DueMS is the mean due time of the work when it is accepted, in milliseconds from then.
-	DueMS int64 `json:"due,omitempty"`
+	LatestMS int64 `json:"l,omitempty"`
+	// DueMS is the mean due time of the work when it is accepted, in milliseconds from then; 0 means
+	// that it is unknown.
+	DueMS int64 `json:"d,omitempty"`
 	// ArrivalMilli is the work accepted per second, decayed over 10 s, in milli-CPU. Long-running
 	// tasks count with the CPU that they occupy.
-	ArrivalMilli int64 `json:"arrival"`
+	ArrivalMilli int64 `json:"a"`
+}
+
+// Bound reduces figures above MaxFigure, by which the whole summary would be discarded.
+func (l *Lane) Bound() {
+	l.Running, l.NotReady, l.ArrivalMilli = min(l.Running, MaxFigure), min(l.NotReady, MaxFigure), min(l.ArrivalMilli, MaxFigure)
+	l.LatestMS, l.DueMS = min(l.LatestMS, MaxFigure), min(l.DueMS, MaxFigure)
+	for i, work := range l.Waiting {
+		l.Waiting[i] = min(work, MaxFigure)
+	}
 }
 
 // QueueStats holds the learned statistics of a queue.
 type QueueStats struct {
-	Queue string `json:"queue"`
+	Queue string `json:"q"`
 	// Ratio is the running mean of run time / estimate, of the longest task of each step.
-	Ratio float64 `json:"ratio"`
+	Ratio float64 `json:"r"`
 	// Approved is the fraction of workers that the advice service approves.
-	Approved float64 `json:"approved"`
+	Approved float64 `json:"a"`
 	// StartDelayMS is the mean delay of the starts of a job's chain of steps beyond the wait for
 	// capacity (advice, messages).
-	StartDelayMS int64 `json:"delay_ms"`
+	StartDelayMS int64 `json:"d"`
 	// Bias is the mean ratio of the actual wait to that of the model; 0 means that it is unknown.
-	Bias float64 `json:"bias"`
+	Bias float64 `json:"b"`
 	// Low is the ratio of the actual to the forecast end that a tenth of jobs stay below; 0 means
 	// that it is unknown.
-	Low float64 `json:"low"`
+	Low float64 `json:"l"`
 	// ErrorP50 and ErrorP90 are quantiles of the relative error of the forecast end.
-	ErrorP50 float64 `json:"p50"`
-	ErrorP90 float64 `json:"p90"`
+	ErrorP50 float64 `json:"e50"`
+	ErrorP90 float64 `json:"e90"`
 }
 
 // Estimate is the forecast for a job.
--- a/internal/forecast/job.go
+++ b/internal/forecast/job.go
@@ -30,17 +30,17 @@
 
 // FromJob returns the properties of a job that arrives now, by its specification and policy.
 func FromJob(j *cluster.Job) Job {
-	f := Job{Queue: j.Queue, Priority: j.Policy.Priority}
+	f, work := Job{Queue: j.Queue, Priority: j.Policy.Priority}, 0.0
 	for i := range j.Steps {
 		st := &j.Steps[i]
 		milli := int64(st.Count) * st.Allocation().CPUMilli
 		f.WidestMilli = max(f.WidestMilli, milli)
-		f.WorkMilliSec += milli * st.EstimateMS / 1000
+		work += float64(milli) * estimate(st).Seconds()
 	}
-	f.WorkMilliSec *= int64(max(1, j.Repeats))
+	f.WorkMilliSec = int64(min(MaxFigure, work*float64(max(1, j.Repeats))))
 	f.CriticalPath = criticalPath(j.Steps)
 	// A job can't end before its critical path, so the scheduler counts a smaller stretch as 1.
-	f.Due = time.Duration(float64(f.CriticalPath)*max(1, j.Policy.Stretch)) + time.Duration(j.Policy.TargetMS)*time.Millisecond
+	f.Due = scale(f.CriticalPath, max(1, j.Policy.Stretch)) + seconds(float64(j.Policy.TargetMS)/1000)
 	if j.Policy.Stretch > 0 || j.Policy.TargetMS > 0 {
 		f.Objective = f.Due
 	}
@@ -50,6 +50,11 @@
 	return f
 }
 
+// estimate returns the estimated run time of a task of a step.
+func estimate(st *cluster.Step) time.Duration {
+	return seconds(max(0, float64(st.EstimateMS)/1000))
+}
+
 // criticalPath returns the longest chain of dependent steps by their estimates.
 func criticalPath(steps []cluster.Step) (longest time.Duration) {
 	ends := make([]time.Duration, len(steps))
@@ -57,7 +62,7 @@
 		for _, k := range steps[i].After {
 			ends[i] = max(ends[i], ends[k])
 		}
-		ends[i] += time.Duration(steps[i].EstimateMS) * time.Millisecond
+		ends[i] = min(maxForecast, ends[i]+estimate(&steps[i]))
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/internal/forecast/tracker.go
+++ b/internal/forecast/tracker.go
@@ -37,6 +37,8 @@
 	// a job does for which the model had no wait.
 	maxResidual       = 10 * time.Second
 	maxUnseenResidual = 2 * time.Second
+	// maxStatistic bounds each learned figure of a summary.
+	maxStatistic = 1000
 	// maxStartDelay bounds the delay that is learned.
 	maxStartDelay = 5 * time.Second
 )
@@ -178,8 +180,8 @@
 	}
 }
 
-// round rounds to two decimals, which bounds the size of a summary.
-func round(x float64) float64 { return math.Round(100*x) / 100 }
+// round rounds to two decimals and bounds a figure, which bounds the size of a summary.
+func round(x float64) float64 { return math.Round(100*min(x, maxStatistic)) / 100 }
 
 // Quantile returns a quantile of sorted values; 0 if there are none.
 func Quantile(sorted []float64, q float64) float64 {
--- a/internal/forecast/validate.go
+++ b/internal/forecast/validate.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// maxFigure bounds each figure of a summary: 1e12 milli-CPU x seconds are the work of ten
+	// MaxFigure bounds each figure of a summary: 1e12 milli-CPU x seconds are the work of ten
 	// million cores in 100 s.
-	maxFigure = 1e12
-	// maxQueueName bounds the name of a queue in a summary.
-	maxQueueName = 256
+	MaxFigure = 1_000_000_000_000
+	// MaxQueueName bounds the name of a queue in a summary, in bytes.
+	MaxQueueName = 256
 )
 
 // Validate checks a summary and names the first field that is not valid. A summary that is not
@@ -53,7 +53,7 @@
 }
 
 func (q *QueueStats) validate(v *validator) {
-	v.check("queue", len(q.Queue) <= maxQueueName, "name is too long")
+	v.check("queue", len(q.Queue) <= MaxQueueName, "name is too long")
 	v.figure("ratio", q.Ratio)
 	v.figure("approved", q.Approved)
 	v.check("approved", q.Approved <= 1, "must not exceed 1")
@@ -73,9 +73,9 @@
 	}
 }
 
-// figure checks that x is a number from 0 to maxFigure.
+// figure checks that x is a number from 0 to MaxFigure.
 func (v *validator) figure(field string, x float64) {
-	v.check(field, x >= 0 && x <= maxFigure, "must be from 0 to 1e12: "+strconv.FormatFloat(x, 'g', 4, 64))
+	v.check(field, x >= 0 && x <= MaxFigure, "must be from 0 to 1e12: "+strconv.FormatFloat(x, 'g', 4, 64))
 }
 
 func (v *validator) result() error {
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -62,6 +62,16 @@
 	}
 }
 
+// endOneRunEach ends one run on each worker.
+func (f *fullShard) endOneRunEach() {
+	for id, list := range f.running {
+		seq, _, _, _ := f.BeginHold(f.now, id)
+		end := cluster.RunEnd{N: 1, Task: list[0].Task, Run: list[0].Run, Outcome: cluster.OutcomeDone}
+		f.running[id] = list[1:]
+		f.Observe(f.now, id, seq, cluster.Report{ClockMS: f.now.UnixMilli(), Running: list[1:], Ended: []cluster.RunEnd{end}})
+	}
+}
+
 // run measures scheduling rounds, with reports of all workers each 0.5 s between them.
 func (f *fullShard) run(b *testing.B) {
 	for b.Loop() {
@@ -87,3 +97,31 @@
 	const workers, jobs = 280, 520
 	newFullShard(b, workers, jobs, func(*scheduler.Shard, int, *cluster.Job) {}, func(*scheduler.Shard, time.Time) {}).run(b)
 }
+
+// maxSummaryTime bounds the time in which the summary is built: ten times a second, it is half a
+// percent of a processor.
+const maxSummaryTime = 500 * time.Microsecond
+
+// BenchmarkSummary measures how long the summary of a full shard of 192 workers with 400 jobs of 30
+// tasks takes, and fails above maxSummaryTime.
+func BenchmarkSummary(b *testing.B) {
+	const workers, jobs, tasksPerStep, queues = 192, 400, 15, 32
+	f := newFullShard(b, workers, jobs, func(_ *scheduler.Shard, i int, j *cluster.Job) {
+		first := tasks(tasksPerStep, 4500)
+		first.EstimateMS = 6000
+		second := first
+		second.After = []int{0}
+		j.Queue, j.Steps, j.Policy.Priority = fmt.Sprintf("q%d", i/8%queues), []cluster.Step{first, second}, i%8
+	}, func(*scheduler.Shard, time.Time) {})
+	f.endOneRunEach()
+	b.ReportAllocs()
+	for b.Loop() {
+		f.now = f.now.Add(100 * time.Millisecond)
+		if s, _ := f.Forecast(f.now); s == nil || len(s.Queues) != queues || len(s.Lanes) != 8 {
+			b.Fatalf("summary %+v, want %d queues and 8 priorities", s, queues)
+		}
+	}
+	if each := b.Elapsed() / time.Duration(b.N); each > maxSummaryTime {
+		b.Errorf("building a summary takes %v, want %v at most", each, maxSummaryTime)
+	}
+}
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -23,11 +23,11 @@
 	// minArrivalTime is the least time over which the work that arrived is averaged, so that the
 	// first job after a takeover does not look like a high rate.
 	minArrivalTime = time.Second
+	// maxTaskWork bounds the work of a task in milli-CPU x seconds: 16 cores for a week. An estimate
+	// may be absurd, and the work of all tasks must not overflow.
+	maxTaskWork = 1e10
 	// maxTrackers bounds the queues of which statistics are kept.
 	maxTrackers = 256
-	// maxArrivalAge is the age from which a job counts as one that an earlier owner accepted: it
-	// says nothing about the present rate.
-	maxArrivalAge = 5 * time.Second
 )
 
 // forecasts is what the shard knows for forecasts.
@@ -60,7 +60,7 @@
 }
 
 func (a *arrivals) decay(now time.Time) {
-	by := math.Exp(-float64(now.Sub(a.at)) / float64(arrivalDecay))
+	by := math.Exp(-float64(max(0, now.Sub(a.at))) / float64(arrivalDecay))
 	a.work, a.due, a.at = a.work*by, a.due*by, now
 }
 
@@ -194,7 +194,8 @@
 // taskWork returns the work of one task of the step in milli-CPU x seconds, if run times are the
 // given multiple of the estimates.
 func (st *step) taskWork(ratio float64) int64 {
-	return int64(float64(st.spec.Allocation().CPUMilli) * ratio * st.estimate().Seconds())
+	work := float64(st.spec.Allocation().CPUMilli) * ratio * float64(st.spec.EstimateMS) / 1000
+	return int64(min(maxTaskWork, max(0, work)))
 }
 
 // forecastDue returns the due time by which the job takes its turn: what is beyond its team's
@@ -229,6 +230,7 @@
 func (l laneSet) sorted() []forecast.Lane {
 	list := make([]forecast.Lane, 0, len(l))
 	for _, lane := range l {
+		lane.Bound()
 		list = append(list, *lane)
 	}
 	slices.SortFunc(list, func(a, b forecast.Lane) int { return cmp.Compare(a.Priority, b.Priority) })
@@ -247,7 +249,7 @@
 
 // queueStats returns the statistics of the queues that were used last, the latest first.
 func (s *Shard) queueStats() []forecast.QueueStats {
-	names := s.forecasts.queuesByUse()
+	names := slices.DeleteFunc(s.forecasts.queuesByUse(), func(queue string) bool { return len(queue) > forecast.MaxQueueName })
 	list := make([]forecast.QueueStats, 0, min(len(names), forecast.MaxQueues))
 	for _, queue := range names[:min(len(names), forecast.MaxQueues)] {
 		list = append(list, s.forecasts.trackers[queue].Stats(queue, min(1, s.approvalRates[queue])))
@@ -297,9 +299,7 @@
 	if f.Priority == longRunningPriority || j.spec.Repeats > 0 || j.inherited || j.begun {
 		return
 	}
-	if now.Sub(time.UnixMilli(j.spec.AcceptedMS)) < maxArrivalAge || j.spec.AcceptedMS == 0 {
-		s.countArrival(now, j)
-	}
+	s.countArrival(now, j)
 	f.Due = j.rank.Due.Sub(now)
 	if s.forecasts.summary == nil || j.rank.BeyondWeight || !j.spec.Share.Whole() || f.CriticalPath <= 0 {
 		return
--- a/internal/scheduler/forecast_test.go
+++ b/internal/scheduler/forecast_test.go
@@ -4,12 +4,15 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/forecast"
+	"switchbank.example/switchbank/internal/resource"
 )
 
 const (
@@ -24,7 +27,6 @@
 	// until when they must have ended.
 	overloadTime    = 60 * time.Second
 	maxOverloadTime = 400 * time.Second
-	overloadSeeds   = uint64(3)
 )
 
 // forecastErrors runs overloaded shards with several seeds and returns the sorted relative errors
@@ -33,7 +35,7 @@
 func forecastErrors(t *testing.T, demand float64, warmUp time.Duration, change func(o *overload)) (errs []float64, sooner float64) {
 	var mu sync.Mutex
 	t.Run("seeds", func(t *testing.T) {
-		for seed := range overloadSeeds {
+		for seed := uint64(1); seed <= overloadSeeds; seed++ {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
 				o := newOverload(t, seed, demand)
@@ -73,7 +75,7 @@
 // be refused that end in time, or accepted that end too late to be of use.
 func TestForecastUnderOverload(t *testing.T) {
 	if testing.Short() {
-		t.Skip("simulates nine overloaded shards for minutes of virtual time")
+		t.Skip("simulates overloaded shards for minutes of virtual time")
 	}
 	for _, demand := range []float64{1.05, 1.5, 2} {
 		t.Run(fmt.Sprint(demand), func(t *testing.T) {
@@ -91,7 +93,7 @@
 // are too low, or too high, by half, which the owner has to learn within the first jobs.
 func TestForecastWithWrongEstimates(t *testing.T) {
 	if testing.Short() {
-		t.Skip("simulates six overloaded shards for minutes of virtual time")
+		t.Skip("simulates overloaded shards for minutes of virtual time")
 	}
 	const demand, warmUp = 1.5, 15 * time.Second
 	for _, ratio := range []float64{0.5, 1.5} {
@@ -102,3 +104,153 @@
 		})
 	}
 }
+
+// summary returns the summary of the rig's shard.
+func (r *rig) summary() *forecast.Summary {
+	s, _ := r.shard.Forecast(r.now)
+	return s
+}
+
+// TestForecastUnknownDuringTakeover guards against a new owner that reports an empty shard while it
+// does not know yet what runs there.
+func TestForecastUnknownDuringTakeover(t *testing.T) {
+	r := newRig(t, 3)
+	r.upsertWorkers()
+	if s := r.summary(); s != nil {
+		t.Errorf("before any worker has answered: %+v, want none", *s)
+	}
+	r.runFor(time.Second)
+	if s := r.summary(); s == nil || s.Epoch != 1 || s.CapacityMilli != 12_000 {
+		t.Errorf("after all workers have answered: %+v", s)
+	}
+	r.workers["w2"].silent = true
+	r.takeOver()
+	r.upsertWorkers()
+	r.runFor(time.Second)
+	if s := r.summary(); s != nil {
+		t.Errorf("the owner was replaced and a worker has not answered: %+v, want none", *s)
+	}
+	r.workers["w2"].silent = false
+	r.runFor(time.Second)
+	if s := r.summary(); s == nil || s.Epoch != 2 {
+		t.Errorf("the new owner knows all workers: %+v, want its epoch 2", s)
+	}
+}
+
+// TestForecastWithoutWorkers guards against a summary without capacity, which no node accepts.
+func TestForecastWithoutWorkers(t *testing.T) {
+	r := newRig(t, 0)
+	r.runFor(time.Second)
+	if s := r.summary(); s != nil {
+		t.Errorf("a shard without workers: %+v, want none", *s)
+	}
+}
+
+// TestSummaryOfWork guards against work that is counted twice, or not at all, while it waits, runs
+// and has ended.
+func TestSummaryOfWork(t *testing.T) {
+	r := newRig(t, 2)
+	r.upsertWorkers()
+	r.runFor(time.Second)
+	second := tasks(2, 4000)
+	second.After = []int{0}
+	j := batch("j", tasks(3, 4000), second)
+	j.AcceptedMS = r.now.UnixMilli()
+	r.shard.AddJob(r.now, j, nil, false)
+	serving := batch("s", cluster.Step{Count: 1, Need: resource.Amount{MemoryMB: 100}, BestEffortCPU: true, LongRunning: true})
+	r.shard.AddJob(r.now, serving, nil, false)
+	r.runFor(200 * time.Millisecond)
+	s := r.summary()
+	lane := s.Lanes[len(s.Lanes)-1]
+	waiting := int64(0)
+	for _, work := range lane.Waiting {
+		waiting += work
+	}
+	if lane.Priority != 2 || waiting != 3*4000 || lane.NotReady != 2*4000 || lane.Running <= 0 || lane.Running > 2*4000 || s.FreeMilli != 0 {
+		t.Errorf("two of three tasks run: %+v, free %d; want 3 waiting tasks, two of them not ready", lane, s.FreeMilli)
+	}
+	if lane.ArrivalMilli <= 0 || lane.DueMS != 4000 {
+		t.Errorf("accepted work: %d milli-CPU due in %d ms, want some, due in 4000 ms", lane.ArrivalMilli, lane.DueMS)
+	}
+	for range 3 {
+		r.endAllRuns(cluster.OutcomeDone)
+		r.runFor(300 * time.Millisecond)
+	}
+	lane = r.summary().Lanes[len(r.summary().Lanes)-1]
+	for _, work := range append(lane.Waiting, lane.Running, lane.NotReady) {
+		if work != 0 {
+			t.Errorf("the job has ended: %+v, want no work", lane)
+			break
+		}
+	}
+}
+
+// TestForecastErrorsOfJobs guards against errors that are counted for jobs without a forecast: those
+// that were cancelled, and those that an earlier owner accepted.
+func TestForecastErrorsOfJobs(t *testing.T) {
+	r := newRig(t, 2)
+	r.upsertWorkers()
+	r.runFor(time.Second)
+	for _, id := range []string{"done", "cancelled"} {
+		j := batch(id, tasks(1, 1000))
+		j.AcceptedMS = r.now.UnixMilli()
+		r.shard.AddJob(r.now, j, nil, false)
+	}
+	inherited := batch("inherited", tasks(1, 1000))
+	r.shard.AddJob(r.now, inherited, nil, true)
+	r.runFor(time.Second)
+	r.shard.EndJob(r.now, "cancelled", cluster.StateCancelled)
+	r.endAllRuns(cluster.OutcomeDone)
+	r.runFor(time.Second)
+	if errs := r.shard.ForecastErrors()["q"]; len(errs) != 1 || errs[0] > 0.2 {
+		t.Errorf("errors %v, want one small error, of the job that succeeded", errs)
+	}
+}
+
+// TestSummaryOfAbsurdJobs guards against a summary that is discarded, for all queues, because of
+// jobs whose estimates or objectives are absurd.
+func TestSummaryOfAbsurdJobs(t *testing.T) {
+	r := newRig(t, 2)
+	r.upsertWorkers()
+	r.runFor(time.Second)
+	for i, estimateMS := range []int64{math.MaxInt64, 1e15, 0, -1e15, math.MinInt64} {
+		step := tasks(100, 4000)
+		step.EstimateMS = estimateMS
+		second := step
+		second.After = []int{0}
+		j := batch(fmt.Sprint("j", i), step, second)
+		j.Policy.Priority, j.Policy.TargetMS = i, estimateMS
+		r.shard.AddJob(r.now, j, nil, false)
+		r.runFor(time.Second)
+		if err := r.summary().Validate(); err != nil {
+			t.Errorf("with estimates of %d ms: %v", estimateMS, err)
+		}
+	}
+}
+
+// TestSummaryOfManyPriorities guards against a summary that is discarded since jobs have more
+// priorities than it holds.
+func TestSummaryOfManyPriorities(t *testing.T) {
+	r := newRig(t, 2)
+	r.upsertWorkers()
+	r.runFor(time.Second)
+	const jobs = 12
+	for i := range jobs {
+		j := batch(fmt.Sprint("j", i), tasks(10, 4000))
+		j.Policy.Priority = i
+		r.shard.AddJob(r.now, j, nil, false)
+	}
+	r.runFor(200 * time.Millisecond)
+	s, work := r.summary(), int64(0)
+	if err := s.Validate(); err != nil {
+		t.Error(err)
+	}
+	for _, l := range s.Lanes {
+		for _, w := range l.Waiting {
+			work += w
+		}
+	}
+	if want := int64(jobs*10-2) * 4000; len(s.Lanes) != forecast.MaxLanes || work != want {
+		t.Errorf("%d priorities with %d milli-CPU x s of waiting work, want %d with %d", len(s.Lanes), work, forecast.MaxLanes, want)
+	}
+}
--- a/internal/scheduler/searchseedsrace_test.go
+++ b/internal/scheduler/searchseedsrace_test.go
@@ -7,3 +7,6 @@
 // defaultSeeds is lower under the race detector: each seed takes ten times as long there and
 // runs in one goroutine, in which there are no races to find.
 const defaultSeeds = 40
+
+// overloadSeeds is lower for the same reason.
+const overloadSeeds = uint64(1)
--- a/matrix/site/env_test.go
+++ b/matrix/site/env_test.go
@@ -90,6 +90,7 @@
 
 type runningNode struct {
 	name string
+	cell *cell.Node
 	stop context.CancelFunc
 	done chan struct{}
 }
@@ -188,7 +189,7 @@
 		Listen: func(_ context.Context, _, address string) (net.Listener, error) { return env.net.Listen(address), nil },
 	})
 	ctx, stop := context.WithCancel(env.t.Context())
-	node := &runningNode{name: name, stop: stop, done: make(chan struct{})}
+	node := &runningNode{name: name, cell: n, stop: stop, done: make(chan struct{})}
 	env.mu.Lock()
 	env.nodes[name] = node
 	env.mu.Unlock()
