--- a/Makefile
+++ b/Makefile
@@ -78,6 +78,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzContact -fuzztime $(FUZZTIME) ./internal/worker
 	$(GO) test -run '^$$' -fuzz FuzzRows -fuzztime $(FUZZTIME) ./platform
 	$(GO) test -run '^$$' -fuzz FuzzEntries -fuzztime $(FUZZTIME) ./platform
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/forecast
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
