--- a/internal/cell/ping.go
+++ b/internal/cell/ping.go
@@ -144,6 +144,7 @@
 	if reply.PartsAway > 0 {
 		p.n.store.parts.suspect()
 	}
+	p.n.receiveForecasts(reply)
 	p.n.learnEvacuations(reply.Evacuations, reply.Me.Name)
 	p.n.fetchNewerConfig(reply)
 	return reply, nil
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -142,6 +142,7 @@
 	DirectoryDirect    = zap.String(Field, "SB1726")
 	ConfigDirect       = zap.String(Field, "SB1727")
 	StorePartAway      = zap.String(Field, "SB1730")
+	ForecastDiscarded  = zap.String(Field, "SB1728")
 )
 
 // LogLinesDropped is written by the log's writer itself, not through the logger.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -196,6 +196,7 @@
 	ordering   ordering
 	// startSpreads are the learned times between the first and the last start of a step.
 	startSpreads map[stepKind]*meanSpread
+	forecasts    forecasts
 }
 
 // runKey identifies a run.
@@ -220,7 +221,7 @@
 		params: params, log: log, startedAt: now,
 		workers: make(map[string]*worker), incarnations: make(map[string]*incarnationHistory), inDoubt: make(map[string][]*run), jobs: make(map[string]*job), runs: make(map[runKey]*run),
 		dirty: make(map[string]*job), movedAway: make(map[string]movedJob), takeover: takeover{open: true, jobsLoadedAt: now},
-		approvalRates: make(map[string]float64), ratios: make(map[stepKind]*ratio), kindSpeeds: make(map[string]*kindSpeed), load: unknownLoad,
+		approvalRates: make(map[string]float64), ratios: make(map[stepKind]*ratio), kindSpeeds: make(map[string]*kindSpeed), load: unknownLoad, forecasts: newForecasts(),
 		teams: make(map[string]*teamState), ledger: quota.NewLedger(params.Index, params.Shards), unseenRound: -1, partsKnown: params.Shards <= 1,
 		ordering: byLateness, startSpreads: make(map[stepKind]*meanSpread),
 	}
@@ -267,6 +268,7 @@
 	s.forgetFinished(now)
 	s.updateLoad(now)
 	s.updateLateness(now)
+	s.updateForecast(now)
 	s.updateSlowness()
 	s.logWaitingTasks(now)
 }
