site: a test of parts of the store that answer 503

A part may refuse its calls while others work. Nothing is written then, and the submission must be refused at once; no test showed this for a part.

--- a/matrix/site/partoutage_test.go
+++ b/matrix/site/partoutage_test.go
@@ -140,6 +140,39 @@
 	}
 }
 
+// TestBusyPartsAreRefused makes every third part answer 503 for 3 s. It guards against submissions
+// that are held, or whose outcome counts as unknown, although nothing was written, and against
+// refusals in the other parts.
+func TestBusyPartsAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobs = 90
+		env := newEnv(t)
+		defer env.close()
+		time.Sleep(4 * time.Second)
+		busy := everyThirdJobPart()
+		in := jobIDsWhere(func(p string) bool { return slices.Contains(busy, p) }, jobs)
+		out := jobIDsWhere(func(p string) bool { return !slices.Contains(busy, p) }, jobs)
+		env.site.Store.SetBusyParts(busy...)
+		var others []partAnswer
+		var wg sync.WaitGroup
+		wg.Go(func() { others = env.submitDuringOutage(out, time.Now()) })
+		answers := env.submitDuringOutage(in, time.Now())
+		wg.Wait()
+		env.site.Store.SetBusyParts()
+		for _, a := range answers {
+			if a.status != http.StatusServiceUnavailable || a.took > 200*time.Millisecond {
+				t.Errorf("job %s in a busy part: status %d after %s, want 503 within 0.2 s", a.id, a.status, a.took)
+			}
+		}
+		for _, a := range others {
+			if a.status != http.StatusOK {
+				t.Errorf("job %s in a part that answers: status %d after %s", a.id, a.status, a.took)
+			}
+		}
+		env.checkNoViolations()
+	})
+}
+
 // TestPartOutageRefusesAtOnce guards against submissions that wait although their part is known
 // to be away: of a burst in one part on one node, few are held, and the others are refused within
 // 0.2 s of the moment at which the part is known to be away.
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -20,6 +20,8 @@
 	unavailableParts []string
 	// resetParts are the parts whose calls are answered with a reset of the connection.
 	resetParts []string
+	// busyParts are the parts whose calls are answered with 503.
+	busyParts []string
 	// partCalls counts the reads and writes of each part.
 	partCalls map[string]int
 	// changed is closed and replaced with each change.
--- a/standin/site/storefaults.go
+++ b/standin/site/storefaults.go
@@ -54,20 +54,30 @@
 	s.resetParts = parts
 }
 
-// failsPart counts a call of a part, and reports whether the part is unavailable. Such a call has
-// got no answer when failsPart returns, or ends with a reset of its connection.
-func (s *Store) failsPart(r *http.Request, part string) bool {
+// SetBusyParts replaces the set of parts whose calls have no effect and are answered with 503. It
+// is independent of the other faults.
+func (s *Store) SetBusyParts(parts ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busyParts = parts
+}
+
+// failsPart counts a call of a part, and reports whether the part is unavailable. Such a call is
+// over when failsPart returns, or ends with a reset of its connection.
+func (s *Store) failsPart(w http.ResponseWriter, r *http.Request, part string) bool {
 	s.mu.Lock()
 	s.partCalls[part]++
-	silent, reset := slices.Contains(s.unavailableParts, part), slices.Contains(s.resetParts, part)
+	silent, reset, busy := slices.Contains(s.unavailableParts, part), slices.Contains(s.resetParts, part), slices.Contains(s.busyParts, part)
 	s.mu.Unlock()
 	switch {
 	case reset:
 		panic(http.ErrAbortHandler)
 	case silent:
 		leaveUnanswered(r)
+	case busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	return silent
+	return silent || busy
 }
 
 // isDown reports whether the store is down.
--- a/standin/site/storeread.go
+++ b/standin/site/storeread.go
@@ -14,7 +14,7 @@
 // serveList answers a call with rows of a part.
 func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	if s.failsPart(r, q.Get("part")) {
+	if s.failsPart(w, r, q.Get("part")) {
 		return
 	}
 	limit := maxListRows
--- a/standin/site/storetxn.go
+++ b/standin/site/storetxn.go
@@ -25,7 +25,7 @@
 		writeJSON(w, http.StatusBadRequest, problem{reason})
 		return
 	}
-	if s.failsPart(r, txn.part()) {
+	if s.failsPart(w, r, txn.part()) {
 		return
 	}
 	s.waitForPart(r, &txn)
