--- a/internal/cell/parts.go
+++ b/internal/cell/parts.go
@@ -94,7 +94,7 @@
 	switch {
 	case away:
 		p.log.Warn("part of the store does not answer", events.StorePartAway, zap.String("part", part), zap.Bool("away", true),
-			zap.Duration("failing", now.Sub(sent)), zap.Error(err))
+			zap.Duration("took", now.Sub(sent)), zap.Error(err))
 	case back:
 		p.log.Info("part of the store answers again", events.StorePartAway, zap.String("part", part), zap.Bool("away", false), zap.Duration("outage", outage))
 	}
