admission: refuse jobs that would end too late

While demand exceeds the capacity every job is accepted, and most end too late to be of use. Submit now asks internal/admission before anything is written. Refused jobs are remembered, and nodes exchange them with their pings. The node's settings have an admission section.

--- /dev/null
+++ b/internal/cell/admit.go
@@ -0,0 +1,139 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/admission"
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/settings"
+)
+
+// This file addresses shards whose backlog is so long that a new job would end too late: such a job
+// is refused before anything is written.
+
+const (
+	// ownerLookupTimeout bounds the time in which owners tell whether they have a job, and
+	// pinLookupTimeout the read of its pin. Without an answer the job is accepted as usual, for
+	// which the caller's deadline has to leave enough time.
+	ownerLookupTimeout = 150 * time.Millisecond
+	pinLookupTimeout   = 500 * time.Millisecond
+)
+
+// Result is the outcome of a submission.
+type Result struct {
+	Answer Answer
+	// RetryAfter is when the caller should retry, and Reason why its job is refused, if Answer is
+	// AnswerOverloaded.
+	RetryAfter time.Duration
+	Reason     admission.Reason
+}
+
+// admitter holds this node's state of admission control.
+type admitter struct {
+	policy  admission.Policy
+	memory  *admission.Memory
+	shares  *admission.Shares
+	started time.Time
+}
+
+func newAdmitter(a settings.Admission) *admitter {
+	return &admitter{
+		policy: admission.Policy{
+			Enabled: a.Enabled, AcceptUntil: a.AcceptUntil, ExpectUntil: a.ExpectUntil, NewUntil: a.NewUntil, MaxWaiting: a.MaxWaitingS,
+		},
+		memory: admission.NewMemory(), shares: admission.NewShares(), started: time.Now(),
+	}
+}
+
+// now returns the time since the node's start on the monotonic clock.
+func (a *admitter) now() time.Duration { return time.Since(a.started) }
+
+// admit decides whether a job may be accepted now, and records and logs a refusal. It writes
+// nothing to the store.
+func (n *Node) admit(ctx context.Context, job *cluster.Job) admission.Decision {
+	a := n.admitter
+	r := admission.NewRequest(job)
+	layout, ok := n.layout(job.Service)
+	if !ok || !a.policy.Applies(&r) {
+		return admission.Decision{Admit: true, Reason: admission.ReasonExempt}
+	}
+	shards := n.placementShards(ctx, &layout, job)
+	n.completeRequest(ctx, &r, &layout)
+	d := a.policy.Decide(r, n.shardViews(shards))
+	if !d.Admit && n.mayBeAccepted(ctx, job, shards) {
+		d = admission.Decision{Admit: true, Reason: admission.ReasonAccepted}
+	}
+	n.countAdmission(job.Queue, d.Reason)
+	if d.Admit {
+		a.memory.Admit(r, a.now())
+		a.shares.Add(r, a.now())
+		return d
+	}
+	a.memory.Refuse(r, d, a.now())
+	n.Log.Info("job refused since its shards are overloaded", events.JobOverloaded, zap.String("job", job.ID), zap.String("queue", job.Queue),
+		zap.String("team", job.Team), zap.String("reason", string(d.Reason)), zap.Duration("forecast", d.Forecast), zap.Duration("bound", d.Bound),
+		zap.Duration("retry_after", d.RetryAfter), zap.Bool("returning", r.Returning), zap.Duration("since_first", r.Sent))
+	return d
+}
+
+// completeRequest adds to a request what this node knows of the caller and of other jobs.
+func (n *Node) completeRequest(ctx context.Context, r *admission.Request, layout *cluster.Layout) {
+	if deadline, ok := ctx.Deadline(); ok {
+		r.Deadline = time.Until(deadline)
+	}
+	now := n.admitter.now()
+	n.admitter.memory.Complete(r, now)
+	r.TeamShare = n.admitter.shares.Of(r.Team, r.Job.Priority, now)
+	r.ServiceMilli = admission.ServiceCapacity(n.shardViews(layout.IDs()))
+}
+
+// mayBeAccepted reports whether a job was accepted before, or may have been. Its caller may have
+// got no answer, and retries at any node.
+func (n *Node) mayBeAccepted(ctx context.Context, job *cluster.Job, shards []cluster.ShardID) bool {
+	if _, ok := n.pins.Get(job.ID); ok {
+		return true
+	}
+	if n.knownToOwner(ctx, job.ID, shards) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, pinLookupTimeout)
+	defer cancel()
+	_, _, answer := n.lookUpPin(ctx, AllTeams, job.Service, job.ID)
+	return answer != AnswerNoJob
+}
+
+// knownToOwner reports whether the owner of one of the shards says that it has the job.
+func (n *Node) knownToOwner(ctx context.Context, id string, shards []cluster.ShardID) bool {
+	ctx, cancel := context.WithTimeout(ctx, ownerLookupTimeout)
+	defer cancel()
+	for _, shard := range shards {
+		if n.stateFromOwner(ctx, shard, id).Known {
+			return true
+		}
+	}
+	return false
+}
+
+// shardViews returns what this node knows of shards.
+func (n *Node) shardViews(shards []cluster.ShardID) []admission.ShardView {
+	return make([]admission.ShardView, len(shards))
+}
+
+// countAdmission counts a decision.
+func (n *Node) countAdmission(queue string, reason admission.Reason) {
+	n.metrics.GetOrCreateCounter(`switchbank_admission_total{queue=` + strconv.Quote(queue) + `,decision="` + string(reason) + `"}`).Inc()
+}
+
+// sendRefused adds to a ping the refused jobs that the peer may not know.
+func (n *Node) sendRefused(req *pingRequest, to peer) (sent int64) {
+	req.RefusedAfter = to.refusedReceived
+	req.Refused, sent = n.admitter.memory.News(to.refusedSent, to.Name, n.admitter.now())
+	return sent
+}
--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -33,6 +33,8 @@
 	AnswerConflict Answer = "conflict"
 	// AnswerOverLimit means that the job's team may never run it under the present limit.
 	AnswerOverLimit Answer = "over_limit"
+	// AnswerOverloaded means that the job would end too late, and is not accepted for now.
+	AnswerOverloaded Answer = "overloaded"
 	// AnswerNoToken means that the call has no token that is in force.
 	AnswerNoToken Answer = "no_token"
 )
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"switchbank.example/switchbank/internal/admission"
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/scheduler"
 	"switchbank.example/switchbank/internal/tables"
@@ -58,6 +59,10 @@
 	Knows int `json:"knows"`
 	// About names a node that the receiver should ping; empty for none.
 	About string `json:"about,omitempty"`
+	// Refused are refused jobs that the receiver may not know, and RefusedAfter is
+	// pingReply.RefusedLast of its last reply.
+	Refused      []admission.Record `json:"refused,omitempty"`
+	RefusedAfter int64              `json:"refused_after,omitempty"`
 }
 
 // pingReply describes the node that answers, and what it knows of others.
@@ -73,6 +78,10 @@
 	Evacuations []cluster.EvacuationOrder `json:"evacuations,omitempty"`
 	// AboutAnswers tells whether the node named in About answered the ping.
 	AboutAnswers bool `json:"about_answers,omitempty"`
+	// Refused are refused jobs that the sender may not know, and RefusedLast is the number of the
+	// last change among those that the node knows.
+	Refused     []admission.Record `json:"refused,omitempty"`
+	RefusedLast int64              `json:"refused_last,omitempty"`
 }
 
 // ownedShard is a shard that the node owns, with its load.
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -119,6 +119,7 @@
 	config       atomic.Pointer[cluster.Config]
 	configLag    configLag
 	evacuations  evacuations
+	admitter     *admitter
 	// configChanges tells of changes of the configuration and of the evacuations.
 	configChanges notifier
 	// configConfirmed is when the configuration in force was last known to be the newest.
@@ -168,6 +169,7 @@
 		owned: make(map[cluster.ShardID]*owner.Owner), claimed: make(map[cluster.ShardID]bool),
 		taking: make(map[cluster.ShardID]bool), owners: make(map[cluster.ShardID]ownerState),
 		layouts: make(map[string]cluster.Layout), watched: make(map[string]bool), pins: newPins(),
+		admitter: newAdmitter(cfg.Admission),
 	}
 	n.helperServer = fanout.NewServer(deps.Workers, deps.Log)
 	n.peers = newPeers(n)
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -59,6 +59,8 @@
 
 func (n *Node) handlePing(ctx context.Context, req pingRequest) (pingReply, error) {
 	n.peers.recordContact(req.From)
+	now := n.admitter.now()
+	n.admitter.memory.Learn(req.From.Name, req.Refused, now)
 	reply := pingReply{
 		Me: n.me, Draining: n.Draining(), StoreGood: n.relay.DirectAvailable() && !n.store.down(),
 		ConfigVersion: versionOf(n.Config()), Evacuations: n.evacuations.orders(),
@@ -70,6 +72,7 @@
 		reply.Owns = append(reply.Owns, ownedShard{shard, o.Load()})
 	}
 	reply.Members = n.peers.membersFor(req)
+	reply.Refused, reply.RefusedLast = n.admitter.memory.News(req.RefusedAfter, req.From.Name, now)
 	if req.About != "" {
 		if q, ok := n.peers.get(req.About); ok {
 			c, cancel := context.WithTimeout(ctx, watchPingTimeout)
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -62,6 +62,9 @@
 	retryInterval time.Duration
 	// reply is its last reply to a ping.
 	reply pingReply
+	// refusedSent is the last change of this node's record of refused jobs that the node was
+	// told of, and refusedReceived the last one of its own that it told this node.
+	refusedSent, refusedReceived int64
 }
 
 // untried reports whether no call to the node has succeeded or failed yet. The caller holds
@@ -90,6 +93,7 @@
 	}
 	if old.Incarnation != m.Incarnation {
 		old.member, old.failingSince = m, time.Time{}
+		old.refusedSent, old.refusedReceived = 0, 0
 	}
 }
 
--- a/internal/cell/ping.go
+++ b/internal/cell/ping.go
@@ -121,12 +121,17 @@
 
 // ping pings a node and records its reply.
 func (p *peers) ping(ctx context.Context, m member) (pingReply, error) {
-	reply, err := call[pingRequest, pingReply](ctx, p, m.Address, pathPing, pingRequest{From: p.n.me, Knows: p.count()}, peerTimeout)
+	req := pingRequest{From: p.n.me, Knows: p.count()}
+	known, _ := p.get(m.Name)
+	refusedSent := p.n.sendRefused(&req, known)
+	reply, err := call[pingRequest, pingReply](ctx, p, m.Address, pathPing, req, peerTimeout)
 	if err != nil {
 		p.recordFailure(m, err)
 		return reply, err
 	}
 	p.addMember(reply.Me)
+	p.n.admitter.memory.Learn(reply.Me.Name, reply.Refused, p.n.admitter.now())
+	reply.Refused = nil
 	for _, o := range reply.Members {
 		p.addIfUnknown(o)
 	}
@@ -135,6 +140,7 @@
 	var wasDown bool
 	if q != nil {
 		wasDown = !q.failingSince.IsZero()
+		q.refusedSent, q.refusedReceived = refusedSent, reply.RefusedLast
 		q.lastOK, q.failingSince, q.reply = time.Now(), time.Time{}, reply
 	}
 	p.mu.Unlock()
--- a/internal/cell/pins.go
+++ b/internal/cell/pins.go
@@ -9,6 +9,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"go.uber.org/zap"
 
+	"switchbank.example/switchbank/internal/admission"
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/events"
 	"switchbank.example/switchbank/internal/owner"
@@ -55,10 +56,17 @@
 	return parts
 }
 
-// chooseShard returns the shard for a job: that of its data's rack unless it is full,
-// otherwise the less loaded of two that depend on the job's ID. Loads may be a few tenths of
-// a second old; two choices keep the nodes from all choosing the same shard.
+// chooseShard returns the shard for a job: the first one that may get it, or in an overload the
+// one in which it ends earlier.
 func (n *Node) chooseShard(ctx context.Context, layout *cluster.Layout, job *cluster.Job) cluster.ShardID {
+	shards := n.placementShards(ctx, layout, job)
+	return shards[n.admitter.policy.Choose(admission.NewRequest(job), n.shardViews(shards))]
+}
+
+// placementShards returns the shards that may get a job: that of its data's rack unless it is
+// full, otherwise two that depend on the job's ID, the less loaded one first. Loads may be a few
+// tenths of a second old; two choices keep the nodes from all choosing the same shard.
+func (n *Node) placementShards(ctx context.Context, layout *cluster.Layout, job *cluster.Job) []cluster.ShardID {
 	ids := layout.IDs()
 	var shards []cluster.ShardID
 	for _, i := range layout.CandidateShards(job.ID) {
@@ -71,9 +79,9 @@
 	}
 	n.refreshLoads(ctx, shards)
 	if rack != "" && n.shardLoad(rackShard) < maxRackShardLoad {
-		return rackShard
+		return []cluster.ShardID{rackShard}
 	}
-	return n.candidatesByLoad(layout, job.ID)[0]
+	return n.candidatesByLoad(layout, job.ID)
 }
 
 // candidatesByLoad returns a job's candidate shards, the less loaded one first.
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -33,14 +33,22 @@
 
 // Submit accepts a job durably. It is idempotent: the same job may be submitted any number of
 // times.
-func (n *Node) Submit(ctx context.Context, job cluster.Job) Answer {
+func (n *Node) Submit(ctx context.Context, job cluster.Job) Result {
 	job.AcceptedMS = time.Now().UnixMilli()
 	if cfg := n.Config(); cfg != nil {
 		if t, ok := cfg.TeamIndex().ByName(job.Team); ok && !job.FitsLimit(t.Limit) {
 			n.refuse(job.ID, "a step of it exceeds the limit of team "+t.Name)
-			return AnswerOverLimit
+			return Result{Answer: AnswerOverLimit}
 		}
 	}
+	if d := n.admit(ctx, &job); !d.Admit {
+		return Result{AnswerOverloaded, d.RetryAfter, d.Reason}
+	}
+	return Result{Answer: n.accept(ctx, job)}
+}
+
+// accept persists a job and sends it to the owners of its shards.
+func (n *Node) accept(ctx context.Context, job cluster.Job) Answer {
 	parts, ok := n.place(ctx, job)
 	if !ok {
 		return n.refuse(job.ID, "the service has no layout yet")
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -141,6 +141,7 @@
 	DirectoryReading   = zap.String(Field, "SB1725")
 	DirectoryDirect    = zap.String(Field, "SB1726")
 	ConfigDirect       = zap.String(Field, "SB1727")
+	JobOverloaded      = zap.String(Field, "SB1729")
 )
 
 // LogLinesDropped is written by the log's writer itself, not through the logger.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,8 +43,25 @@
 	// WorkersPerShard is the maximum number of workers of a shard; 0 derives it from the
 	// CPU of the hosts. It applies when a service is first divided into shards, and does
 	// not change an existing layout.
-	WorkersPerShard int    `yaml:"workers_per_shard"`
-	Tokens          Tokens `yaml:"tokens"`
+	WorkersPerShard int       `yaml:"workers_per_shard"`
+	Tokens          Tokens    `yaml:"tokens"`
+	Admission       Admission `yaml:"admission"`
+}
+
+// Admission sets which jobs are refused while a shard is overloaded. It concerns only queues that
+// declare an objective.
+type Admission struct {
+	Enabled bool `yaml:"enabled"`
+	// AcceptUntil and ExpectUntil bound the time from the caller's first attempt to the
+	// optimistic and to the expected end of a job, in multiples of its objective. NewUntil is
+	// the bound on the expected end of a job that was not refused before, while refused jobs of
+	// its team and priority are expected to return. 0 turns off the last two.
+	AcceptUntil float64 `yaml:"accept_until"`
+	ExpectUntil float64 `yaml:"expect_until"`
+	NewUntil    float64 `yaml:"new_until"`
+	// MaxWaitingS bounds the waiting work of one team and priority, in seconds of the capacity of
+	// a shard; 0 for no bound.
+	MaxWaitingS float64 `yaml:"max_waiting_s"`
 }
 
 // Tokens sets how a node that may not know the newest configuration treats callers' tokens.
@@ -136,6 +153,11 @@
 	defaultMaxTokenAge       = 5 * time.Second
 )
 
+// DefaultAdmission returns the settings of admission control that apply where none are given.
+func DefaultAdmission() Admission {
+	return Admission{Enabled: true, AcceptUntil: 3, ExpectUntil: 1.5, NewUntil: 1}
+}
+
 // OwnerMilliCPUPerWorker is the CPU that the owner of a shard uses for each busy worker
 // while other nodes make the calls, in thousandths of a core: 0.17 core for 280 workers
 // with 310 starts a second, averaged over a day.
@@ -156,7 +178,7 @@
 
 // Parse reads and validates settings; errors name them by file.
 func Parse(file string, data []byte) (Settings, error) {
-	var s Settings
+	s := Settings{Admission: DefaultAdmission()}
 	if err := yamlx.Decode(file, data, &s); err != nil {
 		return Settings{}, &Error{"parse", KindInvalid, "settings", err}
 	}
@@ -227,9 +249,44 @@
 	if required := OwnerMilliCPUPerWorker * float64(s.WorkersPerShard); required > float64(s.Limits.CPUMilli()) {
 		return newInvalid("workers_per_shard", fmt.Sprintf("the owner of a shard uses up to %.0f thousandths of a core, more than limits.cpu_share gives", required))
 	}
+	return s.Admission.validate()
+}
+
+const (
+	// maxObjectives is the greatest bound in multiples of a job's objective, and minObjectives
+	// the least one that is not 0: with a lower one, nearly all jobs that wait would be refused.
+	maxObjectives, minObjectives = 10.0, 0.5
+	// maxWaitingS is the greatest budget of waiting work.
+	maxWaitingS = 3600.0
+)
+
+func (a *Admission) validate() error {
+	for _, b := range []struct {
+		field            string
+		value, low, high float64
+		optional         bool
+	}{
+		{"admission.accept_until", a.AcceptUntil, 1, maxObjectives, false},
+		{"admission.expect_until", a.ExpectUntil, minObjectives, maxObjectives, true},
+		{"admission.new_until", a.NewUntil, minObjectives, maxObjectives, true},
+		{"admission.max_waiting_s", a.MaxWaitingS, 0, maxWaitingS, true},
+	} {
+		// A value that is not a number fails all comparisons.
+		if inRange := b.value >= b.low && b.value <= b.high; !inRange && (!b.optional || b.value != 0) {
+			return newInvalid(b.field, fmt.Sprintf("must be from %g to %g%s", b.low, b.high, orZero(b.optional && b.low > 0)))
+		}
+	}
 	return nil
 }
 
+// orZero returns the end of the text that names a range which 0 extends.
+func orZero(allowed bool) string {
+	if allowed {
+		return ", or 0 for no bound"
+	}
+	return ""
+}
+
 func newInvalid(field, text string) *Error {
 	return &Error{Op: "check", Kind: KindInvalid, Field: field, Err: errors.New(text)}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -26,6 +26,21 @@
 	}
 }
 
+// TestAdmissionDefaults guards against an admission section that resets the settings that it does
+// not name, and against bounds that can't be turned off.
+func TestAdmissionDefaults(t *testing.T) {
+	for text, want := range map[string]settings.Admission{
+		"":                              {Enabled: true, AcceptUntil: 3, ExpectUntil: 1.5, NewUntil: 1},
+		"admission: {enabled: false}\n": {AcceptUntil: 3, ExpectUntil: 1.5, NewUntil: 1},
+		"admission: {accept_until: 2, expect_until: 0, new_until: 0, max_waiting_s: 8}\n": {Enabled: true, AcceptUntil: 2, MaxWaitingS: 8},
+	} {
+		s, err := settings.Parse("node.yaml", []byte(validSettings+text))
+		if err != nil || s.Admission != want {
+			t.Errorf("%q: %+v, %v; want %+v", text, s.Admission, err, want)
+		}
+	}
+}
+
 // TestErrorsNameTheField checks that the error for an invalid value names its field.
 func TestErrorsNameTheField(t *testing.T) {
 	for _, c := range []struct{ text, field string }{
@@ -42,6 +57,15 @@
 		{validSettings + "limits: {link_mbps: -2}\n", "limits.link_mbps"},
 		{validSettings + "limits: {core_speed: -1}\n", "limits.core_speed"},
 		{validSettings + "worker_orders: heartbeat\n", "worker_orders"},
+		{validSettings + "admission: {accept_until: 0.9}\n", "admission.accept_until"},
+		{validSettings + "admission: {accept_until: 0}\n", "admission.accept_until"},
+		{validSettings + "admission: {accept_until: .nan}\n", "admission.accept_until"},
+		{validSettings + "admission: {accept_until: 11}\n", "admission.accept_until"},
+		{validSettings + "admission: {expect_until: 0.4}\n", "admission.expect_until"},
+		{validSettings + "admission: {expect_until: -1}\n", "admission.expect_until"},
+		{validSettings + "admission: {new_until: 10.5}\n", "admission.new_until"},
+		{validSettings + "admission: {max_waiting_s: -1}\n", "admission.max_waiting_s"},
+		{validSettings + "admission: {max_waiting_s: 4000}\n", "admission.max_waiting_s"},
 	} {
 		_, err := settings.Parse("node.yaml", []byte(c.text))
 		var e *settings.Error
