--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -71,7 +71,7 @@
 	var earliest time.Duration
 	for i, v := range shards {
 		e := v.Summary.Estimate(r.Job, v.Age)
-		if !e.Known || (i == 0 && !waits(&r, e)) {
+		if !e.Known || (i == 0 && !waits(&r, v.Summary, v.Age)) {
 			return 0
 		}
 		if i == 0 || e.End < earliest {
@@ -81,9 +81,9 @@
 	return best
 }
 
-// waits reports whether a job waits so long that the load may make it late.
-func waits(r *Request, e forecast.Estimate) bool {
-	return float64(e.Start) > minWaitShare*float64(r.Job.Objective)
+// waits reports whether a job waits for capacity, for so long that this may make it late.
+func waits(r *Request, s *forecast.Summary, age time.Duration) bool {
+	return float64(s.Wait(r.Job, age)) > minWaitShare*float64(r.Job.Objective)
 }
 
 // verdict is the decision for one shard. excess is how much the wait has to shrink for the job to
@@ -110,7 +110,7 @@
 	case r.GangMilli > v.Summary.CapacityMilli:
 		// Only several shards together can run the gang.
 		return admit(ReasonExempt)
-	case !waits(r, e):
+	case !waits(r, v.Summary, v.Age):
 		return admit(ReasonFits)
 	}
 	worst := admit(ReasonWithinBound)
@@ -154,8 +154,8 @@
 // minTeamShare bounds the wait that is assumed for a team of which little work is known.
 const minTeamShare = 0.05
 
-// teamWait returns the waiting work of the job's team and priority, as the time in which the whole
-// shard would do it. A summary holds the waiting work of a priority; the team's part of it is
+// teamWait returns the work of the job's team and priority that has not begun, as the time in which
+// the whole shard would do it. A summary holds the waiting work of a priority; the team's part of it is
 // assumed to be its share of the work that was accepted lately.
 func teamWait(r *Request, s *forecast.Summary) time.Duration {
 	waiting := int64(0)
@@ -166,6 +166,7 @@
 		for _, work := range l.Waiting {
 			waiting += work
 		}
+		waiting = max(0, waiting-l.Begun)
 	}
 	return time.Duration(r.TeamShare * float64(waiting) / float64(max(1, s.CapacityMilli)) * float64(time.Second))
 }
--- a/internal/cell/admit.go
+++ b/internal/cell/admit.go
@@ -123,7 +123,11 @@
 
 // shardViews returns what this node knows of shards.
 func (n *Node) shardViews(shards []cluster.ShardID) []admission.ShardView {
-	return make([]admission.ShardView, len(shards))
+	views := make([]admission.ShardView, 0, len(shards))
+	for _, f := range n.ShardForecasts(shards) {
+		views = append(views, admission.ShardView{Summary: f.Summary, Age: f.Age})
+	}
+	return views
 }
 
 // countAdmission counts a decision.
