--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -70,8 +70,8 @@
 
 // Expected is the work of refused jobs that are expected to return, in milli-CPU x seconds.
 type Expected struct {
-	// Class is the work of the same team and priority, and Ahead all work of the same or a more
-	// urgent priority.
+	// Class is the work of the same team and priority that should return within the objective of
+	// the job, and Ahead all work of the same or a more urgent priority.
 	Class, Ahead int64
 }
 
@@ -105,8 +105,10 @@
 	ReasonExempt Reason = "exempt"
 	// ReasonUnknown: there is no forecast for a shard that may run the job.
 	ReasonUnknown Reason = "unknown"
-	// ReasonFits: the job can start now, or so soon that its wait does not matter.
+	// ReasonFits: the job can start now.
 	ReasonFits Reason = "fits"
+	// ReasonSoon: the job can start so soon that its wait does not make it late.
+	ReasonSoon Reason = "starts_soon"
 	// ReasonWithinBound: the job waits, and its forecast end lies within the bounds.
 	ReasonWithinBound Reason = "within_bound"
 	// ReasonAccepted: the job was accepted before, or may have been.
--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -83,7 +83,7 @@
 
 // waits reports whether a job waits for capacity, for so long that this may make it late.
 func waits(r *Request, s *forecast.Summary, age time.Duration) bool {
-	return float64(s.Wait(r.Job, age)) > minWaitShare*float64(r.Job.Objective)
+	return s.Wait(r.Job, age) > r.objectives(minWaitShare)
 }
 
 // verdict is the decision for one shard. excess is how much the wait has to shrink for the job to
@@ -110,8 +110,11 @@
 	case r.GangMilli > v.Summary.CapacityMilli:
 		// Only several shards together can run the gang.
 		return admit(ReasonExempt)
-	case !waits(r, v.Summary, v.Age):
+	case v.Summary.Wait(r.Job, v.Age) == 0:
 		return admit(ReasonFits)
+	case !waits(r, v.Summary, v.Age) && (!r.Returning || r.Sent+e.Start+e.End <= r.objectives(p.AcceptUntil)):
+		// A job that returns has to be of use also if it waits for twice as long as forecast.
+		return admit(ReasonSoon)
 	}
 	worst := admit(ReasonWithinBound)
 	for _, c := range p.checks(r, v.Summary, e) {
@@ -137,13 +140,12 @@
 // checks returns the checks of the policy for a shard.
 func (p *Policy) checks(r *Request, s *forecast.Summary, e forecast.Estimate) []check {
 	end, low := e.End+r.Sent, e.EndLow+r.Sent
-	objective := func(times float64) time.Duration { return time.Duration(times * float64(r.Job.Objective)) }
-	list := []check{{ReasonOverloaded, low, objective(p.AcceptUntil), float64(e.End) / float64(max(1, e.EndLow))}}
+	list := []check{{ReasonOverloaded, low, r.objectives(p.AcceptUntil), float64(e.End) / float64(max(1, e.EndLow))}}
 	if p.ExpectUntil > 0 {
-		list = append(list, check{ReasonOverloaded, end, objective(p.ExpectUntil), 1})
+		list = append(list, check{ReasonOverloaded, end, r.objectives(p.ExpectUntil), 1})
 	}
 	if p.NewUntil > 0 && !r.Returning && r.Expected.Class > 0 {
-		list = append(list, check{ReasonOverloaded, end + r.expectedDelay(r.Expected.Class), objective(p.NewUntil), 1})
+		list = append(list, check{ReasonOverloaded, end + r.expectedDelay(r.Expected.Class), r.objectives(p.NewUntil), 1})
 	}
 	if p.MaxWaiting > 0 {
 		list = append(list, check{ReasonBudget, teamWait(r, s), time.Duration(p.MaxWaiting * float64(time.Second)), 1 / max(minTeamShare, r.TeamShare)})
@@ -151,6 +153,11 @@
 	return list
 }
 
+// objectives returns a multiple of the job's objective.
+func (r *Request) objectives(times float64) time.Duration {
+	return time.Duration(times * float64(r.Job.Objective))
+}
+
 // minTeamShare bounds the wait that is assumed for a team of which little work is known.
 const minTeamShare = 0.05
 
--- a/internal/admission/memory.go
+++ b/internal/admission/memory.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		r.Expected.Ahead += f.work
-		if f.team == r.Team && f.priority == r.Job.Priority {
+		if f.team == r.Team && f.priority == r.Job.Priority && f.retryAt <= now+r.Job.Objective {
 			r.Expected.Class += f.work
 		}
 	}
