admission: never refuse a job behind which nothing waits

Where no work waits, the capacity that comes free would stay idle if the next job were refused: a job of 4 s that fills the shard was refused 3.6 s before the only run of the shard ended. go test ./internal/admission and the admission tests of ./matrix/site pass.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -107,7 +107,8 @@
 	ReasonUnknown Reason = "unknown"
 	// ReasonFits: the job can start now.
 	ReasonFits Reason = "fits"
-	// ReasonSoon: the job can start so soon that its wait does not make it late.
+	// ReasonSoon: the job can start so soon that its wait does not make it late, or is the next to
+	// start.
 	ReasonSoon Reason = "starts_soon"
 	// ReasonWithinBound: the job waits, and its forecast end lies within the bounds.
 	ReasonWithinBound Reason = "within_bound"
--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -81,9 +81,28 @@
 	return best
 }
 
-// waits reports whether a job waits for capacity, for so long that this may make it late.
+// waits reports whether a job waits behind others, for so long that this may make it late. Where no
+// work waits, the capacity that comes free would be left idle if the job were refused.
 func waits(r *Request, s *forecast.Summary, age time.Duration) bool {
-	return s.Wait(r.Job, age) > r.objectives(minWaitShare)
+	return queued(s, r.Job.Priority) > 0 && s.Wait(r.Job, age) > r.objectives(minWaitShare)
+}
+
+// queued returns the work of jobs of the same or a more urgent priority that have not begun.
+func queued(s *forecast.Summary, priority int) (sum int64) {
+	for i := range s.Lanes {
+		if l := &s.Lanes[i]; l.Priority <= priority {
+			sum += notBegun(l)
+		}
+	}
+	return sum
+}
+
+// notBegun returns the waiting work of the jobs of a lane that have not begun.
+func notBegun(l *forecast.Lane) (waiting int64) {
+	for _, work := range l.Waiting {
+		waiting += work
+	}
+	return max(0, waiting-l.Begun)
 }
 
 // verdict is the decision for one shard. excess is how much the wait has to shrink for the job to
@@ -166,14 +185,10 @@
 // assumed to be its share of the work that was accepted lately.
 func teamWait(r *Request, s *forecast.Summary) time.Duration {
 	waiting := int64(0)
-	for _, l := range s.Lanes {
-		if l.Priority != r.Job.Priority {
-			continue
-		}
-		for _, work := range l.Waiting {
-			waiting += work
+	for i := range s.Lanes {
+		if l := &s.Lanes[i]; l.Priority == r.Job.Priority {
+			waiting = notBegun(l)
 		}
-		waiting = max(0, waiting-l.Begun)
 	}
 	return time.Duration(r.TeamShare * float64(waiting) / float64(max(1, s.CapacityMilli)) * float64(time.Second))
 }
--- a/internal/admission/decide_test.go
+++ b/internal/admission/decide_test.go
@@ -51,6 +51,7 @@
 		"gang wider than a shard":      {full, func(j *cluster.Job) { j.Steps[0].Gang, j.Steps[0].Count = true, shardCores+1 }, admission.ReasonExempt},
 		"fits now":                     {[]admission.ShardView{free}, nil, admission.ReasonFits},
 		"starts soon":                  {[]admission.ShardView{fullShard(1)}, nil, admission.ReasonSoon},
+		"nothing waits":                {[]admission.ShardView{busyShard(time.Minute)}, nil, admission.ReasonSoon},
 		"no shard":                     {nil, nil, admission.ReasonUnknown},
 		"no summary":                   {[]admission.ShardView{{}}, nil, admission.ReasonUnknown},
 		"no summary of one shard":      {[]admission.ShardView{fullShard(1000), {}}, nil, admission.ReasonUnknown},
@@ -71,6 +72,13 @@
 	}
 }
 
+// busyShard returns a shard that is full for some time and in which nothing waits.
+func busyShard(d time.Duration) admission.ShardView {
+	v := fullShard(0)
+	v.Summary.Lanes[0].Running = int64(shardCores * 1000 * d.Seconds())
+	return v
+}
+
 // slowQueue sets that the runs of the queue take ten times as long as estimated.
 func slowQueue(v admission.ShardView) admission.ShardView {
 	v.Summary.Queues = []forecast.QueueStats{{Queue: "batch", Ratio: 10, Approved: 1}}
