admission: work that waits for capacity, by the summary's new fields

The summary tells the work that waits for earlier steps, and the latest due time. go test ./internal/admission and the admission tests of ./matrix/site pass.

--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -87,22 +87,22 @@
 	return queued(s, r.Job.Priority) > 0 && s.Wait(r.Job, age) > r.objectives(minWaitShare)
 }
 
-// queued returns the work of jobs of the same or a more urgent priority that have not begun.
+// queued returns the work of the same or a more urgent priority that waits for capacity.
 func queued(s *forecast.Summary, priority int) (sum int64) {
 	for i := range s.Lanes {
 		if l := &s.Lanes[i]; l.Priority <= priority {
-			sum += notBegun(l)
+			sum += ready(l)
 		}
 	}
 	return sum
 }
 
-// notBegun returns the waiting work of the jobs of a lane that have not begun.
-func notBegun(l *forecast.Lane) (waiting int64) {
+// ready returns the work of a lane that waits for capacity, and not for earlier steps.
+func ready(l *forecast.Lane) (waiting int64) {
 	for _, work := range l.Waiting {
 		waiting += work
 	}
-	return max(0, waiting-l.Begun)
+	return max(0, waiting-l.NotReady)
 }
 
 // verdict is the decision for one shard. excess is how much the wait has to shrink for the job to
@@ -180,14 +180,14 @@
 // minTeamShare bounds the wait that is assumed for a team of which little work is known.
 const minTeamShare = 0.05
 
-// teamWait returns the work of the job's team and priority that has not begun, as the time in which
-// the whole shard would do it. A summary holds the waiting work of a priority; the team's part of it is
+// teamWait returns the work of the job's team and priority that waits for capacity, as the time in
+// which the whole shard would do it. A summary holds the waiting work of a priority; the team's part of it is
 // assumed to be its share of the work that was accepted lately.
 func teamWait(r *Request, s *forecast.Summary) time.Duration {
 	waiting := int64(0)
 	for i := range s.Lanes {
 		if l := &s.Lanes[i]; l.Priority == r.Job.Priority {
-			waiting = notBegun(l)
+			waiting = ready(l)
 		}
 	}
 	return time.Duration(r.TeamShare * float64(waiting) / float64(max(1, s.CapacityMilli)) * float64(time.Second))
--- a/internal/admission/sim_test.go
+++ b/internal/admission/sim_test.go
@@ -72,7 +72,6 @@
 	// left are the tasks of each step that have not started, and running those that run.
 	left, running []int
 	step          int
-	begun         bool
 	accepted      bool
 	// cameLate is set if the caller returned only when its job could no longer be of use.
 	cameLate bool
@@ -378,7 +377,7 @@
 		}
 		sh.free++
 		if t.job.taskDone(now); t.job.endedAt > 0 {
-			sh.trackers[t.job.job.Queue].Ended(&t.job.pending, time.Unix(0, int64(now)))
+			sh.trackers[t.job.job.Queue].JobEnded(&t.job.pending, time.Unix(0, int64(now)))
 		}
 		return true
 	})
@@ -390,10 +389,6 @@
 		for sh.free > 0 && j.left[j.step] > 0 {
 			j.left[j.step]--
 			j.running[j.step]++
-			if !j.begun {
-				sh.trackers[j.job.Queue].Started(&j.pending, time.Unix(0, int64(now)))
-			}
-			j.begun = true
 			sh.free--
 			sh.running = append(sh.running, simTask{j, now + time.Duration(j.job.Steps[j.step].EstimateMS)*time.Millisecond})
 		}
@@ -436,8 +431,12 @@
 		for i, st := range j.job.Steps {
 			work := int64(factor * float64(j.left[i]) * 1000 * float64(st.EstimateMS) / 1000)
 			l.Waiting[bucket] += work
-			if j.begun {
-				l.Begun += work
+			if i > j.step {
+				l.NotReady += work
+			}
+			if work > 0 {
+				l.LatestMS = max(l.LatestMS, (j.due - now).Milliseconds())
+				l.DueMS = j.objective.Milliseconds()
 			}
 		}
 	}
