cell: a job whose outcome is unknown is not refused in an overload

An acceptance in progress, or a write without an answer, has no pin yet, so that the lookup found nothing. The tests of ./matrix/site run with the product's default settings of admission.

--- a/internal/cell/admit.go
+++ b/internal/cell/admit.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"go.uber.org/zap"
 
 	"switchbank.example/switchbank/internal/admission"
@@ -45,6 +46,8 @@
 	started time.Time
 	// deciding serializes decisions, so that each takes the jobs admitted before it into account.
 	deciding sync.Mutex
+	// uncertain holds the IDs of jobs whose acceptance is in progress, or has got no answer.
+	uncertain *lru.Cache[string, struct{}]
 }
 
 func newAdmitter(a settings.Admission) *admitter {
@@ -52,10 +55,33 @@
 		policy: admission.Policy{
 			Enabled: a.Enabled, AcceptUntil: a.AcceptUntil, ExpectUntil: a.ExpectUntil, NewUntil: a.NewUntil, MaxWaiting: a.MaxWaitingS,
 		},
-		memory: admission.NewMemory(), shares: admission.NewShares(), started: time.Now(),
+		memory: admission.NewMemory(), shares: admission.NewShares(), started: time.Now(), uncertain: newUncertain(),
 	}
 }
 
+// maxUncertain bounds the jobs of which it is remembered that they may have been accepted: those of a
+// store outage of 20 s at 100 jobs a second.
+const maxUncertain = 2000
+
+func newUncertain() *lru.Cache[string, struct{}] {
+	c, err := lru.New[string, struct{}](maxUncertain)
+	if err != nil {
+		panic("cell: invalid size of the cache of uncertain jobs: " + err.Error())
+	}
+	return c
+}
+
+// acceptAdmitted accepts an admitted job. The job is not refused at this node until the outcome is
+// known: a write without an answer may take effect late.
+func (n *Node) acceptAdmitted(ctx context.Context, job cluster.Job) Answer {
+	n.admitter.uncertain.Add(job.ID, struct{}{})
+	answer := n.accept(ctx, job)
+	if answer != AnswerUnknown {
+		n.admitter.uncertain.Remove(job.ID)
+	}
+	return answer
+}
+
 // now returns the time since the node's start on the monotonic clock.
 func (a *admitter) now() time.Duration { return time.Since(a.started) }
 
@@ -119,7 +145,7 @@
 // mayBeAccepted reports whether a job was accepted before, or may have been. Its caller may have
 // got no answer, and retries at any node.
 func (n *Node) mayBeAccepted(ctx context.Context, job *cluster.Job, shards []cluster.ShardID) bool {
-	if _, ok := n.pins.Get(job.ID); ok {
+	if n.pins.Contains(job.ID) || n.admitter.uncertain.Contains(job.ID) {
 		return true
 	}
 	if n.knownToOwner(ctx, job.ID, shards) {
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -44,7 +44,7 @@
 	if d := n.admit(ctx, &job); !d.Admit {
 		return Result{AnswerOverloaded, d.RetryAfter, d.Reason}
 	}
-	return Result{Answer: n.accept(ctx, job)}
+	return Result{Answer: n.acceptAdmitted(ctx, job)}
 }
 
 // accept persists a job and sends it to the owners of its shards.
--- a/matrix/site/admission_test.go
+++ b/matrix/site/admission_test.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"switchbank.example/switchbank/internal/owner"
-	"switchbank.example/switchbank/internal/settings"
 )
 
 // The tests of this file submit jobs faster than the workers can run them.
@@ -35,10 +34,7 @@
 
 // newAdmissionEnv returns an environment of a full shard whose nodes refuse what would end too late.
 func newAdmissionEnv(t *testing.T) *testEnv {
-	env := newEnvWith(t, cellWorkers, cellWorkers, func(env *testEnv) {
-		env.admission = settings.DefaultAdmission()
-		env.site.Configure(1, routes()...)
-	})
+	env := newEnv(t)
 	time.Sleep(4 * time.Second)
 	return env
 }
@@ -178,7 +174,7 @@
 }
 
 // TestUnansweredLookupIsNotRefusal guards against a refusal while the store does not tell whether the
-// job was accepted before.
+// job was accepted before, and after an attempt whose outcome is unknown.
 func TestUnansweredLookupIsNotRefusal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		env := newAdmissionEnv(t)
@@ -188,9 +184,13 @@
 		env.site.Store.SetUnavailableParts(owner.JobPart(service, id))
 		r := env.submitOnce("n1", id, wideStep())
 		env.site.Store.SetUnavailableParts()
-		if r.overloaded() || r.status == http.StatusOK {
+		if r.status != http.StatusGatewayTimeout {
 			t.Errorf("a job of an unavailable part is answered with %+v", r)
 		}
+		env.overload()
+		if r := env.submitOnce("n1", id, wideStep()); r.status != http.StatusOK {
+			t.Errorf("a job whose outcome was unknown is answered with %+v", r)
+		}
 	})
 }
 
--- a/matrix/site/env_test.go
+++ b/matrix/site/env_test.go
@@ -61,7 +61,7 @@
 	// useHelpers is set if owners send orders to workers through other nodes, their helpers.
 	useHelpers bool
 	tokens     settings.Tokens
-	// admission has the nodes refuse jobs in an overload; by default they accept all.
+	// admission holds the nodes' settings of admission control, by default those of the product.
 	admission settings.Admission
 	// key is the key with which the caller makes its calls, and teams are what is expected of
 	// teams at their limits.
@@ -136,7 +136,7 @@
 		}
 	}
 	env := &testEnv{
-		t: t, workersPerShard: workersPerShard, limits: settings.Limits{CPUShare: 0.4, CoreSpeed: 1}, net: network.New(), nodes: make(map[string]*runningNode), log: log,
+		t: t, workersPerShard: workersPerShard, admission: settings.DefaultAdmission(), limits: settings.Limits{CPUShare: 0.4, CoreSpeed: 1}, net: network.New(), nodes: make(map[string]*runningNode), log: log,
 		cancelled: make(map[string]time.Time), refused: make(map[string]bool), succeeded: make(map[string]bool), crashing: make(map[string]bool),
 	}
 	env.site = site.New(site.Config{
