--- a/internal/cell/admit.go
+++ b/internal/cell/admit.go
@@ -183,10 +183,3 @@
 func (n *Node) countAdmission(queue string, reason admission.Reason) {
 	n.metrics.GetOrCreateCounter(`switchbank_admission_total{queue=` + strconv.Quote(queue) + `,decision="` + string(reason) + `"}`).Inc()
 }
-
-// sendRefused adds to a ping the refused jobs that the peer may not know.
-func (n *Node) sendRefused(req *pingRequest, to peer) (sent int64) {
-	req.RefusedAfter = to.refusedReceived
-	req.Refused, sent = n.admitter.memory.News(to.refusedSent, to.Name, n.admitter.now())
-	return sent
-}
--- a/internal/cell/ping.go
+++ b/internal/cell/ping.go
@@ -153,6 +153,13 @@
 	return reply, nil
 }
 
+// sendRefused adds to a ping the refused jobs that the peer may not know.
+func (n *Node) sendRefused(req *pingRequest, to peer) (sent int64) {
+	req.RefusedAfter = to.refusedReceived
+	req.Refused, sent = n.admitter.memory.News(to.refusedSent, to.Name, n.admitter.now())
+	return sent
+}
+
 // addIfUnknown adds a node that a peer has named. A known one isn't updated, since the peer's
 // information may be older.
 func (p *peers) addIfUnknown(m member) {
