--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"time"
 
+	"switchbank.example/switchbank/internal/admission"
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/scheduler"
 	"switchbank.example/switchbank/internal/tables"
@@ -62,6 +63,10 @@
 	PartsAway int `json:"parts_away,omitempty"`
 	// About names a node that the receiver should ping; empty for none.
 	About string `json:"about,omitempty"`
+	// Refused are refused jobs that the receiver may not know, and RefusedAfter is
+	// pingReply.RefusedLast of its last reply.
+	Refused      []admission.Record `json:"refused,omitempty"`
+	RefusedAfter int64              `json:"refused_after,omitempty"`
 }
 
 // pingReply describes the node that answers, and what it knows of others.
@@ -79,6 +84,10 @@
 	Evacuations []cluster.EvacuationOrder `json:"evacuations,omitempty"`
 	// AboutAnswers tells whether the node named in About answered the ping.
 	AboutAnswers bool `json:"about_answers,omitempty"`
+	// Refused are refused jobs that the sender may not know, and RefusedLast is the number of the
+	// last change among those that the node knows.
+	Refused     []admission.Record `json:"refused,omitempty"`
+	RefusedLast int64              `json:"refused_last,omitempty"`
 }
 
 // ownedShard is a shard that the node owns, with its load.
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -122,6 +122,7 @@
 	evacuations  evacuations
 	// forecasts holds the summaries that the owners of shards reported last.
 	forecasts forecast.Received
+	admitter  *admitter
 	// configChanges tells of changes of the configuration and of the evacuations.
 	configChanges notifier
 	// configConfirmed is when the configuration in force was last known to be the newest.
@@ -173,6 +174,7 @@
 		owned: make(map[cluster.ShardID]*owner.Owner), claimed: make(map[cluster.ShardID]bool),
 		taking: make(map[cluster.ShardID]bool), owners: make(map[cluster.ShardID]ownerState),
 		layouts: make(map[string]cluster.Layout), watched: make(map[string]bool), pins: newPins(), unresolved: newUnresolved(),
+		admitter: newAdmitter(cfg.Admission),
 	}
 	n.helperServer = fanout.NewServer(deps.Workers, deps.Log)
 	n.peers = newPeers(n)
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -63,6 +63,8 @@
 	if req.PartsAway > 0 {
 		n.store.parts.suspect()
 	}
+	now := n.admitter.now()
+	n.admitter.memory.Learn(req.From.Name, req.Refused, now)
 	reply := pingReply{
 		Me: n.me, Draining: n.Draining(), StoreGood: n.relay.DirectAvailable() && !n.store.down(),
 		PartsAway: n.store.parts.countAway(), ConfigVersion: versionOf(n.Config()), Evacuations: n.evacuations.orders(),
@@ -74,6 +76,7 @@
 		reply.Owns = append(reply.Owns, ownedShard{shard, o.Load(), n.encodeForecast(o)})
 	}
 	reply.Members = n.peers.membersFor(req)
+	reply.Refused, reply.RefusedLast = n.admitter.memory.News(req.RefusedAfter, req.From.Name, now)
 	if req.About != "" {
 		if q, ok := n.peers.get(req.About); ok {
 			c, cancel := context.WithTimeout(ctx, watchPingTimeout)
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -143,6 +143,7 @@
 	ConfigDirect       = zap.String(Field, "SB1727")
 	StorePartAway      = zap.String(Field, "SB1730")
 	ForecastDiscarded  = zap.String(Field, "SB1728")
+	JobOverloaded      = zap.String(Field, "SB1729")
 )
 
 // LogLinesDropped is written by the log's writer itself, not through the logger.
--- a/internal/scheduler/forecastsim_test.go
+++ b/internal/scheduler/forecastsim_test.go
@@ -59,7 +59,7 @@
 
 const (
 	// forecastMargin is the share of the objective by which a job has to end to be admitted.
-	forecastMargin = 0.9
+	forecastMargin   = 0.9
 	forecastWorkers  = 48
 	forecastCPU      = 16_000
 	forecastTasks    = 17
--- a/matrix/site/env_test.go
+++ b/matrix/site/env_test.go
@@ -61,6 +61,8 @@
 	// useHelpers is set if owners send orders to workers through other nodes, their helpers.
 	useHelpers bool
 	tokens     settings.Tokens
+	// admission holds the nodes' settings of admission control, by default those of the product.
+	admission settings.Admission
 	// key is the key with which the caller makes its calls, and teams are what is expected of
 	// teams at their limits.
 	key   string
@@ -135,7 +137,7 @@
 		}
 	}
 	env := &testEnv{
-		t: t, workersPerShard: workersPerShard, limits: settings.Limits{CPUShare: 0.4, CoreSpeed: 1}, net: network.New(), nodes: make(map[string]*runningNode), log: log,
+		t: t, workersPerShard: workersPerShard, admission: settings.DefaultAdmission(), limits: settings.Limits{CPUShare: 0.4, CoreSpeed: 1}, net: network.New(), nodes: make(map[string]*runningNode), log: log,
 		cancelled: make(map[string]time.Time), refused: make(map[string]bool), succeeded: make(map[string]bool), crashing: make(map[string]bool),
 	}
 	env.site = site.New(site.Config{
@@ -178,7 +180,7 @@
 		Listen: settings.Listen{Callers: name + ":1", Ready: name + ":2", Peers: name + ":3", AdvertisePeers: name + ":3", Metrics: name + ":4"},
 		Seeds:  []string{"n0:3", "n1:3"},
 		Bounds: settings.Bounds{MaxLeaseMS: 10_000, StopMS: 200, GraceMS: 6000, FinishedRetentionMS: 120_000},
-		Limits: env.limits, WorkersPerShard: env.workersPerShard, Tokens: env.tokens,
+		Limits: env.limits, WorkersPerShard: env.workersPerShard, Tokens: env.tokens, Admission: env.admission,
 	}
 	dial := env.net.Dial(name)
 	transport := conns.Network{Dial: dial, Log: env.log.Named(name)}
