--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -10,6 +10,7 @@
 
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/forecast"
+	"switchbank.example/switchbank/internal/resource"
 )
 
 // This file addresses shards whose demand exceeds their capacity: nodes decide by the summary that
@@ -111,24 +112,51 @@
 	if sum.CapacityMilli <= 0 {
 		return nil
 	}
-	sum.Lanes = s.buildLanes(now)
+	sum.Lanes = s.buildLanes(now, sum.CapacityMilli)
 	sum.Queues = s.queueStats()
 	return sum
 }
 
 // buildLanes returns the work by priority.
-func (s *Shard) buildLanes(now time.Time) []forecast.Lane {
-	lanes := make(laneSet)
+func (s *Shard) buildLanes(now time.Time, capacityMilli int64) []forecast.Lane {
+	// The work of teams at their limits is kept apart, by team; nil stands for all other work.
+	sets := map[*teamState]laneSet{nil: {}}
 	for _, j := range s.active {
 		if j.countsInForecast() {
-			s.addWaitingWork(now, lanes, j)
+			s.addWaitingWork(now, lanesFor(sets, j), j)
 		}
 	}
 	for _, r := range s.runs {
 		if r.task.step.job.countsInForecast() {
-			s.addRunningWork(now, lanes, r)
+			s.addRunningWork(now, lanesFor(sets, r.task.step.job), r)
 		}
 	}
+	lanes := sets[nil]
+	drainTime := float64(lanes.waiting()) / float64(capacityMilli)
+	for t, set := range sets {
+		if t != nil {
+			lanes.addLimited(set, float64(t.used.CPUMilli)*drainTime)
+		}
+	}
+	s.addArrivals(now, lanes)
+	return lanes.sorted()
+}
+
+// lanesFor returns the set for a job's work. That of a team at its limit starts no sooner if room
+// comes free, so it does not delay others by all that waits.
+func lanesFor(sets map[*teamState]laneSet, j *job) laneSet {
+	t := j.team
+	if t == nil || t.blocked == (resource.Amount{}) {
+		return sets[nil]
+	}
+	if sets[t] == nil {
+		sets[t] = make(laneSet)
+	}
+	return sets[t]
+}
+
+// addArrivals adds the rates at which work is accepted.
+func (s *Shard) addArrivals(now time.Time, lanes laneSet) {
 	for priority, a := range s.forecasts.arrivals {
 		rate := int64(a.rate(now, s.startedAt))
 		if rate == 0 {
@@ -139,7 +167,6 @@
 		lane.ArrivalMilli += rate
 		lane.DueMS = max(0, int64(1000*a.due/a.work))
 	}
-	return lanes.sorted()
 }
 
 // countsInForecast reports whether the job's work may start here.
@@ -225,6 +252,32 @@
 	return lane
 }
 
+// waiting returns the waiting work of all priorities.
+func (l laneSet) waiting() (sum int64) {
+	for _, lane := range l {
+		for _, work := range lane.Waiting {
+			sum += work
+		}
+	}
+	return sum
+}
+
+// addLimited adds the work of a team at its limit: its runs, and as much of the waiting work as the
+// team may run while the work of others drains.
+func (l laneSet) addLimited(limited laneSet, mayRun float64) {
+	share := min(1, mayRun/float64(max(1, limited.waiting())))
+	for priority, from := range limited {
+		lane := l.of(priority)
+		lane.Running += from.Running
+		lane.ArrivalMilli += from.ArrivalMilli
+		lane.NotReady += int64(share * float64(from.NotReady))
+		lane.LatestMS = max(lane.LatestMS, from.LatestMS)
+		for i, work := range from.Waiting {
+			lane.Waiting[i] += int64(share * float64(work))
+		}
+	}
+}
+
 // sorted returns the lanes, the most urgent first. The least urgent are merged if there are too
 // many.
 func (l laneSet) sorted() []forecast.Lane {
--- a/internal/scheduler/forecast_test.go
+++ b/internal/scheduler/forecast_test.go
@@ -13,6 +13,7 @@
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/forecast"
 	"switchbank.example/switchbank/internal/resource"
+	"switchbank.example/switchbank/internal/team"
 )
 
 const (
@@ -254,3 +255,30 @@
 		t.Errorf("%d priorities with %d milli-CPU x s of waiting work, want %d with %d", len(s.Lanes), work, forecast.MaxLanes, want)
 	}
 }
+
+// TestForecastBesideTeamAtLimit guards against forecasts that count all that waits at one team's
+// limit as work ahead of other teams, whose jobs would be refused although they fit now.
+func TestForecastBesideTeamAtLimit(t *testing.T) {
+	r := newRig(t, 4)
+	r.upsertWorkers()
+	r.shard.SetTeams(r.now, []team.Team{{Name: "red", Weight: 1, Limit: resource.Amount{CPUMilli: 4000}}})
+	r.shard.TeamPartsKnown()
+	r.runFor(time.Second)
+	r.shard.AddJob(r.now, r.teamJob("r", "red", tasks(100, 4000)), nil, false)
+	r.runFor(time.Second)
+	if n := r.runningOf("r"); n != 1 {
+		t.Fatalf("%d tasks of the team run, want 1 by its limit", n)
+	}
+	other := batch("o", tasks(2, 4000))
+	if e := r.summary().Estimate(forecast.FromJob(&other), 0); !e.Known || e.Start > 100*time.Millisecond {
+		t.Errorf("three of four workers are free: %+v, want no wait", e)
+	}
+	// With 6 s of other work for the whole shard, the team's part of it counts as well.
+	r.shard.AddJob(r.now, batch("b", tasks(24, 4000)), nil, false)
+	r.runFor(200 * time.Millisecond)
+	late := batch("l", tasks(24, 4000))
+	late.Policy.TargetMS = 60_000
+	if e := r.summary().Estimate(forecast.FromJob(&late), 0); e.Start < 5*time.Second || e.Start > 9*time.Second {
+		t.Errorf("behind 5.25 s of work and the team's part: %+v", e)
+	}
+}
