--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -10,6 +10,7 @@
 
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/forecast"
+	"switchbank.example/switchbank/internal/resource"
 )
 
 // This file addresses shards whose demand exceeds their capacity: nodes decide by the summary that
@@ -23,11 +24,11 @@
 	// minArrivalTime is the least time over which the work that arrived is averaged, so that the
 	// first job after a takeover does not look like a high rate.
 	minArrivalTime = time.Second
+	// maxTaskWork bounds the work of a task in milli-CPU x seconds: 16 cores for a week. An estimate
+	// may be absurd, and the work of all tasks must not overflow.
+	maxTaskWork = 1e10
 	// maxTrackers bounds the queues of which statistics are kept.
 	maxTrackers = 256
-	// maxArrivalAge is the age from which a job counts as one that an earlier owner accepted: it
-	// says nothing about the present rate.
-	maxArrivalAge = 5 * time.Second
 )
 
 // forecasts is what the shard knows for forecasts.
@@ -60,7 +61,7 @@
 }
 
 func (a *arrivals) decay(now time.Time) {
-	by := math.Exp(-float64(now.Sub(a.at)) / float64(arrivalDecay))
+	by := math.Exp(-float64(max(0, now.Sub(a.at))) / float64(arrivalDecay))
 	a.work, a.due, a.at = a.work*by, a.due*by, now
 }
 
@@ -111,24 +112,51 @@
 	if sum.CapacityMilli <= 0 {
 		return nil
 	}
-	sum.Lanes = s.buildLanes(now)
+	sum.Lanes = s.buildLanes(now, sum.CapacityMilli)
 	sum.Queues = s.queueStats()
 	return sum
 }
 
 // buildLanes returns the work by priority.
-func (s *Shard) buildLanes(now time.Time) []forecast.Lane {
-	lanes := make(laneSet)
+func (s *Shard) buildLanes(now time.Time, capacityMilli int64) []forecast.Lane {
+	// The work of teams at their limits is kept apart, by team; nil stands for all other work.
+	sets := map[*teamState]laneSet{nil: {}}
 	for _, j := range s.active {
 		if j.countsInForecast() {
-			s.addWaitingWork(now, lanes, j)
+			s.addWaitingWork(now, lanesFor(sets, j), j)
 		}
 	}
 	for _, r := range s.runs {
 		if r.task.step.job.countsInForecast() {
-			s.addRunningWork(now, lanes, r)
+			s.addRunningWork(now, lanesFor(sets, r.task.step.job), r)
 		}
 	}
+	lanes := sets[nil]
+	drainTime := float64(lanes.waiting()) / float64(capacityMilli)
+	for t, set := range sets {
+		if t != nil {
+			lanes.addLimited(set, float64(t.used.CPUMilli)*drainTime)
+		}
+	}
+	s.addArrivals(now, lanes)
+	return lanes.sorted()
+}
+
+// lanesFor returns the set for a job's work. That of a team at its limit starts no sooner if room
+// comes free, so it does not delay others by all that waits.
+func lanesFor(sets map[*teamState]laneSet, j *job) laneSet {
+	t := j.team
+	if t == nil || t.blocked == (resource.Amount{}) {
+		return sets[nil]
+	}
+	if sets[t] == nil {
+		sets[t] = make(laneSet)
+	}
+	return sets[t]
+}
+
+// addArrivals adds the rates at which work is accepted.
+func (s *Shard) addArrivals(now time.Time, lanes laneSet) {
 	for priority, a := range s.forecasts.arrivals {
 		rate := int64(a.rate(now, s.startedAt))
 		if rate == 0 {
@@ -139,7 +167,6 @@
 		lane.ArrivalMilli += rate
 		lane.DueMS = max(0, int64(1000*a.due/a.work))
 	}
-	return lanes.sorted()
 }
 
 // countsInForecast reports whether the job's work may start here.
@@ -194,7 +221,8 @@
 // taskWork returns the work of one task of the step in milli-CPU x seconds, if run times are the
 // given multiple of the estimates.
 func (st *step) taskWork(ratio float64) int64 {
-	return int64(float64(st.spec.Allocation().CPUMilli) * ratio * st.estimate().Seconds())
+	work := float64(st.spec.Allocation().CPUMilli) * ratio * float64(st.spec.EstimateMS) / 1000
+	return int64(min(maxTaskWork, max(0, work)))
 }
 
 // forecastDue returns the due time by which the job takes its turn: what is beyond its team's
@@ -224,11 +252,38 @@
 	return lane
 }
 
+// waiting returns the waiting work of all priorities.
+func (l laneSet) waiting() (sum int64) {
+	for _, lane := range l {
+		for _, work := range lane.Waiting {
+			sum += work
+		}
+	}
+	return sum
+}
+
+// addLimited adds the work of a team at its limit: its runs, and as much of the waiting work as the
+// team may run while the work of others drains.
+func (l laneSet) addLimited(limited laneSet, mayRun float64) {
+	share := min(1, mayRun/float64(max(1, limited.waiting())))
+	for priority, from := range limited {
+		lane := l.of(priority)
+		lane.Running += from.Running
+		lane.ArrivalMilli += from.ArrivalMilli
+		lane.NotReady += int64(share * float64(from.NotReady))
+		lane.LatestMS = max(lane.LatestMS, from.LatestMS)
+		for i, work := range from.Waiting {
+			lane.Waiting[i] += int64(share * float64(work))
+		}
+	}
+}
+
 // sorted returns the lanes, the most urgent first. The least urgent are merged if there are too
 // many.
 func (l laneSet) sorted() []forecast.Lane {
 	list := make([]forecast.Lane, 0, len(l))
 	for _, lane := range l {
+		lane.Bound()
 		list = append(list, *lane)
 	}
 	slices.SortFunc(list, func(a, b forecast.Lane) int { return cmp.Compare(a.Priority, b.Priority) })
@@ -247,7 +302,7 @@
 
 // queueStats returns the statistics of the queues that were used last, the latest first.
 func (s *Shard) queueStats() []forecast.QueueStats {
-	names := s.forecasts.queuesByUse()
+	names := slices.DeleteFunc(s.forecasts.queuesByUse(), func(queue string) bool { return len(queue) > forecast.MaxQueueName })
 	list := make([]forecast.QueueStats, 0, min(len(names), forecast.MaxQueues))
 	for _, queue := range names[:min(len(names), forecast.MaxQueues)] {
 		list = append(list, s.forecasts.trackers[queue].Stats(queue, min(1, s.approvalRates[queue])))
@@ -297,9 +352,7 @@
 	if f.Priority == longRunningPriority || j.spec.Repeats > 0 || j.inherited || j.begun {
 		return
 	}
-	if now.Sub(time.UnixMilli(j.spec.AcceptedMS)) < maxArrivalAge || j.spec.AcceptedMS == 0 {
-		s.countArrival(now, j)
-	}
+	s.countArrival(now, j)
 	f.Due = j.rank.Due.Sub(now)
 	if s.forecasts.summary == nil || j.rank.BeyondWeight || !j.spec.Share.Whole() || f.CriticalPath <= 0 {
 		return
