--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -155,7 +155,7 @@
 
 // DefaultAdmission returns the settings of admission control that apply where none are given.
 func DefaultAdmission() Admission {
-	return Admission{Enabled: true, AcceptUntil: 3, ExpectUntil: 1, NewUntil: 0.75}
+	return Admission{Enabled: true, AcceptUntil: 3, ExpectUntil: 3, NewUntil: 2}
 }
 
 // OwnerMilliCPUPerWorker is the CPU that the owner of a shard uses for each busy worker
