--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -14,6 +14,7 @@
 	"switchbank.example/switchbank/internal/events"
 	"switchbank.example/switchbank/internal/owner"
 	"switchbank.example/switchbank/internal/scheduler"
+	"switchbank.example/switchbank/internal/settings"
 	"switchbank.example/switchbank/internal/tables"
 )
 
@@ -339,6 +340,7 @@
 		Epoch: epoch, Lease: min(workerLease, most), MaxLease: most, StopTime: time.Duration(n.cfg.Bounds.StopMS) * time.Millisecond,
 		UncertainFor:      time.Duration(float64(min(workerLease, most))*scheduler.ClockSlack) + replacedOwnerTime,
 		FinishedRetention: time.Duration(n.cfg.Bounds.FinishedRetentionMS) * time.Millisecond,
+		OrderByDue:        n.cfg.WaitingOrder == settings.WaitingOrderDue,
 		Index:             shard.Index, Shards: layout.Shards,
 	}
 }
--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -18,7 +18,7 @@
 var (
 	OrderInUse = Order{"lateness", byLateness}
 	// OrderEDF orders by due time alone, and OrderEDFYields does so with reservations that yield.
-	OrderEDF       = Order{"earliest due time", ordering{func(*Shard, time.Time) {}, false}}
+	OrderEDF       = Order{"earliest due time", byDue}
 	OrderEDFYields = Order{"same, with yielding", ordering{func(*Shard, time.Time) {}, true}}
 	// OrderLostLast is OrderEDF with the work that is of no use any more last.
 	OrderLostLast = Order{"lost work last", ordering{func(s *Shard, now time.Time) {
--- a/internal/scheduler/lateness.go
+++ b/internal/scheduler/lateness.go
@@ -67,8 +67,19 @@
 	reservationsYield bool
 }
 
-// byLateness is the policy in use.
-var byLateness = ordering{(*Shard).orderByLateness, true}
+// byLateness is the policy in use unless Params.OrderByDue is set.
+var (
+	byLateness = ordering{(*Shard).orderByLateness, true}
+	byDue      = ordering{func(*Shard, time.Time) {}, false}
+)
+
+// ordering returns the policy of a shard.
+func (p *Params) ordering() ordering {
+	if p.OrderByDue {
+		return byDue
+	}
+	return byLateness
+}
 
 // isOverloaded reports whether a shard is overloaded, by whether it was and by its load.
 func isOverloaded(was bool, load float64) bool {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -49,6 +49,8 @@
 	UncertainFor time.Duration
 	// FinishedRetention is how long the state of a finished job is kept.
 	FinishedRetention time.Duration
+	// OrderByDue orders waiting work by due time alone, also while the shard is overloaded.
+	OrderByDue bool
 	// Index is that of the shard among the Shards of its service; 0 shards count as one.
 	Index, Shards int
 }
@@ -223,7 +225,7 @@
 		dirty: make(map[string]*job), movedAway: make(map[string]movedJob), takeover: takeover{open: true, jobsLoadedAt: now},
 		approvalRates: make(map[string]float64), ratios: make(map[stepKind]*ratio), kindSpeeds: make(map[string]*kindSpeed), load: unknownLoad, forecasts: newForecasts(),
 		teams: make(map[string]*teamState), ledger: quota.NewLedger(params.Index, params.Shards), unseenRound: -1, partsKnown: params.Shards <= 1,
-		ordering: byLateness, startSpreads: make(map[stepKind]*meanSpread),
+		ordering: params.ordering(), startSpreads: make(map[stepKind]*meanSpread),
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,9 @@
 	WorkersPerShard int       `yaml:"workers_per_shard"`
 	Tokens          Tokens    `yaml:"tokens"`
 	Admission       Admission `yaml:"admission"`
+	// WaitingOrder is the order in which work waits in an overloaded shard: WaitingOrderLateness or
+	// WaitingOrderDue.
+	WaitingOrder string `yaml:"waiting_order"`
 }
 
 // Admission sets which jobs are refused while a shard is overloaded. It concerns only queues that
@@ -143,6 +146,14 @@
 // a call of the worker.
 const WorkerOrdersInvocation = "invocation"
 
+// The values of Settings.WaitingOrder.
+const (
+	// WaitingOrderLateness puts jobs that will be late and have not begun behind the others.
+	WaitingOrderLateness = "lateness"
+	// WaitingOrderDue goes by due time alone.
+	WaitingOrderDue = "due"
+)
+
 // The defaults of settings that are not given.
 const (
 	defaultMaxLease          = 10 * time.Second
@@ -198,6 +209,7 @@
 	setDefault(&s.Listen.AdvertisePeers, s.Listen.Peers)
 	setDefault(&s.LogLevel, "info")
 	setDefault(&s.WorkerOrders, WorkerOrdersInvocation)
+	setDefault(&s.WaitingOrder, WaitingOrderLateness)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -234,6 +246,9 @@
 		// The node would accept jobs whose tasks it could not start.
 		return newInvalid("worker_orders", "only "+WorkerOrdersInvocation+" is built, not "+s.WorkerOrders)
 	}
+	if s.WaitingOrder != WaitingOrderLateness && s.WaitingOrder != WaitingOrderDue {
+		return newInvalid("waiting_order", "must be "+WaitingOrderLateness+" or "+WaitingOrderDue)
+	}
 	if s.Limits.CPUShare < 0 {
 		return newInvalid("limits.cpu_share", "must be above 0")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -51,6 +51,7 @@
 		{validSettings + "limits: {memory_mb: -5}\n", "limits.memory_mb"},
 		{validSettings + "limits: {cpu_share: -0.4}\n", "limits.cpu_share"},
 		{strings.Replace(validSettings, `peers: "127.0.0.1:3"`, `peers: "127.0.0.1:3", peers_at: "nowhere"`, 1), "listen.peers_at"},
+		{validSettings + "waiting_order: random\n", "waiting_order"},
 		{validSettings + "workers_per_shard: -1\n", "workers_per_shard"},
 		{validSettings + "workers_per_shard: 1501\n", "workers_per_shard"},
 		{validSettings + "workers_per_shard: 300\nlimits: {cpu_share: 0.12}\n", "workers_per_shard"},
