--- a/internal/scheduler/forecast_test.go
+++ b/internal/scheduler/forecast_test.go
@@ -24,6 +24,9 @@
 	maxMedianErrorWrong = 0.25
 	// maxSooner bounds the share of jobs that end before the optimistic end, which should be 0.1.
 	maxSooner = 0.2
+	// overloadSeeds is how many overloaded shards each test simulates. The bounds hold for all of them
+	// together, also with the race detector.
+	overloadSeeds = uint64(3)
 	// forecastTime is for how long jobs are forecast, from an empty shard on, and maxOverloadTime
 	// until when they must have ended.
 	forecastTime    = 60 * time.Second
--- a/internal/scheduler/searchseeds_test.go
+++ b/internal/scheduler/searchseeds_test.go
@@ -6,6 +6,3 @@
 
 // defaultSeeds is the number of seeds of a search by default; they take some seconds.
 const defaultSeeds = 400
-
-// overloadSeeds is how many overloaded shards each test of forecasts simulates.
-const overloadSeeds = uint64(3)
--- a/internal/scheduler/searchseedsrace_test.go
+++ b/internal/scheduler/searchseedsrace_test.go
@@ -7,6 +7,3 @@
 // defaultSeeds is lower under the race detector: each seed takes ten times as long there and
 // runs in one goroutine, in which there are no races to find.
 const defaultSeeds = 40
-
-// overloadSeeds is as without the detector: the bounds hold for all seeds together.
-const overloadSeeds = uint64(3)
