scheduler: late jobs of the most urgent priority keep their turn

Jobs of priority 0 preempt others and are late by their own run times; one that had just become late was put behind later ones. They are ordered by due time again. TestLateUrgentJobKeepsTurn fails without the change.

--- a/internal/scheduler/lateness.go
+++ b/internal/scheduler/lateness.go
@@ -91,7 +91,7 @@
 	changed := false
 	for _, j := range s.active {
 		l := InTime
-		if s.overloaded && j.hasObjective() && !j.rank.BeyondWeight && !j.keepsTurn() {
+		if s.overloaded && j.yieldsWhenLate() {
 			l = lateness(now, j.rank, s.remainingPath(now, j))
 		}
 		if l != j.rank.Lateness {
@@ -126,6 +126,16 @@
 	return (j.spec.Policy.Stretch > 0 || j.spec.Policy.TargetMS > 0) && j.rank.Priority != longRunningPriority && j.spec.Repeats == 0
 }
 
+// yieldsWhenLate reports whether the job waits behind others if it will be late. Jobs of the most urgent
+// priority do not: they preempt others, so that they are late by their own run times rather than by
+// waiting, and a job that is on its way to being on time would be put behind.
+func (j *job) yieldsWhenLate() bool {
+	return j.hasObjective() && j.rank.Priority > mostUrgentPriority && !j.rank.BeyondWeight && !j.keepsTurn()
+}
+
+// mostUrgentPriority is that of the queues whose jobs come first.
+const mostUrgentPriority = 0
+
 // keepsTurn reports whether the job keeps its turn also when it is late: it has begun, has been
 // deferred for long enough already, or has a gang, for which room is reserved by its place in
 // the order.
--- a/internal/scheduler/lateness_test.go
+++ b/internal/scheduler/lateness_test.go
@@ -405,3 +405,25 @@
 		}
 	}
 }
+
+// TestLateUrgentJobKeepsTurn guards against late jobs of the most urgent priority that wait behind
+// later ones: on days with bursts of batch jobs, three times as many short jobs ended late.
+func TestLateUrgentJobKeepsTurn(t *testing.T) {
+	r := newRig(t, 1)
+	r.upsertWorkers()
+	urgent := func(id string, age time.Duration) cluster.Job {
+		job := batch(id, tasks(1, 4000))
+		job.Policy.Priority, job.Policy.Stretch, job.AcceptedMS = 0, 4, r.now.Add(-age).UnixMilli()
+		return job
+	}
+	r.shard.AddJob(r.now, urgent("running", 0), nil, false)
+	r.runFor(200 * time.Millisecond)
+	r.shard.AddJob(r.now, urgent("late", 5*time.Second), nil, false)
+	r.shard.AddJob(r.now, urgent("on-time", 0), nil, false)
+	r.runFor(500 * time.Millisecond)
+	r.endAllRuns(cluster.OutcomeDone)
+	r.runFor(300 * time.Millisecond)
+	if running := r.running(); running[cluster.TaskID{Job: "late"}] != 1 {
+		t.Errorf("running %v, want the late job", running)
+	}
+}
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -138,7 +138,9 @@
 
 // mayYield reports whether the step's reservations may yield. Those of the most urgent jobs do
 // not: such jobs are short, and would wait more often for the runs of others.
-func (st *step) mayYield() bool { return st.job.hasObjective() && st.job.rank.Priority > 0 }
+func (st *step) mayYield() bool {
+	return st.job.hasObjective() && st.job.rank.Priority > mostUrgentPriority
+}
 
 // setYields sets whether a step's reservation yields to jobs before the step's.
 func (w *worker) setYields(st *step, yields bool) {
