admission: by default refuse only what even the optimistic end makes useless, and place by load

Stricter bounds, the precedence of returning jobs and the choice by forecast are settings; the tests of nodes that refuse set them.

--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -62,10 +62,13 @@
 	return sum * int64(len(shards)) / int64(max(1, known))
 }
 
-// Choose returns the index of the shard for a job. This is the first one, unless that shard is
-// overloaded, the forecasts of all are known, and the job ends earlier in another one.
+// Choose returns the index of the shard for a job. This is the first one, unless the policy bounds
+// the expected end or the waiting work, that shard is overloaded, the forecasts of all are known,
+// and the job ends earlier in another one. Without these bounds, which keep the backlog short,
+// short jobs ended late more often than by load alone: summaries are up to 0.3 s old, and nodes
+// choose alike meanwhile.
 func (p *Policy) Choose(r Request, shards []ShardView) (best int) {
-	if !p.Applies(&r) {
+	if !p.Applies(&r) || (p.ExpectUntil <= 0 && p.MaxWaiting <= 0) {
 		return 0
 	}
 	var earliest time.Duration
--- a/internal/admission/decide_test.go
+++ b/internal/admission/decide_test.go
@@ -216,6 +216,10 @@
 		"the third ends earliest":   {[]admission.ShardView{fullShard(30), fullShard(20), fullShard(10)}, 2},
 		"there is none, by mistake": {nil, 0},
 	} {
+		byLoad := admission.Policy{Enabled: true, AcceptUntil: 3}
+		if got := byLoad.Choose(request("a", nil), c.shards); got != 0 {
+			t.Errorf("%s: %d without a bound on the expected end, want the first", name, got)
+		}
 		if got := p.Choose(request("a", nil), c.shards); got != c.want {
 			t.Errorf("%s: %d, want %d", name, got, c.want)
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -166,7 +166,7 @@
 
 // DefaultAdmission returns the settings of admission control that apply where none are given.
 func DefaultAdmission() Admission {
-	return Admission{Enabled: true, AcceptUntil: 3, ExpectUntil: 3, NewUntil: 2}
+	return Admission{Enabled: true, AcceptUntil: 3}
 }
 
 // OwnerMilliCPUPerWorker is the CPU that the owner of a shard uses for each busy worker
