cell: one look-up of a job at its owners, summaries read once for a decision

Two refusals asked the owners of a job's shards in loops of their own: askOwners serves both. A submission read the summaries of its shards four times and applied the jobs placed lately to those of all shards, although the capacity doesn't depend on them; a decision and its choice of shard now share one reading.

--- a/internal/cell/admit.go
+++ b/internal/cell/admit.go
@@ -113,16 +113,17 @@
 func (n *Node) decide(r admission.Request, shards []cluster.ShardID) admission.Decision {
 	n.admitter.deciding.Lock()
 	defer n.admitter.deciding.Unlock()
-	d := n.admitter.policy.Decide(r, n.shardViews(shards, &r))
+	views := n.viewsFor(&r, shards)
+	d := n.admitter.policy.Decide(r, views)
 	if d.Admit {
-		n.choosePlacement(r, shards)
+		n.choosePlacement(r, shards, views)
 	}
 	return d
 }
 
 // choosePlacement returns the shard for a job, and records that it is placed there.
-func (n *Node) choosePlacement(r admission.Request, shards []cluster.ShardID) cluster.ShardID {
-	shard := shards[n.admitter.policy.Choose(r, n.shardViews(shards, &r))]
+func (n *Node) choosePlacement(r admission.Request, shards []cluster.ShardID, views []admission.ShardView) cluster.ShardID {
+	shard := shards[n.admitter.policy.Choose(r, views)]
 	n.admitter.recent.Add(r, shard.String(), n.admitter.now())
 	return shard
 }
@@ -135,7 +136,7 @@
 	now := n.admitter.now()
 	n.admitter.memory.Complete(r, now)
 	r.TeamShare = n.admitter.shares.Of(r.Team, r.Job.Priority, now)
-	r.ServiceMilli = admission.ServiceCapacity(n.shardViews(layout.IDs(), r))
+	r.ServiceMilli = admission.ServiceCapacity(n.shardViews(layout.IDs()))
 }
 
 // mayBeAccepted reports whether a job was accepted before, or may have been. Its caller may have
@@ -144,7 +145,7 @@
 	if n.pins.Contains(job.ID) || n.admitter.uncertain.Contains(job.ID) {
 		return true
 	}
-	if n.knownToOwner(ctx, job.ID, shards) {
+	if reply := n.askOwners(ctx, job.ID, shards); reply.Known || reply.Unresolved {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, pinLookupTimeout)
@@ -153,25 +154,21 @@
 	return answer != AnswerNoJob
 }
 
-// knownToOwner reports whether the owner of one of the shards says that it has the job, or that the
-// job may have been accepted.
-func (n *Node) knownToOwner(ctx context.Context, id string, shards []cluster.ShardID) bool {
-	ctx, cancel := context.WithTimeout(ctx, ownerLookupTimeout)
-	defer cancel()
-	for _, shard := range shards {
-		if reply := n.stateFromOwner(ctx, shard, id); reply.Known || reply.Unresolved {
-			return true
-		}
+// shardViews returns the latest summaries of shards.
+func (n *Node) shardViews(shards []cluster.ShardID) []admission.ShardView {
+	views := make([]admission.ShardView, 0, len(shards))
+	for _, f := range n.ShardForecasts(shards) {
+		views = append(views, admission.ShardView{Summary: f.Summary, Age: f.Age})
 	}
-	return false
+	return views
 }
 
-// shardViews returns what this node knows of shards that may run the job of a request, with the jobs
-// that it has just placed there itself.
-func (n *Node) shardViews(shards []cluster.ShardID, r *admission.Request) []admission.ShardView {
-	views, now := make([]admission.ShardView, 0, len(shards)), n.admitter.now()
-	for _, f := range n.ShardForecasts(shards) {
-		views = append(views, n.admitter.recent.Apply(f.Shard.String(), admission.ShardView{Summary: f.Summary, Age: f.Age}, r, now))
+// viewsFor returns what this node knows of shards that may run the job of a request: their
+// summaries, with the jobs that it has just placed there itself.
+func (n *Node) viewsFor(r *admission.Request, shards []cluster.ShardID) []admission.ShardView {
+	views, now := n.shardViews(shards), n.admitter.now()
+	for i, shard := range shards {
+		views[i] = n.admitter.recent.Apply(shard.String(), views[i], r, now)
 	}
 	return views
 }
--- a/internal/cell/pins.go
+++ b/internal/cell/pins.go
@@ -59,7 +59,8 @@
 // chooseShard returns the shard for a job: the first one that may get it, or in an overload the
 // one in which it ends earlier.
 func (n *Node) chooseShard(ctx context.Context, layout *cluster.Layout, job *cluster.Job) cluster.ShardID {
-	return n.choosePlacement(admission.NewRequest(job), n.placementShards(ctx, layout, job))
+	r, shards := admission.NewRequest(job), n.placementShards(ctx, layout, job)
+	return n.choosePlacement(r, shards, n.viewsFor(&r, shards))
 }
 
 // placementShards returns the shards that may get a job: that of its data's rack unless it is
--- a/internal/cell/unresolved.go
+++ b/internal/cell/unresolved.go
@@ -64,22 +64,31 @@
 	if pin, ok := n.pins.Get(job.ID); ok && pin.Shards[0].Service == job.Service && pin.Team == job.Team {
 		return n.answerAccepted(job)
 	}
-	unresolved := n.unresolved.Contains(unresolvedKey(job.Service, job.ID))
-	c, cancel := context.WithTimeout(ctx, ownerLookupTimeout)
-	defer cancel()
-	for _, shard := range n.likelyShards(job.Service, job.ID) {
-		reply := n.stateFromOwner(c, shard, job.ID)
-		if reply.Known && reply.Team == job.Team {
-			return n.answerAccepted(job)
-		}
-		unresolved = unresolved || reply.Unresolved
-	}
-	if unresolved {
+	reply := n.askOwners(ctx, job.ID, n.likelyShards(job.Service, job.ID))
+	switch {
+	case reply.Known && reply.Team == job.Team:
+		return n.answerAccepted(job)
+	case reply.Unresolved || n.unresolved.Contains(unresolvedKey(job.Service, job.ID)):
 		return n.answerUnknown(job.ID)
 	}
 	return n.refuse(job.ID, cause)
 }
 
+// askOwners asks the owners of shards about a job until one knows it. Unresolved is set in the
+// reply if any of those asked holds the job's outcome for unknown.
+func (n *Node) askOwners(ctx context.Context, id string, shards []cluster.ShardID) (reply stateReply) {
+	ctx, cancel := context.WithTimeout(ctx, ownerLookupTimeout)
+	defer cancel()
+	for _, shard := range shards {
+		next := n.stateFromOwner(ctx, shard, id)
+		next.Unresolved = next.Unresolved || reply.Unresolved
+		if reply = next; reply.Known {
+			break
+		}
+	}
+	return reply
+}
+
 // answerAccepted returns the answer for a job that was accepted before, perhaps by an attempt
 // whose answer was lost.
 func (n *Node) answerAccepted(job *cluster.Job) Answer {
