--- a/review/_standin/cell.go
+++ b/review/_standin/cell.go
@@ -21,8 +21,7 @@
 )
 
 const (
-	nodeCount   = 3
-	workerCount = 6
+	nodeCount = 3
 	// The figures of the deployment inkaso-vychod that concern a node.
 	memoryMB   = "284"
 	cpuShare   = "0.4"
@@ -108,8 +107,9 @@
 	return addresses
 }
 
-// start starts the platform, the workers and the nodes, and waits until the nodes are ready.
-func (c *cell) start(routes ...site.Route) {
+// start starts the platform, the given number of workers and the nodes, and waits until the nodes are
+// ready.
+func (c *cell) start(workerCount int, routes ...site.Route) {
 	var err error
 	if c.dir, err = os.MkdirTemp("", "switchbank-review-"); err != nil {
 		panic(notRun(err.Error()))
--- a/review/_standin/network.go
+++ b/review/_standin/network.go
@@ -154,8 +154,9 @@
 	p.close()
 }
 
-// cut cuts the links off.
-func (n *network) cut(links ...link) {
+// cut cuts links off, and returns a function that ends the cut and resets the connections that were
+// cut. No link may be in two cuts at once.
+func (n *network) cut(links ...link) (heal func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range links {
@@ -164,15 +165,17 @@
 	for p := range n.pipes {
 		p.dead = p.dead || n.cuts[p.link]
 	}
+	return func() { n.heal(links) }
 }
 
-// heal ends all cuts and resets the connections that were cut.
-func (n *network) heal() {
+func (n *network) heal(links []link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	clear(n.cuts)
+	for _, l := range links {
+		delete(n.cuts, l)
+	}
 	for p := range n.pipes {
-		if p.dead {
+		if p.dead && !n.cuts[p.link] {
 			delete(n.pipes, p)
 			p.reset()
 		}
--- a/review/_standin/partition.go
+++ b/review/_standin/partition.go
@@ -28,14 +28,16 @@
 	cutTime = 12 * time.Second
 	// afterTime is how long the cell runs after the cut.
 	afterTime = 12 * time.Second
-	// cutWorkers is how many workers are on the owner's side of the cut: a third.
-	cutWorkers = 2
+	// partitionWorkers is how many workers there are, and partitionCut how many of them are on the
+	// owner's side of the cut: a third.
+	partitionWorkers = 6
+	partitionCut     = 2
 )
 
 // runPartition cuts the node that gives the orders off, together with two workers, from all other
 // nodes and workers, from the store and from the list of machines. Both sides run on.
 func runPartition(c *cell) []string {
-	c.start(
+	c.start(partitionWorkers,
 		site.Route{Name: "mandat-watch", Host: callersHost, PathPrefix: watchPrefix, Priority: 1, MaxAttempts: 2, Stretch: 2.2, TargetMS: 2500, Upstream: "inkaso-core"},
 		site.Route{Name: "upomienka-batch", Host: callersHost, PathPrefix: batchPrefix, Priority: 2, MaxAttempts: 3, Stretch: 2.2, TargetMS: 1200, Upstream: "inkaso-core"},
 	)
@@ -68,7 +70,7 @@
 // partition cuts off a node and two workers, and returns a function that ends the cut.
 func (c *cell) partition(first *node) (heal func()) {
 	inside := make(map[string]bool)
-	for i := range c.busiest(cutWorkers) {
+	for i := range c.busiest(partitionCut) {
 		inside[workerName(i)] = true
 	}
 	var links []link
@@ -88,7 +90,7 @@
 			links = append(links, link{n.name, storeName}, link{n.name, machinesName}, link{n.name, "advice"})
 		}
 	}
-	c.net.cut(links...)
+	healNet := c.net.cut(links...)
 	c.printf("cut: %s and the workers %v from everything else", first.name, sortedNames(inside))
 	lapse := time.AfterFunc(entryLifetime, func() {
 		for i, w := range c.workers {
@@ -105,7 +107,7 @@
 	}
 	return func() {
 		lapse.Stop()
-		c.net.heal()
+		healNet()
 		for i, w := range c.workers {
 			if inside[workerName(i)] {
 				w.SetAnnouncementsPaused(false)
