review: a takeover that takes long in an outage of the store starts running work again

The time after which a new owner takes workers without an answer for empty counts from the moment at which the owner is made, and not from the load of its shard.

The case of the partition is number 2 now.

--- a/review/_standin/cell.go
+++ b/review/_standin/cell.go
@@ -228,9 +228,12 @@
 	}
 }
 
+// pollPause is the pause between two checks of a condition.
+const pollPause = 200 * time.Microsecond
+
 // waitUntil waits until ok returns true. The case can't run if that takes longer than limit.
 func (c *cell) waitUntil(condition string, limit time.Duration, ok func() bool) {
-	for end := time.Now().Add(limit); !ok(); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(limit); !ok(); time.Sleep(pollPause) {
 		if time.Now().After(end) {
 			panic(notRun("it took too long until " + condition))
 		}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -34,7 +34,7 @@
 
 // cases are the functions that run a case. They return the descriptions of the violations.
 var cases = map[string]func(c *cell) []string{
-	"freeze":    runFreeze,
+	"outage":    runOutage,
 	"partition": runPartition,
 }
 
