owner: an owner that may have been replaced expires no lease and starts nothing again

Cause: an owner takes the lease of a worker that it doesn't reach for expired by the deadlines that it has sent itself. The next owner renews that lease. Nothing told an owner that it might have been replaced, and nothing bounded for how long it goes on.

Change: an ownership is confirmed at the time at which a call was sent that has shown that no later owner had loaded the shard: a read of the owner's row or of the fence, a write on condition of one of them, or pings that all other nodes have answered to that effect. The last way keeps work going in an outage of the store for all. What an owner concludes from the silence of a worker, or from its end, counts only if its ownership is confirmed for a later time. No lease is granted beyond 20 s after the last confirmation; an ownership that isn't confirmed for so long ends (SB1731). An owner that has ended doesn't run again under its epoch, since it would use the numbers of its runs again.

Why it works: a later owner loads the shard only after it has replaced the row and the fence. If none had loaded it by the time at which a lease ended, none has renewed that lease.

TestReplacedOwnerStartsRunsAgain fails before (five tasks run on two workers) and passes now.

--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -63,6 +63,8 @@
 	PartsAway int `json:"parts_away,omitempty"`
 	// About names a node that the receiver should ping; empty for none.
 	About string `json:"about,omitempty"`
+	// Owns are the shards that the sender owns.
+	Owns []ownerEpoch `json:"owns,omitempty"`
 	// Refused are refused jobs that the receiver may not know, and RefusedAfter is
 	// pingReply.RefusedLast of its last reply.
 	Refused      []admission.Record `json:"refused,omitempty"`
@@ -80,6 +82,10 @@
 	// Owns lists the shards that the node owns.
 	Owns    []ownedShard `json:"owns,omitempty"`
 	Members []member     `json:"members,omitempty"`
+	// Owners are the latest owners that the node knows of the shards that the sender owns, and
+	// Knows is the number of other nodes that it knows.
+	Owners []ownerEpoch `json:"owners,omitempty"`
+	Knows  int          `json:"knows,omitempty"`
 	// Evacuations are the operators' orders that the node knows.
 	Evacuations []cluster.EvacuationOrder `json:"evacuations,omitempty"`
 	// AboutAnswers tells whether the node named in About answered the ping.
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -21,6 +21,7 @@
 		defer n.mu.Unlock()
 		return float64(len(n.owned))
 	})
+	n.metrics.NewGauge("switchbank_ownership_unconfirmed_seconds", n.longestUnconfirmed)
 	n.metrics.NewGauge("switchbank_peers_up", func() float64 { return float64(n.peers.countUp()) })
 	n.metrics.NewGauge("switchbank_store_silent_seconds", func() float64 {
 		return n.store.silentFor().Seconds()
@@ -46,6 +47,18 @@
 	gauge("switchbank_workers_set_aside", func(c scheduler.Counts) int64 { return c.Quarantines })
 }
 
+// longestUnconfirmed returns the time, in seconds, since the ownership of a shard that runs here was
+// last confirmed, the longest one of all shards.
+func (n *Node) longestUnconfirmed() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var longest time.Duration
+	for _, o := range n.owned {
+		longest = max(longest, o.ConfirmationAge())
+	}
+	return longest.Seconds()
+}
+
 // counts returns the sums of the counters of the shards that run here. They start at 0 with
 // each ownership.
 func (n *Node) counts() scheduler.Counts {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -129,6 +129,8 @@
 	configConfirmed confirmation
 	// configRead is when this node last read the configuration in the store.
 	configRead confirmation
+	// ownersRead is set once the owners' rows have been read.
+	ownersRead atomic.Bool
 	// fetching is set while a configuration is being fetched from a peer.
 	fetching atomic.Bool
 	draining atomic.Bool
@@ -136,6 +138,8 @@
 	mu sync.Mutex
 	// owned holds the shards that this node owns.
 	owned map[cluster.ShardID]*owner.Owner
+	// lastEpochs holds the epoch of the last owner of each shard that has run here.
+	lastEpochs map[cluster.ShardID]int64
 	// claimed holds the shards that it is this node's turn to take. taking holds those for
 	// which the write that takes them is in flight.
 	claimed, taking map[cluster.ShardID]bool
@@ -171,7 +175,7 @@
 	n := &Node{
 		cfg: cfg, Deps: deps, metrics: metrics.NewSet(),
 		me:    member{Name: cfg.Node, Address: cfg.Listen.AdvertisePeers, Incarnation: newIncarnation(), DataCentre: cfg.DataCentre, CPUMilli: cfg.Limits.CPUMilli()},
-		owned: make(map[cluster.ShardID]*owner.Owner), claimed: make(map[cluster.ShardID]bool),
+		owned: make(map[cluster.ShardID]*owner.Owner), lastEpochs: make(map[cluster.ShardID]int64), claimed: make(map[cluster.ShardID]bool),
 		taking: make(map[cluster.ShardID]bool), owners: make(map[cluster.ShardID]ownerState),
 		layouts: make(map[string]cluster.Layout), watched: make(map[string]bool), pins: newPins(), unresolved: newUnresolved(),
 		admitter: newAdmitter(cfg.Admission),
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -33,6 +33,10 @@
 	// of an owner while the store is down for some seconds, and bounds how long the tasks of
 	// an unreachable worker wait to start elsewhere.
 	workerLease = 8 * time.Second
+	// ownershipLease bounds the leases of workers by the last confirmation of their owner. It
+	// covers an outage of the store of 15 s in which a node is lost as well, so that the others
+	// can't confirm the ownership either.
+	ownershipLease = 20 * time.Second
 	// replacedOwnerTime is how long a replaced owner may go on until the answer of a worker
 	// stops it.
 	replacedOwnerTime = 1500 * time.Millisecond
@@ -47,8 +51,11 @@
 		Service: n.store, Table: TableCell, Parts: []string{""}, FeedWait: cellFeedWait, Pause: cellFeedPause,
 		OnError: n.logReadFailure(TableCell),
 	}
-	f.Apply = func(rows []tables.Row, _ bool) {
+	f.Apply = func(rows []tables.Row, full bool) {
 		n.applyCellRows(rows)
+		if full {
+			n.ownersRead.Store(true)
+		}
 		n.scaleCellFeed(&f)
 	}
 	f.Run(ctx)
@@ -213,6 +220,7 @@
 	next := ownerRecord{Owner: n.me, Epoch: rec.Epoch + 1}
 	condition, row := replaceOwnerRow(shard, version, next)
 	fence := n.readFence(ctx, shard)
+	sent := time.Now()
 	res, err := n.store.Commit(ctx, tables.Txn{If: []tables.Row{condition}, Put: []tables.Row{row}})
 	if err != nil {
 		n.Log.Warn("failed to take shard", events.StoreFailed, zap.Stringer("shard", shard), zap.String("cause", cause), zap.Error(err))
@@ -229,7 +237,7 @@
 	row.Version = res.Version
 	n.Log.Info("shard taken", events.OwnershipTaken, zap.Stringer("shard", shard), zap.Int64("epoch", next.Epoch),
 		zap.String("from", rec.Owner.Name), zap.String("cause", cause))
-	n.startOwner(shard, row, next, <-fence)
+	n.startOwner(shard, row, next, <-fence, sent)
 	return true
 }
 
@@ -274,6 +282,7 @@
 // reconcileOwner reads the owner's row after a write whose outcome is unknown, and starts the
 // owner if the row names this node.
 func (n *Node) reconcileOwner(ctx context.Context, shard cluster.ShardID) {
+	sent := time.Now()
 	r, ok, err := tables.Get(ctx, n.store, TableCell, "", ownerPrefix+shard.String())
 	if err != nil {
 		// The feed will deliver the row, or the watcher takes the shard again.
@@ -284,21 +293,30 @@
 		return
 	}
 	rec, err := decodeOwner(r)
-	if err == nil && rec.Owner.Incarnation == n.me.Incarnation && n.local(shard) == nil {
-		n.startOwner(shard, r, rec, tables.Row{})
+	if err == nil && rec.Owner.Incarnation == n.me.Incarnation && n.hasNotRun(shard, rec.Epoch) {
+		n.startOwner(shard, r, rec, tables.Row{}, sent)
 		return
 	}
 	n.updateOwner(shard, r)
 }
 
-// startOwner runs a shard that this node has taken, with the fence that was read in parallel.
-func (n *Node) startOwner(shard cluster.ShardID, row tables.Row, rec ownerRecord, fence tables.Row) {
+// hasNotRun reports whether no owner of that epoch or a later one has run here. One that has ended
+// can't run again, since its runs and their numbers are not known any more.
+func (n *Node) hasNotRun(shard cluster.ShardID, epoch int64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return epoch > n.lastEpochs[shard]
+}
+
+// startOwner runs a shard that this node has taken, with the fence that was read in parallel. The
+// call that has shown that the row names this node was sent at confirmedAt.
+func (n *Node) startOwner(shard cluster.ShardID, row tables.Row, rec ownerRecord, fence tables.Row, confirmedAt time.Time) {
 	layout, _ := n.layout(shard.Service)
 	workers := n.newFanout(shard, &layout)
 	o := owner.New(owner.Config{
-		Shard: shard, Layout: layout, Row: row, Fence: fence, MaxParallelReads: n.parallelReads(), MaxWriteBytes: n.writeBytes(), Params: n.schedulerParams(shard, &layout, rec.Epoch),
+		Shard: shard, Layout: layout, Row: row, Fence: fence, ConfirmedAt: confirmedAt, MaxParallelReads: n.parallelReads(), MaxWriteBytes: n.writeBytes(), Params: n.schedulerParams(shard, &layout, rec.Epoch),
 	}, owner.Deps{
-		Tables: n.newOwnerStore(shard), Workers: workers, Advisers: n.peers, Machines: proxiedMachines{n, shard.Service}, Directory: n.Directory, Shards: otherShards{n},
+		Tables: n.newOwnerStore(shard), Workers: workers, Advisers: n.peers, Machines: proxiedMachines{n, shard.Service}, Directory: n.Directory, Shards: otherShards{n}, Confirmer: ownerConfirmer{n.peers},
 		CountInvalidEntry: n.countInvalidEntry, Log: n.Log,
 	})
 	if !n.registerOwner(shard, o, rec, row.Version) {
@@ -325,7 +343,7 @@
 	if n.owned[shard] != nil {
 		return false
 	}
-	n.owned[shard] = o
+	n.owned[shard], n.lastEpochs[shard] = o, rec.Epoch
 	if version > n.owners[shard].version {
 		n.setOwner(shard, rec, version)
 	}
@@ -337,7 +355,7 @@
 func (n *Node) schedulerParams(shard cluster.ShardID, layout *cluster.Layout, epoch int64) scheduler.Params {
 	most := time.Duration(n.cfg.Bounds.MaxLeaseMS) * time.Millisecond
 	return scheduler.Params{
-		Epoch: epoch, Lease: min(workerLease, most), MaxLease: most, StopTime: time.Duration(n.cfg.Bounds.StopMS) * time.Millisecond,
+		Epoch: epoch, Lease: min(workerLease, most), MaxLease: most, OwnershipLease: ownershipLease, StopTime: time.Duration(n.cfg.Bounds.StopMS) * time.Millisecond,
 		UncertainFor:      time.Duration(float64(min(workerLease, most))*scheduler.ClockSlack) + replacedOwnerTime,
 		FinishedRetention: time.Duration(n.cfg.Bounds.FinishedRetentionMS) * time.Millisecond,
 		OrderByDue:        n.cfg.WaitingOrder == settings.WaitingOrderDue,
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -76,6 +76,7 @@
 		reply.Owns = append(reply.Owns, ownedShard{shard, o.Load(), n.encodeForecast(o)})
 	}
 	reply.Members = n.peers.membersFor(req)
+	reply.Owners, reply.Knows = n.latestOwners(req.Owns), n.peers.count()
 	reply.Refused, reply.RefusedLast = n.admitter.memory.News(req.RefusedAfter, req.From.Name, now)
 	if req.About != "" {
 		if q, ok := n.peers.get(req.About); ok {
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -43,6 +43,8 @@
 	pingCursor int
 	// pinging holds the running pings of pingShared, by incarnation.
 	pinging map[string]chan struct{}
+	// confirmationAt is when all nodes were last asked to confirm this node's ownerships.
+	confirmationAt time.Time
 	// relayCursor rotates the order in which relays are tried.
 	relayCursor int
 }
@@ -62,6 +64,8 @@
 	retryInterval time.Duration
 	// reply is its last reply to a ping.
 	reply pingReply
+	// owners are its last answers about the shards that this node owns.
+	owners map[cluster.ShardID]ownerAnswer
 	// refusedSent is the last change of this node's record of refused jobs that the node was
 	// told of, and refusedReceived the last one of its own that it told this node.
 	refusedSent, refusedReceived int64
@@ -85,7 +89,7 @@
 	defer p.mu.Unlock()
 	old := p.byName[m.Name]
 	if old == nil {
-		q := &peer{member: m, hash: xxhash.Sum64String(m.Name)}
+		q := &peer{member: m, hash: xxhash.Sum64String(m.Name), owners: make(map[cluster.ShardID]ownerAnswer)}
 		p.byName[m.Name] = q
 		at, _ := slices.BinarySearchFunc(p.sorted, m.Name, func(q *peer, name string) int { return strings.Compare(q.Name, name) })
 		p.sorted = slices.Insert(p.sorted, at, q)
--- a/internal/cell/ping.go
+++ b/internal/cell/ping.go
@@ -121,9 +121,10 @@
 
 // ping pings a node and records its reply.
 func (p *peers) ping(ctx context.Context, m member) (pingReply, error) {
-	req := pingRequest{From: p.n.me, Knows: p.count(), PartsAway: p.n.store.parts.countAway()}
+	req := pingRequest{From: p.n.me, Knows: p.count(), PartsAway: p.n.store.parts.countAway(), Owns: p.n.ownerEpochs()}
 	known, _ := p.get(m.Name)
 	refusedSent := p.n.sendRefused(&req, known)
+	sent := time.Now()
 	reply, err := call[pingRequest, pingReply](ctx, p, m.Address, pathPing, req, peerTimeout)
 	if err != nil {
 		p.recordFailure(m, err)
@@ -144,6 +145,7 @@
 		q.lastOK, q.failingSince, q.reply = time.Now(), time.Time{}, reply
 	}
 	p.mu.Unlock()
+	p.recordOwners(reply.Me.Name, sent, reply.Owners, reply.Knows)
 	if wasDown {
 		p.n.Log.Info("peer answers again", events.PeerRecovered, zap.String("peer", reply.Me.Name))
 	}
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -162,7 +162,7 @@
 		return "no owner"
 	}
 	if rec.Owner.Name == n.me.Name {
-		return "owner was an earlier incarnation of this node"
+		return "owner has ended on this node"
 	}
 	if s.incarnation != rec.Owner.Incarnation {
 		*s = suspicion{incarnation: rec.Owner.Incarnation}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -144,6 +144,7 @@
 	StorePartAway      = zap.String(Field, "SB1730")
 	ForecastDiscarded  = zap.String(Field, "SB1728")
 	JobOverloaded      = zap.String(Field, "SB1729")
+	OwnershipExpired   = zap.String(Field, "SB1731")
 )
 
 // LogLinesDropped is written by the log's writer itself, not through the logger.
--- a/internal/owner/deps.go
+++ b/internal/owner/deps.go
@@ -57,6 +57,7 @@
 	Machines  Machines
 	Directory Directory
 	Shards    Shards
+	Confirmer Confirmer
 	// CountInvalidEntry counts a directory entry that names no valid worker.
 	CountInvalidEntry func(reason cluster.Kind)
 	Log               *zap.Logger
--- a/internal/owner/fallback.go
+++ b/internal/owner/fallback.go
@@ -107,6 +107,7 @@
 		o.fallback.addRow(r.Job, row)
 		txn.Put = append(txn.Put, row)
 	}
+	sent := time.Now()
 	res, err := o.Tables.Commit(ctx, txn)
 	switch {
 	case err != nil:
@@ -118,6 +119,7 @@
 		o.EndOwnership("another owner is named in the store")
 		return false
 	}
+	o.confirm(sent)
 	if o.fallback.activate() {
 		o.Log.Warn("progress goes to fallback rows", events.ProgressFallback, zap.Stringer("shard", o.cfg.Shard), zap.Bool("spills", true))
 	}
--- a/internal/owner/fence.go
+++ b/internal/owner/fence.go
@@ -64,6 +64,7 @@
 func (o *Owner) takeFence(ctx context.Context) error {
 	seen := o.cfg.Fence
 	for ctx.Err() == nil {
+		sent := time.Now()
 		row, err := o.tryTakeFence(ctx, seen)
 		switch epoch := o.fenceEpoch(row); {
 		case err != nil:
@@ -72,6 +73,7 @@
 			tables.Sleep(ctx, tables.RetryPause(err, fenceRetryDelay))
 		case epoch == o.Epoch():
 			o.fenceVersion = row.Version
+			o.confirm(sent)
 			return nil
 		case epoch > o.Epoch():
 			o.EndOwnership("the fence of the progress has a higher epoch")
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -40,6 +40,7 @@
 		if o.shard.TakeNewlyBlocked() {
 			notify(o.wakeTeamParts)
 		}
+		o.requestConfirmation()
 		o.mu.Unlock()
 		for _, c := range commands {
 			o.execute(ctx, c)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -72,6 +72,8 @@
 	// Fence is the shard's fence as read while Row was written, which saves a takeover one
 	// call. Without a key, the fence is not known.
 	Fence tables.Row
+	// ConfirmedAt is when the call was sent that has shown that Row names this owner.
+	ConfirmedAt time.Time
 	// MaxParallelReads is how many parts of the jobs are read at once; 0 means
 	// tables.MaxParallelLists.
 	MaxParallelReads int
@@ -107,6 +109,8 @@
 	teamParts     teamParts
 	wakeScheduler chan struct{}
 	wakePersist   chan struct{}
+	// wakeConfirm requests a confirmation of the ownership before the next one is due.
+	wakeConfirm chan struct{}
 	// wakeMachineList requests a listing of the machines before the next one is due.
 	wakeMachineList chan struct{}
 	// wakeTeamParts requests a round of requests for parts of teams' limits before the next one.
@@ -122,10 +126,12 @@
 func New(cfg Config, deps Deps) *Owner {
 	cfg.MaxParallelReads = cmp.Or(cfg.MaxParallelReads, tables.MaxParallelLists)
 	cfg.MaxWriteBytes = cmp.Or(cfg.MaxWriteBytes, math.MaxInt)
+	shard := scheduler.New(cfg.Params, time.Now(), deps.Log)
+	shard.ConfirmOwnership(cfg.ConfirmedAt)
 	return &Owner{
-		cfg: cfg, Deps: deps, startedAt: time.Now(), shard: scheduler.New(cfg.Params, time.Now(), deps.Log),
+		cfg: cfg, Deps: deps, startedAt: time.Now(), shard: shard,
 		holdLoops: make(map[string]bool), invalidEntries: newInvalidEntries(), teamParts: teamParts{writing: make(chan struct{}, 1), answered: make(map[int]bool), next: cfg.Shard.Index},
-		wakeScheduler: make(chan struct{}, 1), wakePersist: make(chan struct{}, 1), wakeMachineList: make(chan struct{}, 1), wakeTeamParts: make(chan struct{}, 1),
+		wakeScheduler: make(chan struct{}, 1), wakePersist: make(chan struct{}, 1), wakeConfirm: make(chan struct{}, 1), wakeMachineList: make(chan struct{}, 1), wakeTeamParts: make(chan struct{}, 1),
 	}
 }
 
@@ -157,6 +163,7 @@
 	if err := o.loadShard(o.ctx); err != nil {
 		return err
 	}
+	o.group.Go(func() error { return o.confirmLoop(o.ctx) })
 	o.group.Go(func() error { return o.scheduleLoop(o.ctx) })
 	o.group.Go(func() error { return o.persistLoop(o.ctx) })
 	o.group.Go(func() error { return o.followJobs(o.ctx) })
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -77,6 +77,7 @@
 		o.correctVersions(batch, res.Current)
 		return persistRetryDelay
 	}
+	o.confirm(began)
 	o.batchPersisted(batch, res.Version)
 	return 0
 }
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -125,7 +125,7 @@
 			}
 		}
 	}
-	s.loseRuns(now, w, cause)
+	s.loseRuns(now, w, now, cause)
 	for _, j := range s.active {
 		for st := range j.steps() {
 			st.forgetWorker(w.info.ID)
@@ -201,7 +201,7 @@
 // dropInDoubt drops a run that is certain not to be running.
 func (s *Shard) dropInDoubt(now time.Time, r *run, cause string) {
 	if s.runs[r.key()] == r {
-		s.loseRun(now, r, cause)
+		s.loseRun(now, r, now, cause)
 	}
 }
 
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -101,6 +101,9 @@
 	// takeover.
 	uncertain bool
 	notBefore time.Time
+	// lostAt is the time at which the last run that was lost with its worker had ended; zero: none
+	// was lost.
+	lostAt time.Time
 	// avoidWorker is the ID of the worker on which the task last failed, or was stopped
 	// because it was slow or stalled, and avoidSince when. The worker may be the cause,
 	// so others are tried first.
--- a/internal/scheduler/joint.go
+++ b/internal/scheduler/joint.go
@@ -194,7 +194,7 @@
 		return g
 	}
 	s.reserveForJointGang(now, st, &g)
-	if len(st.startable(now)) == len(st.tasks) {
+	if len(s.startable(now, st)) == len(st.tasks) {
 		g.Ready = s.startsWithinLimit(now, st, min(s.countStartable(now, st), len(st.tasks)))
 	}
 	return g
@@ -276,7 +276,7 @@
 // room for all of them.
 func (s *Shard) startMembersHere(now time.Time, st *step, from, to int, run int64, checkpoint string) bool {
 	s.unseenRound = -1
-	if s.startsWithinLimit(now, st, to-from) < to-from {
+	if !s.mayStart(now) || s.startsWithinLimit(now, st, to-from) < to-from {
 		return false
 	}
 	places := s.placeMembers(now, st, to-from, anyWorker)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -15,6 +15,9 @@
 
 // placeAll starts all tasks that can start now, the most urgent first.
 func (s *Shard) placeAll(now time.Time) {
+	if !s.mayStart(now) {
+		return
+	}
 	s.round++
 	s.reservingSteps, s.gangReserved = 0, false
 	for _, t := range s.teamList {
@@ -43,10 +46,10 @@
 }
 
 // startable returns the step's tasks that may start now.
-func (st *step) startable(now time.Time) []*task {
+func (s *Shard) startable(now time.Time, st *step) []*task {
 	var list []*task
 	for _, t := range st.tasks {
-		if !t.done && len(t.runs) == 0 && !t.uncertain && !now.Before(t.notBefore) && t.crashesDurable() {
+		if !t.done && len(t.runs) == 0 && !t.uncertain && !now.Before(t.notBefore) && t.crashesDurable() && s.ownedAt(t.lostAt) {
 			list = append(list, t)
 		}
 	}
@@ -55,7 +58,7 @@
 
 // placeStep starts the waiting tasks of a step on the best workers, as far as there is room.
 func (s *Shard) placeStep(now time.Time, st *step) {
-	waiting := st.startable(now)
+	waiting := s.startable(now, st)
 	if len(waiting) == 0 {
 		st.waitingSince = time.Time{}
 		return
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -18,11 +18,13 @@
 // rig drives a shard in virtual time and plays its workers: it reports the runs that
 // were started and ends those that the test selects.
 type rig struct {
-	t       *testing.T
-	shard   *scheduler.Shard
-	now     time.Time
-	epoch   int64
-	workers map[string]*fakeWorker
+	t     *testing.T
+	shard *scheduler.Shard
+	now   time.Time
+	epoch int64
+	// ownershipLease is that of the shard; 0: its ownership needs no confirmation.
+	ownershipLease time.Duration
+	workers        map[string]*fakeWorker
 	// longRunning holds the jobs with long-running tasks.
 	longRunning map[string]bool
 	log         *zap.Logger
@@ -65,7 +67,7 @@
 	r.epoch++
 	r.shard = scheduler.New(scheduler.Params{
 		Epoch: r.epoch, Lease: testLease, StopTime: 200 * time.Millisecond, UncertainFor: 10 * time.Second,
-		FinishedRetention: time.Minute,
+		FinishedRetention: time.Minute, OwnershipLease: r.ownershipLease,
 	}, r.now, r.log)
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -44,6 +44,10 @@
 	Lease, MaxLease time.Duration
 	// StopTime is how long a worker may take to stop a run.
 	StopTime time.Duration
+	// OwnershipLease bounds the leases of workers: none lasts longer than this after the last
+	// confirmation that no later owner had loaded the shard. 0 means that there can be no later
+	// owner.
+	OwnershipLease time.Duration
 	// UncertainFor is how long after a takeover a worker that does not answer may still
 	// execute runs that the previous owner started.
 	UncertainFor time.Duration
@@ -119,6 +123,7 @@
 	params    Params
 	log       *zap.Logger
 	startedAt time.Time
+	ownership ownership
 	workers   map[string]*worker
 	// incarnations holds the history of each worker ID. inDoubt holds, by worker ID, the
 	// runs whose start an incarnation that has ended, or a later one, may have accepted
--- a/internal/scheduler/slow.go
+++ b/internal/scheduler/slow.go
@@ -251,7 +251,7 @@
 // copyRun starts a second run of a speculative task on another worker, also if an earlier
 // copy has been lost.
 func (s *Shard) copyRun(now time.Time, t *task, slow *run) {
-	if len(t.runs) > 1 || t.done || t.suspect() || now.Before(t.notBefore) || t.step.job.state.Finished() || s.startsWithinLimit(now, t.step, 1) < 1 {
+	if !s.mayStart(now) || len(t.runs) > 1 || t.done || t.suspect() || now.Before(t.notBefore) || t.step.job.state.Finished() || s.startsWithinLimit(now, t.step, 1) < 1 {
 		return
 	}
 	avoided := func(w *worker) bool { return w.info.ID == t.avoidWorker && now.Sub(t.avoidSince) < avoidDuration }
--- a/internal/scheduler/waitlog.go
+++ b/internal/scheduler/waitlog.go
@@ -104,7 +104,7 @@
 
 // logWaitingTasksOf logs the waiting tasks of a step.
 func (s *Shard) logWaitingTasksOf(now time.Time, st *step) {
-	for _, t := range st.startable(now) {
+	for _, t := range s.startable(now, st) {
 		if t.waitingSince.IsZero() {
 			continue // it became startable after the last round
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -188,7 +188,7 @@
 	}
 	w.holdsSent++
 	order = s.orderFor(w)
-	if w.responsive() {
+	if w.responsive() && !s.OwnershipExpired(now) {
 		// A silent worker's lease is not renewed: it has to expire some time.
 		order = s.renewalOrder(now, w)
 	}
@@ -228,8 +228,11 @@
 }
 
 // orderWithDeadline returns the header of an order with a deadline on the worker's clock,
-// d from now.
+// d from now, or as late as the ownership allows.
 func (s *Shard) orderWithDeadline(now time.Time, w *worker, d time.Duration) cluster.Order {
+	if s.boundsOwnership() {
+		d = min(d, s.grantableFor(now))
+	}
 	o := s.orderFor(w)
 	if w.started != 0 && w.answered {
 		o.ClockMS = w.clockMS + time.Duration(float64(now.Sub(w.clockAt))/ClockSlack).Milliseconds()
@@ -264,35 +267,43 @@
 	return end
 }
 
+// leaseExpired reports whether all runs on a worker that doesn't answer have certainly stopped. A
+// later owner may have renewed the lease, unless this one was still the owner when it ended.
+func (s *Shard) leaseExpired(now time.Time, w *worker) bool {
+	end := s.leaseEnd(w)
+	return now.After(end) && s.ownedAt(end)
+}
+
 // expireLeases drops the runs of silent workers whose lease has certainly expired.
 func (s *Shard) expireLeases(now time.Time) {
 	for _, w := range s.workerList {
-		if (w.silent || !w.answered) && len(w.runs) > 0 && now.After(s.leaseEnd(w)) {
+		if (w.silent || !w.answered) && len(w.runs) > 0 && s.leaseExpired(now, w) {
 			s.log.Warn("worker's lease has expired", events.WorkerLeaseExpired, zap.String("worker", w.info.ID),
 				zap.Duration("silent", now.Sub(w.silentSince)), zap.Int("runs", len(w.runs)))
-			s.loseRuns(now, w, "lease expired")
+			s.loseRuns(now, w, s.leaseEnd(w), "lease expired")
 		}
-		if (w.unlisted || w.entryInvalid) && w.silent && now.After(s.leaseEnd(w)) {
+		if (w.unlisted || w.entryInvalid) && w.silent && s.leaseExpired(now, w) {
 			s.WorkerEnded(now, w.info.ID, EvidenceLeaseExpired)
 		}
 	}
 }
 
-// loseRuns drops all runs of a worker on which they can't be running any more.
-func (s *Shard) loseRuns(now time.Time, w *worker, cause string) {
+// loseRuns drops all runs of a worker on which they can't be running any more, at endedBy or later.
+func (s *Shard) loseRuns(now time.Time, w *worker, endedBy time.Time, cause string) {
 	for _, r := range sortedRuns(w.runs) {
-		s.loseRun(now, r, cause)
+		s.loseRun(now, r, endedBy, cause)
 	}
 	clear(w.unknownRuns)
 	s.recomputeUsed(w)
 }
 
-// loseRun drops a run that can't be running on its worker any more.
-func (s *Shard) loseRun(now time.Time, r *run, cause string) {
+// loseRun drops a run that can't be running on its worker any more, at endedBy or later.
+func (s *Shard) loseRun(now time.Time, r *run, endedBy time.Time, cause string) {
 	s.counts.Lost++
 	s.log.Warn("run lost", events.RunLost, zap.Stringer("task", r.task.id), zap.Int64("run", r.number),
 		zap.String("worker", r.worker.info.ID), zap.String("cause", cause), zap.Int("percent", r.percent),
 		zap.Duration("age", now.Sub(r.startedAt)), zap.Bool("accepted", r.accepted), zap.Int("runs_of_task", len(r.task.runs)))
+	r.task.lostAt = endedBy
 	s.dropRun(r)
 	s.stopOtherMembers(now, r, cause)
 }
--- /dev/null
+++ b/matrix/site/cutoff_test.go
@@ -0,0 +1,158 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package site_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"switchbank.example/switchbank/standin/site"
+)
+
+// cut is a partition that leaves some nodes and workers on one side, and all others, the store,
+// the list of machines and the advice service on the other side.
+type cut struct {
+	nodes []string
+	// workers are positions in testEnv.workers.
+	workers []int
+}
+
+// entryLifetime is how long a worker's entry in the directory outlasts its last announcement.
+const entryLifetime = 4500 * time.Millisecond
+
+// begin starts a cut and returns a function that ends it. The directory drops the workers that
+// are cut off for long.
+func (c cut) begin(env *testEnv) (end func()) {
+	inside := slices.Clone(c.nodes)
+	outside := []string{storeHost, "machines", "advice"}
+	for i := range env.workers {
+		if slices.Contains(c.workers, i) {
+			inside = append(inside, fmt.Sprintf("w%d", i))
+		} else {
+			outside = append(outside, fmt.Sprintf("w%d", i))
+		}
+	}
+	for _, n := range env.nodeNames() {
+		if !slices.Contains(c.nodes, n) {
+			outside = append(outside, n)
+		}
+	}
+	set := func(partitioned bool) {
+		for _, a := range inside {
+			for _, b := range outside {
+				env.net.SetPartitioned(a, b, partitioned)
+			}
+		}
+		for _, i := range c.workers {
+			env.worker(i).SetAnnouncementsPaused(partitioned)
+		}
+	}
+	set(true)
+	lapse := time.AfterFunc(entryLifetime, func() {
+		for _, i := range c.workers {
+			env.site.Store.Remove("servers", env.worker(i).ID)
+		}
+	})
+	return func() {
+		lapse.Stop()
+		set(false)
+	}
+}
+
+const (
+	// settledOwnerAge is how long nodes run before a cut: an owner that is new is given more time
+	// before it is replaced.
+	settledOwnerAge = 12 * time.Second
+	// cutWithinUncertainty is longer than a lease of a worker, and shorter than the time for which a
+	// new owner waits for workers that it doesn't reach.
+	cutWithinUncertainty = 9500 * time.Millisecond
+	// afterCut is how long a test goes on after a cut.
+	afterCut = 15 * time.Second
+)
+
+// The load of these tests: tasks that last, and a batch whose tasks take 11 s each.
+const (
+	lastingTasks = 8
+	batchTasks   = 10
+)
+
+// newLoadedEnv returns an environment in which the tasks of the load run on all workers.
+func newLoadedEnv(t *testing.T) (env *testEnv, lasting string) {
+	env = newEnv(t)
+	time.Sleep(2 * time.Second)
+	lasting = env.submit("urgent", "400 lasting cpu=800", stepBody{Count: lastingTasks, CPU: 800, MemoryMB: 10, EstimateMS: 400, LongRunning: true, MaxPerWorker: 2})
+	time.Sleep(settledOwnerAge)
+	env.submitBatch()
+	time.Sleep(time.Second)
+	if n := env.runsInProgress(); n != lastingTasks+batchTasks {
+		t.Fatalf("%d tasks run before the cut, want %d", n, lastingTasks+batchTasks)
+	}
+	return env, lasting
+}
+
+// submitBatch submits the batch of the load.
+func (env *testEnv) submitBatch() string {
+	return env.submit("batch", "11000 cpu=700", stepBody{Count: batchTasks, CPU: 700, MemoryMB: 10, EstimateMS: 11_000})
+}
+
+// runsInProgress returns how many runs have begun on workers and not ended.
+func (env *testEnv) runsInProgress() (n int) {
+	for _, e := range env.site.Events() {
+		switch e.Kind {
+		case site.EventStart:
+			n++
+		case site.EventEnd, site.EventSuccess, site.EventGangTimeout:
+			n--
+		}
+	}
+	return n
+}
+
+// cutOffCase is a cut around the owner of the shard.
+type cutOffCase struct {
+	// nodes is how many nodes besides the owner are cut off, and workers how many workers.
+	nodes, workers int
+	// lasts is how long the cut lasts.
+	lasts time.Duration
+	// during is what else happens while the cut lasts; nil: nothing.
+	during func(env *testEnv, owner string)
+	// before is what happens just before the cut; nil: nothing.
+	before func(env *testEnv, owner string)
+}
+
+// TestReplacedOwnerStartsRunsAgain guards against an owner that has been replaced without learning
+// of it and starts again what the next owner keeps running: it took the leases that it no longer
+// renews for expired. The cut ends before the next owner does anything about the workers that it
+// doesn't reach.
+func TestReplacedOwnerStartsRunsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { testCutOff(t, cutOffCase{workers: 2, lasts: cutWithinUncertainty}) })
+}
+
+func testCutOff(t *testing.T, c cutOffCase) {
+	env, _ := newLoadedEnv(t)
+	defer env.close()
+	if c.before != nil {
+		c.before(env, env.owner())
+	}
+	owner := env.owner()
+	nodes := append([]string{owner}, otherNodes(env, owner)[:c.nodes]...)
+	var workers []int
+	for i := range c.workers {
+		workers = append(workers, i)
+	}
+	end := cut{nodes, workers}.begin(env)
+	began := time.Now()
+	if c.during != nil {
+		c.during(env, owner)
+	}
+	time.Sleep(c.lasts - time.Since(began))
+	end()
+	time.Sleep(afterCut)
+	env.checkNoViolations()
+	if n := env.runsInProgress(); n != lastingTasks {
+		t.Errorf("%d tasks run after the cut, want the %d that last", n, lastingTasks)
+	}
+}
