owner: a new owner waits for unreached workers until no earlier owner can renew their leases

Cause: a new owner took workers that it hadn't reached for empty 9.7 s after it was made: the longest lease, and 1.5 s in which a replaced owner was supposed to be stopped by the answer of a worker. Nothing stops an owner that only reaches workers which have seen no higher fence.

Change: the wait runs from the end of the load and lasts until the ownership of earlier owners has expired, 20 s and the slack of two clocks (21.2 s). If all earlier owners are known to have ended it is a worker's longest lease (10.8 s) from then on: the process refuses connections, has restarted, has released the shard, or answers that it doesn't own it. The owner's row names the earlier ones that may go on, so that several takeovers within one cut wait for all of them. After a load that took longer than all leases the workers still have 1.5 s for their first answers. A node that stops ends its ownership before it releases the shard, and releases no shard that another node has.

Why it works: an earlier owner grants no lease beyond 20 s after its last confirmation, and none is confirmed after the load. What doesn't answer until then has stopped.

--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -28,6 +28,8 @@
 	for shard, o := range owned {
 		wg.Go(func() {
 			if !n.handOverShard(ctx, shard, o) {
+				// Whoever finds the shard without an owner relies on its end.
+				o.EndOwnership("the node stops")
 				n.releaseShard(ctx, shard)
 			}
 		})
@@ -91,10 +93,13 @@
 // while the store is 60 to 100 times slower.
 const handOverCallTimeout = 1500 * time.Millisecond
 
-// releaseShard leaves a shard without an owner, so that any node may take it.
+// releaseShard leaves a shard that this node owns without an owner, so that any node may take it.
 func (n *Node) releaseShard(ctx context.Context, shard cluster.ShardID) {
 	rec, version := n.owner(shard)
-	condition, row := replaceOwnerRow(shard, version, ownerRecord{Epoch: rec.Epoch})
+	if rec.Owner.Incarnation != n.me.Incarnation {
+		return // A node has taken it although the call that handed it over failed.
+	}
+	condition, row := replaceOwnerRow(shard, version, ownerRecord{Epoch: rec.Epoch, Unsettled: rec.Unsettled})
 	if _, err := n.store.Commit(ctx, tables.Txn{If: []tables.Row{condition}, Put: []tables.Row{row}}); err != nil {
 		n.Log.Warn("failed to release shard", events.StoreFailed, zap.Stringer("shard", shard), zap.Error(err))
 	}
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -52,6 +52,9 @@
 	Owner member `json:"owner"`
 	// Epoch increases with each change of ownership and is the fence of the owner's orders.
 	Epoch int64 `json:"epoch"`
+	// Unsettled are earlier owners that were not known to have ended when the row was written; one
+	// without a name is unknown.
+	Unsettled []member `json:"unsettled,omitempty"`
 }
 
 // pingRequest asks a node whether it is alive, and introduces the sender.
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -37,9 +38,9 @@
 	// covers an outage of the store of 15 s in which a node is lost as well, so that the others
 	// can't confirm the ownership either.
 	ownershipLease = 20 * time.Second
-	// replacedOwnerTime is how long a replaced owner may go on until the answer of a worker
-	// stops it.
-	replacedOwnerTime = 1500 * time.Millisecond
+	// leaseSlack is added to the time for which a new owner takes leases of earlier ones to last:
+	// timers fire late, and a lease begins when its order is given.
+	leaseSlack = 350 * time.Millisecond
 	// fenceReadTimeout bounds the read of a fence in parallel with the write of the owner's
 	// row: a read takes 0.4 s while the store is 60 to 100 times slower.
 	fenceReadTimeout = 600 * time.Millisecond
@@ -124,8 +125,8 @@
 	}
 	if err != nil {
 		// Treat the shard as without an owner, so that it can be taken: the fence row holds
-		// the epoch.
-		rec = ownerRecord{Epoch: n.owners[shard].Epoch}
+		// the epoch. Whichever owner there was may go on.
+		rec = ownerRecord{Epoch: n.owners[shard].Epoch, Unsettled: []member{{}}}
 		n.Log.Warn("owner row is unreadable", events.RowSkipped, zap.String("key", r.Key), zap.Int64("epoch", rec.Epoch), zap.Error(err))
 	}
 	n.setOwner(shard, rec, r.Version)
@@ -210,20 +211,20 @@
 }
 
 // takeShard makes this node the owner of a shard, on condition that the owner's row still has
-// the version for which cause was found. It reports whether this node owns the shard.
-func (n *Node) takeShard(ctx context.Context, shard cluster.ShardID, version int64, cause string) bool {
+// the version for which the loss was found. It reports whether this node owns the shard.
+func (n *Node) takeShard(ctx context.Context, shard cluster.ShardID, version int64, loss ownerLoss) bool {
 	rec, current := n.owner(shard)
 	if current != version || !n.beginTake(shard) {
 		return n.local(shard) != nil
 	}
 	defer n.endTake(shard)
-	next := ownerRecord{Owner: n.me, Epoch: rec.Epoch + 1}
+	next := ownerRecord{Owner: n.me, Epoch: rec.Epoch + 1, Unsettled: n.unsettledOwners(shard, rec, loss)}
 	condition, row := replaceOwnerRow(shard, version, next)
 	fence := n.readFence(ctx, shard)
 	sent := time.Now()
 	res, err := n.store.Commit(ctx, tables.Txn{If: []tables.Row{condition}, Put: []tables.Row{row}})
 	if err != nil {
-		n.Log.Warn("failed to take shard", events.StoreFailed, zap.Stringer("shard", shard), zap.String("cause", cause), zap.Error(err))
+		n.Log.Warn("failed to take shard", events.StoreFailed, zap.Stringer("shard", shard), zap.String("cause", loss.cause), zap.Error(err))
 		n.reconcileOwner(ctx, shard)
 		tables.Sleep(ctx, tables.RetryPause(err, 0))
 		return n.local(shard) != nil
@@ -236,7 +237,7 @@
 	}
 	row.Version = res.Version
 	n.Log.Info("shard taken", events.OwnershipTaken, zap.Stringer("shard", shard), zap.Int64("epoch", next.Epoch),
-		zap.String("from", rec.Owner.Name), zap.String("cause", cause))
+		zap.String("from", rec.Owner.Name), zap.String("cause", loss.cause), zap.Int("unsettled", len(next.Unsettled)))
 	n.startOwner(shard, row, next, <-fence, sent)
 	return true
 }
@@ -325,6 +326,11 @@
 	}
 	n.updateTeams()
 	n.updateEvacuations()
+	if len(rec.Unsettled) == 0 {
+		o.EarlierOwnersEnded()
+	} else {
+		n.group.Go(func() error { n.settleOwners(n.ctx, shard, o, slices.Clone(rec.Unsettled)); return nil })
+	}
 	n.group.Go(func() error {
 		defer workers.Close()
 		err := o.Run(n.ctx)
@@ -356,9 +362,15 @@
 	most := time.Duration(n.cfg.Bounds.MaxLeaseMS) * time.Millisecond
 	return scheduler.Params{
 		Epoch: epoch, Lease: min(workerLease, most), MaxLease: most, OwnershipLease: ownershipLease, StopTime: time.Duration(n.cfg.Bounds.StopMS) * time.Millisecond,
-		UncertainFor:      time.Duration(float64(min(workerLease, most))*scheduler.ClockSlack) + replacedOwnerTime,
+		UncertainFor: onSlowClocks(ownershipLease), UncertainAfterEnd: onSlowClocks(most),
 		FinishedRetention: time.Duration(n.cfg.Bounds.FinishedRetentionMS) * time.Millisecond,
 		OrderByDue:        n.cfg.WaitingOrder == settings.WaitingOrderDue,
 		Index:             shard.Index, Shards: layout.Shards,
 	}
 }
+
+// onSlowClocks returns how long a time that earlier owners and workers measure may last on this
+// node's clock, if theirs are slow and this one is fast.
+func onSlowClocks(d time.Duration) time.Duration {
+	return time.Duration(float64(d)*scheduler.ClockSlack*scheduler.ClockSlack) + leaseSlack
+}
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -150,7 +150,7 @@
 	if _, version := n.owner(req.Shard); version < req.Version {
 		n.reconcileOwner(ctx, req.Shard)
 	}
-	if _, ok := n.layout(req.Shard.Service); !ok || !n.takeShard(n.ctx, req.Shard, req.Version, "handed over") {
+	if _, ok := n.layout(req.Shard.Service); !ok || !n.takeShard(n.ctx, req.Shard, req.Version, ownerLoss{cause: "handed over"}) {
 		return empty{}, errNotOwner()
 	}
 	return empty{}, nil
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -132,11 +132,11 @@
 // node is the first candidate to claim it.
 func (n *Node) takeIfLost(ctx context.Context, shard cluster.ShardID, suspect *suspicion) {
 	rec, version := n.owner(shard)
-	cause := n.ownerLossCause(ctx, shard, rec, suspect)
-	if cause == "" || !n.claim(ctx, shard, version) {
+	loss := n.ownerLoss(ctx, shard, rec, suspect)
+	if loss.cause == "" || !n.claim(ctx, shard, version) {
 		return
 	}
-	n.takeShard(ctx, shard, version, cause)
+	n.takeShard(ctx, shard, version, loss)
 	n.releaseClaim(shard)
 	*suspect = suspicion{}
 }
@@ -156,13 +156,13 @@
 	return s.refused > 0 || !s.isolatedSince.IsZero() || !s.silentSince.IsZero()
 }
 
-// ownerLossCause returns why an owner has to be replaced, or an empty string.
-func (n *Node) ownerLossCause(ctx context.Context, shard cluster.ShardID, rec ownerRecord, s *suspicion) string {
+// ownerLoss returns why an owner has to be replaced, if it has to be.
+func (n *Node) ownerLoss(ctx context.Context, shard cluster.ShardID, rec ownerRecord, s *suspicion) ownerLoss {
 	if rec.Owner.Name == "" {
-		return "no owner"
+		return ownerLoss{"no owner", true}
 	}
 	if rec.Owner.Name == n.me.Name {
-		return "owner has ended on this node"
+		return ownerLoss{"owner has ended on this node", true}
 	}
 	if s.incarnation != rec.Owner.Incarnation {
 		*s = suspicion{incarnation: rec.Owner.Incarnation}
@@ -173,17 +173,17 @@
 	if err == nil {
 		s.refused, s.silentSince = 0, time.Time{}
 		if reply.Me.Incarnation != rec.Owner.Incarnation {
-			return "owner has restarted"
+			return ownerLoss{"owner has restarted", true}
 		}
-		return ""
+		return ownerLoss{}
 	}
 	if isRefused(err) {
 		if s.refused++; s.refused >= maxRefusedPings {
-			return "owner refuses connections"
+			return ownerLoss{"owner refuses connections", isProcessGone(err)}
 		}
-		return ""
+		return ownerLoss{}
 	}
-	return n.silentOwnerLossCause(ctx, shard, rec.Owner, s)
+	return ownerLoss{cause: n.silentOwnerLossCause(ctx, shard, rec.Owner, s)}
 }
 
 // silentOwnerLossCause returns why an owner that didn't answer a ping has to be replaced, or
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -144,6 +144,7 @@
 	StorePartAway      = zap.String(Field, "SB1730")
 	ForecastDiscarded  = zap.String(Field, "SB1728")
 	JobOverloaded      = zap.String(Field, "SB1729")
+	EarlierOwnersEnded = zap.String(Field, "SB1732")
 	OwnershipExpired   = zap.String(Field, "SB1731")
 )
 
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -68,6 +68,7 @@
 		return &Error{"load", KindLoad, err}
 	}
 	o.mu.Lock()
+	o.shard.Loaded(time.Now())
 	jobs := o.applyLoaded(rows)
 	o.loaded, o.feedVersion, o.jobsVersion = true, rows.version, rows.version
 	o.mu.Unlock()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -138,6 +138,18 @@
 // Age returns for how long this node has owned the shard.
 func (o *Owner) Age() time.Duration { return time.Since(o.startedAt) }
 
+// Loaded reports whether the shard has been loaded.
+func (o *Owner) Loaded() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.loaded
+}
+
+// EarlierOwnersEnded records that all earlier owners have ended by now.
+func (o *Owner) EarlierOwnersEnded() {
+	o.updateShard(func(s *scheduler.Shard, now time.Time) { s.EarlierOwnersEnded(now) })
+}
+
 // inShard reports whether a worker or machine of the given service and rack belongs to the
 // shard.
 func (o *Owner) inShard(service, rack string) bool {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -48,9 +48,10 @@
 	// confirmation that no later owner had loaded the shard. 0 means that there can be no later
 	// owner.
 	OwnershipLease time.Duration
-	// UncertainFor is how long after a takeover a worker that does not answer may still
-	// execute runs that the previous owner started.
-	UncertainFor time.Duration
+	// UncertainFor is how long after the shard was loaded a worker that does not answer may still
+	// execute runs that an earlier owner started: one that doesn't know that it was replaced.
+	// UncertainAfterEnd is the same after the time at which all earlier owners had ended.
+	UncertainFor, UncertainAfterEnd time.Duration
 	// FinishedRetention is how long the state of a finished job is kept.
 	FinishedRetention time.Duration
 	// OrderByDue orders waiting work by due time alone, also while the shard is overloaded.
@@ -227,7 +228,7 @@
 	return &Shard{
 		params: params, log: log, startedAt: now,
 		workers: make(map[string]*worker), incarnations: make(map[string]*incarnationHistory), inDoubt: make(map[string][]*run), jobs: make(map[string]*job), runs: make(map[runKey]*run),
-		dirty: make(map[string]*job), movedAway: make(map[string]movedJob), takeover: takeover{open: true, jobsLoadedAt: now},
+		dirty: make(map[string]*job), movedAway: make(map[string]movedJob), takeover: takeover{open: true, loadedAt: now, jobsLoadedAt: now},
 		approvalRates: make(map[string]float64), ratios: make(map[stepKind]*ratio), kindSpeeds: make(map[string]*kindSpeed), load: unknownLoad, forecasts: newForecasts(),
 		teams: make(map[string]*teamState), ledger: quota.NewLedger(params.Index, params.Shards), unseenRound: -1, partsKnown: params.Shards <= 1,
 		ordering: params.ordering(), startSpreads: make(map[stepKind]*meanSpread),
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -15,8 +15,11 @@
 // may run, or have ended, on any worker that has not answered. They wait until every
 // worker has answered or can't be running them any more.
 type takeover struct {
-	// open is set until everything is known, or Params.UncertainFor has passed.
+	// open is set until everything is known, or the leases that earlier owners granted have expired.
 	open bool
+	// loadedAt is when the shard was loaded, and earlierOwnersEndedAt a time by which all earlier
+	// owners had ended; zero: that isn't known.
+	loadedAt, earlierOwnersEndedAt time.Time
 	// jobsLoadedAt is when jobs were last loaded.
 	jobsLoadedAt time.Time
 	// machinesListed is set once the platform's machines have been listed, and expected
@@ -72,15 +75,58 @@
 	}
 }
 
+// firstAnswerTime is how long after the load of a shard the workers may take for their first answers,
+// however long ago earlier owners ended: a load can take longer than all leases.
+const firstAnswerTime = 1500 * time.Millisecond
+
+// Loaded records that the shard has been loaded: no earlier owner's ownership can be confirmed for a
+// later time.
+func (s *Shard) Loaded(now time.Time) {
+	s.takeover.loadedAt, s.takeover.jobsLoadedAt = now, now
+}
+
+// EarlierOwnersEnded records that all earlier owners had ended by the given time: they grant no
+// leases any more.
+func (s *Shard) EarlierOwnersEnded(at time.Time) {
+	if s.takeover.earlierOwnersEndedAt.IsZero() {
+		s.takeover.earlierOwnersEndedAt = at
+	}
+}
+
+// earlierLeasesEnd returns when all leases that earlier owners granted have certainly expired.
+func (s *Shard) earlierLeasesEnd() time.Time {
+	end := s.takeover.loadedAt.Add(s.params.UncertainFor)
+	if at := s.takeover.earlierOwnersEndedAt; !at.IsZero() {
+		end = earliest(end, at.Add(s.params.UncertainAfterEnd))
+	}
+	return latest(end, s.takeover.loadedAt.Add(firstAnswerTime))
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // mayHaveUnknownRuns reports whether a worker may have runs that this owner doesn't know.
 func (s *Shard) mayHaveUnknownRuns(now time.Time) bool {
-	if now.Sub(s.takeover.jobsLoadedAt) > s.params.UncertainFor {
-		return false
-	}
 	if !s.takeover.machinesListed && now.Sub(s.takeover.jobsLoadedAt) < machineListTimeout {
 		return true
 	}
-	return !s.allAnswered()
+	for id := range s.takeover.expected {
+		if s.workers[id] == nil && !s.hasExpired(now, s.earlierLeasesEnd()) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(s.workerList, func(w *worker) bool { return !w.answeredSinceLoad && !s.leaseExpired(now, w) })
 }
 
 // allKnown reports whether the workers alive are known, and all have answered.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -257,7 +257,7 @@
 // renewed.
 func (s *Shard) leaseEnd(w *worker) time.Time {
 	if !w.answered {
-		return s.startedAt.Add(s.params.UncertainFor)
+		return s.earlierLeasesEnd()
 	}
 	left := time.Duration(w.deadlineMS-w.clockMS) * time.Millisecond
 	end := w.clockAt.Add(time.Duration(float64(left)*ClockSlack) + leaseMargin)
@@ -267,12 +267,12 @@
 	return end
 }
 
-// leaseExpired reports whether all runs on a worker that doesn't answer have certainly stopped. A
-// later owner may have renewed the lease, unless this one was still the owner when it ended.
-func (s *Shard) leaseExpired(now time.Time, w *worker) bool {
-	end := s.leaseEnd(w)
-	return now.After(end) && s.ownedAt(end)
-}
+// leaseExpired reports whether all runs on a worker that doesn't answer have certainly stopped.
+func (s *Shard) leaseExpired(now time.Time, w *worker) bool { return s.hasExpired(now, s.leaseEnd(w)) }
+
+// hasExpired reports whether a lease that ends at the given time has expired. A later owner may have
+// renewed it, unless this one was still the owner when it ended.
+func (s *Shard) hasExpired(now, end time.Time) bool { return now.After(end) && s.ownedAt(end) }
 
 // expireLeases drops the runs of silent workers whose lease has certainly expired.
 func (s *Shard) expireLeases(now time.Time) {
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -18,9 +18,11 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -371,5 +373,5 @@
 
 // refusedError returns the error of a dial to an address on which nothing listens.
 func refusedError(to string) error {
-	return &net.OpError{Op: "dial", Net: "mem", Addr: addr(to), Err: errors.New("connection refused")}
+	return &net.OpError{Op: "dial", Net: "mem", Addr: addr(to), Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 }
