owner, cell: confirmations are asked for as soon as they are wanted

If the store doesn't answer when a decision waits for a confirmation, the other nodes are asked at once, and not only once the last confirmation is 2 s old. In a small cell each node is pinged each 1.4 to 2.1 s anyway, so that the age from which the store is read is 3 s now: with all nodes up it is hardly read at all. Among many nodes the rounds of questions are further apart.

A node doesn't try to take a shard while the store is down. An owner whose ownership had expired logged seven failed writes a second in an outage.

TestSearchCuts, TestWorkGoesOnInOutage, TestOwnerCutOffWithWorkers, TestLateLoad*, TestWorkWaitsForEndedOwner and TestReplacedOwnerStartsRunsAgain pass.

--- a/internal/cell/confirm.go
+++ b/internal/cell/confirm.go
@@ -21,9 +21,13 @@
 	Epoch int64           `json:"epoch"`
 }
 
-// minConfirmationPause is the shortest pause between two rounds in which all nodes are asked out of
-// turn.
-const minConfirmationPause = 500 * time.Millisecond
+// Two rounds in which all nodes are asked out of turn are minConfirmationPause apart at least. Among
+// many nodes the pause grows with their number, which bounds the calls that an owner makes.
+const (
+	minConfirmationPause     = 500 * time.Millisecond
+	confirmationPausePerNode = 10 * time.Millisecond
+	maxConfirmationPause     = 3 * time.Second
+)
 
 // ownerEpochs returns the epochs of the shards that this node owns.
 func (n *Node) ownerEpochs() (list []ownerEpoch) {
@@ -105,7 +109,7 @@
 // RequestConfirmation pings all other nodes, unless that was done recently.
 func (c ownerConfirmer) RequestConfirmation() {
 	c.mu.Lock()
-	due := time.Since(c.confirmationAt) >= minConfirmationPause
+	due := time.Since(c.confirmationAt) >= scaled(len(c.sorted), confirmationPausePerNode, minConfirmationPause, maxConfirmationPause)
 	var list []member
 	if due {
 		c.confirmationAt = time.Now()
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -133,7 +133,7 @@
 func (n *Node) takeIfLost(ctx context.Context, shard cluster.ShardID, suspect *suspicion) {
 	rec, version := n.owner(shard)
 	loss := n.ownerLoss(ctx, shard, rec, suspect)
-	if loss.cause == "" || !n.claim(ctx, shard, version) {
+	if loss.cause == "" || n.store.down() || !n.claim(ctx, shard, version) {
 		return
 	}
 	n.takeShard(ctx, shard, version, loss)
--- a/internal/owner/confirm.go
+++ b/internal/owner/confirm.go
@@ -25,7 +25,7 @@
 	confirmInterval = 250 * time.Millisecond
 	// maxConfirmationAge is from what age of the last confirmation the store is read: the pings of
 	// a few nodes, and the writes of an owner whose tasks end, confirm more often.
-	maxConfirmationAge = 2 * time.Second
+	maxConfirmationAge = 3 * time.Second
 	// wantedConfirmInterval is the shortest time between two confirmations for decisions that wait
 	// for one.
 	wantedConfirmInterval = 50 * time.Millisecond
@@ -55,14 +55,11 @@
 		case <-o.wakeConfirm:
 			wanted = true
 		}
-		age := o.confirmFromNodes()
-		if wanted || age > maxConfirmationAge {
-			age = o.confirmFromStore(ctx)
-		}
-		if age > maxConfirmationAge {
+		o.confirm(o.Confirmer.ConfirmedAt(o.cfg.Shard, o.Epoch()))
+		if (wanted || o.ConfirmationAge() > maxConfirmationAge) && !o.confirmFromStore(ctx) {
 			o.Confirmer.RequestConfirmation()
 		}
-		if o.endIfExpired(age) {
+		if o.endIfExpired() {
 			return nil
 		}
 		if wanted {
@@ -72,40 +69,40 @@
 }
 
 // confirm records that the ownership was confirmed by a call that was sent at the given time, and
-// wakes the scheduler if a decision may wait for that. It returns the age of the last confirmation.
-func (o *Owner) confirm(at time.Time) (age time.Duration) {
+// wakes the scheduler, since a decision may wait for that.
+func (o *Owner) confirm(at time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if at.After(o.shard.OwnershipConfirmedAt()) {
 		o.shard.ConfirmOwnership(at)
 		notify(o.wakeScheduler)
 	}
-	return time.Since(o.shard.OwnershipConfirmedAt())
 }
 
-// confirmFromNodes confirms the ownership by what the other nodes have answered, and returns the
-// age of the last confirmation.
-func (o *Owner) confirmFromNodes() time.Duration {
-	return o.confirm(o.Confirmer.ConfirmedAt(o.cfg.Shard, o.Epoch()))
+// ConfirmationAge returns how long ago the ownership was last confirmed.
+func (o *Owner) ConfirmationAge() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return time.Since(o.shard.OwnershipConfirmedAt())
 }
 
 // confirmFromStore confirms the ownership by the row that names the owner or, if its part of the
-// store doesn't answer, by the fence, and returns the age of the last confirmation.
-func (o *Owner) confirmFromStore(ctx context.Context) time.Duration {
+// store doesn't answer, by the fence, and reports whether one of them could be read.
+func (o *Owner) confirmFromStore(ctx context.Context) bool {
 	for _, row := range []tables.Row{o.cfg.Row, o.fence()} {
 		sent := time.Now()
-		unchanged, err := o.isUnchanged(ctx, row)
-		switch {
+		switch unchanged, err := o.isUnchanged(ctx, row); {
 		case err != nil:
 			// The followers of the store's tables log its failures.
 			continue
 		case unchanged:
-			return o.confirm(sent)
+			o.confirm(sent)
+		default:
+			o.EndOwnership("the store names another owner")
 		}
-		o.EndOwnership("the store names another owner")
-		break
+		return true
 	}
-	return o.ConfirmationAge()
+	return false
 }
 
 // isUnchanged reports whether a row in the store still has its version.
@@ -117,21 +114,18 @@
 }
 
 // endIfExpired ends the ownership if all leases granted under it have expired.
-func (o *Owner) endIfExpired(age time.Duration) bool {
+func (o *Owner) endIfExpired() bool {
 	o.mu.Lock()
 	expired := o.shard.OwnershipExpired(time.Now())
 	o.mu.Unlock()
 	if expired {
 		o.Log.Warn("ownership is not confirmed and has expired", events.OwnershipExpired, zap.Stringer("shard", o.cfg.Shard),
-			zap.Int64("epoch", o.Epoch()), zap.Duration("confirmed_ago", age))
+			zap.Int64("epoch", o.Epoch()), zap.Duration("confirmed_ago", o.ConfirmationAge()))
 		o.EndOwnership("it was not confirmed in time")
 	}
 	return expired
 }
 
-// ConfirmationAge returns how long ago the ownership was last confirmed.
-func (o *Owner) ConfirmationAge() time.Duration { return o.confirm(time.Time{}) }
-
 // requestConfirmation wakes confirmLoop if a decision of the scheduler waits for a confirmation.
 // The caller holds mu.
 func (o *Owner) requestConfirmation() {
