--- a/matrix/site/cutoff_test.go
+++ b/matrix/site/cutoff_test.go
@@ -83,8 +83,8 @@
 )
 
 // newLoadedEnv returns an environment in which the tasks of the load run on all workers.
-func newLoadedEnv(t *testing.T) (env *testEnv, lasting string) {
-	env = newEnv(t)
+func newLoadedEnv(t *testing.T, build func(*testing.T) *testEnv) (env *testEnv, lasting string) {
+	env = build(t)
 	time.Sleep(2 * time.Second)
 	lasting = env.submit("batch", "400 lasting cpu=800", stepBody{Count: lastingTasks, CPU: 800, MemoryMB: 10, EstimateMS: 400, LongRunning: true, MaxPerWorker: 2})
 	time.Sleep(settledOwnerAge)
@@ -132,7 +132,7 @@
 // renews for expired. The cut ends before the next owner does anything about the workers that it
 // doesn't reach.
 func TestReplacedOwnerStartsRunsAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) { testCutOff(t, cutOffCase{workers: 2, lasts: cutWithinUncertainty}) })
+	synctest.Test(t, func(t *testing.T) { testCutOff(t, newEnv, cutOffCase{workers: 2, lasts: cutWithinUncertainty}) })
 }
 
 // cutOffCases returns the cuts of TestOwnerCutOffWithWorkers.
@@ -214,13 +214,15 @@
 // are cut off from everything else: the owner went on without end, and its successor took the
 // workers that it didn't reach for empty.
 func TestOwnerCutOffWithWorkers(t *testing.T) {
-	for _, c := range cutOffCases() {
-		t.Run(c.name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { testCutOff(t, c) }) })
+	for name, build := range envBuilders {
+		for _, c := range cutOffCases() {
+			t.Run(name+"/"+c.name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { testCutOff(t, build, c) }) })
+		}
 	}
 }
 
-func testCutOff(t *testing.T, c cutOffCase) {
-	env, _ := newLoadedEnv(t)
+func testCutOff(t *testing.T, build func(*testing.T) *testEnv, c cutOffCase) {
+	env, _ := newLoadedEnv(t, build)
 	defer env.close()
 	if c.before != nil {
 		c.before(env, env.owner())
--- a/matrix/site/lateload_test.go
+++ b/matrix/site/lateload_test.go
@@ -47,7 +47,7 @@
 // off from the store and the other nodes, while the next one can't load the shard.
 func TestLateLoadBesideCutOffOwner(t *testing.T) {
 	duringLoad(t, func(t *testing.T, after time.Duration) {
-		env, lasting := newLoadedEnv(t)
+		env, lasting := newLoadedEnv(t, newEnv)
 		defer env.close()
 		var hosts []string
 		env.outageDuringLoad(after, shortOutage, func(owner string) {
--- a/matrix/site/settle_test.go
+++ b/matrix/site/settle_test.go
@@ -37,7 +37,7 @@
 	for name, end := range ends {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				env, _ := newLoadedEnv(t)
+				env, _ := newLoadedEnv(t, newEnv)
 				defer env.close()
 				// It waits until the batch ends, since it needs whole workers.
 				waiting := env.submit("batch", "500 cpu=3000", stepBody{Count: 1, CPU: 3000, MemoryMB: 10, EstimateMS: 500})
