cell: a node that stops counts as an owner that may go on until it has ended

A shard that is released names the node that releases it, so that the next owner asks whether that node has ended. The owner ends only once the release is written: with the store away it goes on until the node stops, as before. It ends before the listeners are closed, since the next owner takes a refused connection for the end of the process.

TestOwnerCutOffWithWorkers (with owners that are told to stop in a cut), TestWorkWaitsForEndedOwner, TestSearchCuts, TestFaults, TestShardedFaults, TestFaultPairs and the tests of drains and hand-overs pass.

--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,9 +29,7 @@
 	for shard, o := range owned {
 		wg.Go(func() {
 			if !n.handOverShard(ctx, shard, o) {
-				// Whoever finds the shard without an owner relies on its end.
-				o.EndOwnership("the node stops")
-				n.releaseShard(ctx, shard)
+				n.releaseShard(ctx, shard, o)
 			}
 		})
 	}
@@ -93,14 +92,31 @@
 // while the store is 60 to 100 times slower.
 const handOverCallTimeout = 1500 * time.Millisecond
 
-// releaseShard leaves a shard that this node owns without an owner, so that any node may take it.
-func (n *Node) releaseShard(ctx context.Context, shard cluster.ShardID) {
+// releaseShard leaves a shard that this node owns without an owner, so that any node may take it. The
+// owner ends once that is done; until the next one knows, it counts as one that may go on.
+func (n *Node) releaseShard(ctx context.Context, shard cluster.ShardID, o *owner.Owner) {
 	rec, version := n.owner(shard)
 	if rec.Owner.Incarnation != n.me.Incarnation {
 		return // A node has taken it although the call that handed it over failed.
 	}
-	condition, row := replaceOwnerRow(shard, version, ownerRecord{Epoch: rec.Epoch, Unsettled: rec.Unsettled})
-	if _, err := n.store.Commit(ctx, tables.Txn{If: []tables.Row{condition}, Put: []tables.Row{row}}); err != nil {
+	released := ownerRecord{Epoch: rec.Epoch, Unsettled: append(slices.Clone(rec.Unsettled), n.me)}
+	condition, row := replaceOwnerRow(shard, version, released)
+	res, err := n.store.Commit(ctx, tables.Txn{If: []tables.Row{condition}, Put: []tables.Row{row}})
+	switch {
+	case err != nil:
 		n.Log.Warn("failed to release shard", events.StoreFailed, zap.Stringer("shard", shard), zap.Error(err))
+	case res.Committed:
+		o.EndOwnership("the node stops")
+	}
+}
+
+// endOwnerships ends the ownerships that are left when the node stops, before nothing listens any
+// more at its addresses: that is taken for the end of its process.
+func (n *Node) endOwnerships() {
+	n.mu.Lock()
+	owned := maps.Clone(n.owned)
+	n.mu.Unlock()
+	for _, o := range owned {
+		o.EndOwnership("the node stops")
 	}
 }
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -247,6 +247,7 @@
 	n.helperServer.Close()
 	grace := time.Duration(n.cfg.Bounds.GraceMS) * time.Millisecond
 	tables.Sleep(n.ctx, min(drainAcceptTime, grace/2)-time.Since(started))
+	n.endOwnerships()
 	c, cancel := context.WithTimeout(n.ctx, grace-shutdownMargin-time.Since(started))
 	defer cancel()
 	for _, s := range servers {
