cell: a node of the owner's name at another address may still run

A node took an owner of its own name for ended. That is certain only if it has the owner's address as well: two processes can't listen there. The file on earlier owners has their name.

TestOwnerCutOffWithWorkers, TestWorkWaitsForEndedOwner, TestSearchCuts and the tests of restarts and cold starts pass.

--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -162,7 +162,8 @@
 		return ownerLoss{"no owner", true}
 	}
 	if rec.Owner.Name == n.me.Name {
-		return ownerLoss{"owner has ended on this node", true}
+		// A node of the same name at another address may still run.
+		return ownerLoss{"owner has ended on this node", rec.Owner.Address == n.me.Address}
 	}
 	if s.incarnation != rec.Owner.Incarnation {
 		*s = suspicion{incarnation: rec.Owner.Incarnation}
