--- a/matrix/site/movemark_test.go
+++ b/matrix/site/movemark_test.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -26,12 +27,7 @@
 // submitDelayedAndKillAll submits a job with a start time and kills all nodes.
 func (env *testEnv) submitDelayedAndKillAll() {
 	env.t.Helper()
-	body := env.encodeJob(urgentSpec, stepBody{Count: 2, CPU: 500, MemoryMB: 10, EstimateMS: 200})
-	due, err := json.Marshal(time.Now().Add(startDelay).UnixMilli())
-	if err != nil {
-		env.t.Fatal(err)
-	}
-	body = strings.TrimSuffix(body, "}") + `,"RepeatCount":1,"StartAtMs":` + string(due) + "}"
+	body := env.encodeTimedJob(time.Now().Add(startDelay), urgentSpec, stepBody{Count: 2, CPU: 500, MemoryMB: 10, EstimateMS: 200})
 	if status, answer := env.call("n0", http.MethodPost, "/batch/"+movingID, body); status != http.StatusOK {
 		env.t.Fatalf("submission answered with status %d %s", status, answer)
 	}
@@ -40,6 +36,12 @@
 	time.Sleep(5 * time.Second)
 }
 
+// encodeTimedJob returns the request body that submits a job which starts at a certain time.
+func (env *testEnv) encodeTimedJob(due time.Time, spec string, steps ...stepBody) string {
+	body := env.encodeJob(spec, steps...)
+	return strings.TrimSuffix(body, "}") + `,"RepeatCount":1,"StartAtMs":` + strconv.FormatInt(due.UnixMilli(), 10) + "}"
+}
+
 // pinnedShard returns the shard that the job's pin names.
 func (env *testEnv) pinnedShard() cluster.ShardID {
 	env.t.Helper()
