--- a/matrix/site/env_test.go
+++ b/matrix/site/env_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -111,6 +112,21 @@
 // shards, and of one in which owners make their calls through other nodes.
 var envBuilders = map[string]func(*testing.T) *testEnv{"one shard": newEnv, "two shards": newShardedEnv, "with helpers": newHelperEnv}
 
+// forEachCase runs a test in virtual time for each of the cases, in all environments or, if inAllEnvs
+// is not set, in one of them in turn.
+func forEachCase[C any](t *testing.T, cases map[string]C, run func(t *testing.T, build func(*testing.T) *testEnv, c C)) {
+	for i, name := range slices.Sorted(maps.Keys(cases)) {
+		for k, env := range slices.Sorted(maps.Keys(envBuilders)) {
+			if !inAllEnvs && k != i%len(envBuilders) {
+				continue
+			}
+			t.Run(env+"/"+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { run(t, envBuilders[env], cases[name]) })
+			})
+		}
+	}
+}
+
 // newHelperEnv returns an environment of nodes so small that their owners call workers, and read
 // from the store, through other nodes.
 func newHelperEnv(t *testing.T) *testEnv {
