e2e: the soak reports the job that doesn't end

A job that has been seen at its final state may be unknown later now; a job that comes back after its end still fails the run. The events of the unfinished job, and of the jobs with violations, are printed with the last log lines about them.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -127,6 +127,8 @@
 	faultActive map[string]bool
 	workers     []*site.Worker
 	accepted    []string
+	// ended holds the accepted jobs that a node has reported at their final state.
+	ended map[string]bool
 	// longRunning holds the jobs that run until they are cancelled.
 	longRunning []string
 	// linkFaults holds the intervals in which a link had a fault, by the link's address.
@@ -147,7 +149,7 @@
 		siteCell:    &siteCell{t: t, bin: filepath.Join(os.Getenv("SWITCHBANK_BIN"), "switchbank"), dir: t.TempDir(), links: make(map[string]*link), workersPerShard: soakWorkersPerShard},
 		seed:        seed,
 		rng:         rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // A seed must give the same faults.
-		faultActive: make(map[string]bool), canceled: make(map[string]bool), refused: make(map[string]bool), failing: make(map[string]bool), gangs: make(map[string]bool),
+		faultActive: make(map[string]bool), canceled: make(map[string]bool), refused: make(map[string]bool), failing: make(map[string]bool), gangs: make(map[string]bool), ended: make(map[string]bool),
 		linkFaults: make(map[string][]faultInterval), workerAddresses: make(map[string]string),
 	}
 	if s.hasTeams() {
@@ -249,19 +251,14 @@
 	for i := range persistentJobs {
 		s.cancelJob(i, jobID(persistentJobBase, i))
 	}
-	unfinished := "not checked"
-	s.t.Cleanup(func() {
-		if s.t.Failed() {
-			s.t.Logf("unfinished: %s", unfinished)
-		}
-	})
-	s.waitUntil("every accepted job ends", func() bool {
-		unfinished = s.findUnfinished()
-		return unfinished == ""
-	})
+	s.waitUntilEnded()
 	s.checkConfig()
 	for _, violation := range s.site.Violations(site.Expectations{Refused: s.refused, OrdersDelayed: s.ordersDelayed, LongRunning: checkedJobs, Teams: s.teamExpectations()}) {
 		s.t.Error(violation)
+		// Most descriptions start with the ID of a task.
+		if job, _, ok := strings.Cut(violation, "."); ok {
+			s.reportJob(job)
+		}
 	}
 }
 
@@ -274,30 +271,3 @@
 func randomDuration(rng *rand.Rand, shortest, longest time.Duration) time.Duration {
 	return shortest + time.Duration(rng.Int64N(int64(longest-shortest)))
 }
-
-// findUnfinished describes a job or worker that has not reached its final state yet. It
-// returns "" if there is none.
-func (s *soak) findUnfinished() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, id := range s.accepted {
-		var got struct{ State string }
-		n := s.nodes[i%len(s.nodes)]
-		status := s.call(http.MethodGet, "http://"+n.callers+"/batch/"+id, nil, &got)
-		switch {
-		case status == http.StatusOK && s.endedAsExpected(id, got.State):
-		case status == http.StatusOK && slices.Contains([]string{"succeeded", "failed", "cancelled"}, got.State):
-			// Fails immediately: the nodes forget the states of ended jobs before the test
-			// times out.
-			s.t.Fatalf("job %s at %s has the wrong final state %s", id, n.name, got.State)
-		default:
-			return fmt.Sprintf("job %s at %s: %d %q", id, n.name, status, got.State)
-		}
-	}
-	for i, w := range s.workers {
-		if n := w.RunningTasks(); n > 0 {
-			return fmt.Sprintf("worker %d runs %d tasks", i, n)
-		}
-	}
-	return ""
-}
