--- a/e2e/soakreport_test.go
+++ b/e2e/soakreport_test.go
@@ -14,7 +14,7 @@
 	"testing"
 )
 
-// maxReportedLines is how many log lines of each node about an unfinished job are reported.
+// maxReportedLines is how many log lines of each kind are reported of each node.
 const maxReportedLines = 12
 
 // waitUntilEnded waits until every accepted job has ended and no worker runs a task. If that
@@ -44,32 +44,36 @@
 		}
 	}
 	for _, n := range s.nodes {
-		for _, line := range lastLinesAbout(s.t, n.log.Name(), job) {
+		about, foreign := logLines(s.t, n.log.Name(), job)
+		for _, line := range slices.Concat(about, foreign) {
 			s.t.Logf("%s: %s", n.name, line)
 		}
 	}
 }
 
-// lastLinesAbout returns the last lines of a file that contain the text.
-func lastLinesAbout(t *testing.T, file, text string) []string {
+// logLines returns the last lines of a node's log that contain the text, and the first ones that
+// are no log entries, such as those of a panic.
+func logLines(t *testing.T, file, text string) (about, foreign []string) {
 	t.Helper()
 	f, err := os.Open(file) //nolint:gosec // The test has written the file.
 	if err != nil {
 		t.Error(err)
-		return nil
+		return nil, nil
 	}
 	defer func() { _ = f.Close() }()
-	var lines []string
 	scanner := bufio.NewScanner(f)
 	for scanner.Scan() {
-		if strings.Contains(scanner.Text(), text) {
-			lines = append(lines, scanner.Text())
+		switch line := scanner.Text(); {
+		case !strings.HasPrefix(line, "{"):
+			foreign = append(foreign, line)
+		case strings.Contains(line, text):
+			about = append(about, line)
 		}
 	}
 	if err := scanner.Err(); err != nil {
 		t.Error(err)
 	}
-	return lines[max(0, len(lines)-maxReportedLines):]
+	return about[max(0, len(about)-maxReportedLines):], foreign[:min(maxReportedLines, len(foreign))]
 }
 
 // findUnfinished returns an accepted job that has not reached its final state, or of which a
