--- a/e2e/soakreport_test.go
+++ b/e2e/soakreport_test.go
@@ -117,6 +117,7 @@
 	case status == http.StatusOK && slices.Contains([]string{"succeeded", "failed", "cancelled"}, got.State):
 		// Fails immediately: the nodes forget the states of ended jobs before the test
 		// times out.
+		s.reportJob(id)
 		s.t.Fatalf("job %s at %s has the wrong final state %s", id, n.name, got.State)
 	}
 	return fmt.Sprintf("job %s at %s: %d %q", id, n.name, status, got.State)
