--- a/e2e/soakreport_test.go
+++ b/e2e/soakreport_test.go
@@ -7,11 +7,14 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
 	"strings"
 	"testing"
+
+	"switchbank.example/switchbank/standin/site"
 )
 
 // maxReportedLines is how many log lines of each kind are reported of each node.
@@ -93,14 +96,32 @@
 		return job, description
 	}
 	for i, w := range s.workers {
-		if tasks := w.RunningTaskIDs(); len(tasks) > 0 {
-			job, _, _ := strings.Cut(tasks[0], ".")
-			return job, fmt.Sprintf("worker %d runs %s", i, strings.Join(tasks, ", "))
+		if w.RunningTasks() > 0 {
+			tasks := strings.Join(s.runningTasks(w.ID), ", ")
+			job, _, _ := strings.Cut(tasks, ".")
+			return job, fmt.Sprintf("worker %d runs %s", i, tasks)
 		}
 	}
 	return "", ""
 }
 
+// runningTasks returns the tasks that run on a worker according to the events, sorted.
+func (s *soak) runningTasks(worker string) []string {
+	running := make(map[string]bool)
+	for _, e := range s.site.Events() {
+		if e.Worker != worker {
+			continue
+		}
+		switch e.Kind {
+		case site.EventStart:
+			running[e.Task] = true
+		case site.EventEnd, site.EventSuccess, site.EventGangTimeout:
+			delete(running, e.Task)
+		}
+	}
+	return slices.Sorted(maps.Keys(running))
+}
+
 // checkEnded describes the state of the i-th accepted job unless it has ended, and returns ""
 // if it has. A job that has been seen at its end may be unknown later: nodes forget it after
 // the retention period, which may end while the test waits for another job.
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -3,8 +3,6 @@
 package site
 
 import (
-	"maps"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -266,11 +264,4 @@
 	return len(w.running)
 }
 
-// RunningTaskIDs returns the IDs of the tasks that run on the worker, sorted.
-func (w *Worker) RunningTaskIDs() []string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return slices.Sorted(maps.Keys(w.running))
-}
-
 func (w *Worker) clock() int64 { return time.Since(w.startedAt).Milliseconds() }
