matrix/site: one piece of code holds a cut; the search takes its environments from the list

testCutOff and cutOffOwner had the same steps around a cut, and TestSearchCuts repeated the environments in their order.

--- a/matrix/site/cutoff_test.go
+++ b/matrix/site/cutoff_test.go
@@ -62,6 +62,16 @@
 	}
 }
 
+// hold keeps a cut up for some time, calls during at its begin, and goes on for some time after it.
+func (c cut) hold(env *testEnv, lasts time.Duration, during func()) {
+	end := c.begin(env)
+	began := time.Now()
+	during()
+	time.Sleep(lasts - time.Since(began))
+	end()
+	time.Sleep(afterCut)
+}
+
 const (
 	// settledOwnerAge is how long nodes run before a cut: an owner that is new is given more time
 	// before it is replaced.
@@ -228,14 +238,11 @@
 	for i := range c.workers {
 		workers = append(workers, i)
 	}
-	end := cut{nodes, workers}.begin(env)
-	began := time.Now()
-	if c.during != nil {
-		c.during(env, owner)
-	}
-	time.Sleep(c.lasts - time.Since(began))
-	end()
-	time.Sleep(afterCut)
+	cut{nodes, workers}.hold(env, c.lasts, func() {
+		if c.during != nil {
+			c.during(env, owner)
+		}
+	})
 	env.checkNoViolations()
 	if n := env.runsInProgress(); n != lastingTasks {
 		t.Errorf("%d tasks run after the cut, want the %d that last", n, lastingTasks)
--- a/matrix/site/cutoffanswers_test.go
+++ b/matrix/site/cutoffanswers_test.go
@@ -14,12 +14,7 @@
 // goes on for some time after the cut.
 func (env *testEnv) cutOffOwner(d time.Duration, during func(owner string)) {
 	owner := env.owner()
-	end := cut{[]string{owner}, []int{0, 1}}.begin(env)
-	began := time.Now()
-	during(owner)
-	time.Sleep(d - time.Since(began))
-	end()
-	time.Sleep(afterCut)
+	cut{[]string{owner}, []int{0, 1}}.hold(env, d, func() { during(owner) })
 }
 
 // TestTimedJobsOfCutOffOwner guards against jobs whose time comes while their owner is cut off, and
--- a/matrix/site/searchcuts_test.go
+++ b/matrix/site/searchcuts_test.go
@@ -4,7 +4,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,11 +24,11 @@
 	if fullSearch() {
 		seeds = fullSeeds
 	}
-	builds := []func(*testing.T) *testEnv{newEnv, newShardedEnv, newHelperEnv}
+	envs := slices.Sorted(maps.Keys(envBuilders))
 	for seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { searchCuts(t, builds[seed%len(builds)], uint64(seed)) })
+			synctest.Test(t, func(t *testing.T) { searchCuts(t, envBuilders[envs[seed%len(envs)]], uint64(seed)) })
 		})
 	}
 }
