--- /dev/null
+++ b/matrix/site/stalls_test.go
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package site_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/standin/site"
+)
+
+// stallEnv is an environment of many workers under a load that leaves room for all of it.
+type stallEnv struct {
+	*testEnv
+	host smallHost
+	jobs []site.StallJob
+}
+
+// newStallEnv returns an environment of twelve nodes and 120 workers in one shard.
+func newStallEnv(t *testing.T, h smallHost) *stallEnv {
+	env := &stallEnv{testEnv: newSmallHostEnv(t, h), host: h}
+	time.Sleep(6 * time.Second)
+	return env
+}
+
+// slowDown makes all nodes slower.
+func (env *stallEnv) slowDown(times float64) {
+	for _, name := range env.nodeNames() {
+		env.net.SetCPUQuota(name, env.host.share, time.Duration(float64(env.host.cost)*times))
+	}
+}
+
+// narrowLinks gives the links of all nodes a bandwidth in bytes a second.
+func (env *stallEnv) narrowLinks(rate int) {
+	for _, name := range env.nodeNames() {
+		env.net.SetBandwidth(name, rate)
+	}
+}
+
+// submitJobs submits jobs of two steps of four tasks each.
+func (env *stallEnv) submitJobs(perSecond int, d time.Duration) {
+	step := stepBody{Count: 4, CPU: 1000, MemoryMB: 500, EstimateMS: 1000}
+	second := step
+	second.DependsOn = []int{0}
+	body := env.encodeJob("1000 cpu=1000", step, second)
+	for i := range perSecond * int(d/time.Second) {
+		id := fmt.Sprintf("%016x", xxhash.Sum64String(fmt.Sprint(len(env.jobs), i)))
+		go func() {
+			status, _ := env.call(fmt.Sprintf("n%d", i%smallNodes), http.MethodPost, "/urgent/"+id, body)
+			if status != http.StatusOK {
+				return
+			}
+			env.mu.Lock()
+			defer env.mu.Unlock()
+			env.jobs = append(env.jobs, site.StallJob{ID: id, Accepted: time.Now(), MaxAttempts: 2, Steps: []site.StallStep{
+				{Tasks: 4, CPUMilli: 1000, MemoryMB: 500, NeedsTicket: true}, {Tasks: 4, CPUMilli: 1000, MemoryMB: 500, NeedsTicket: true, DependsOn: []int{0}},
+			}})
+		}()
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+}
+
+// checkNoStalls checks that no job has waited beside room since a time, however slow the nodes were.
+func (env *stallEnv) checkNoStalls(since time.Time) {
+	env.t.Helper()
+	stalls := env.site.Stalls(site.StallCheck{Jobs: env.jobs, From: since, Until: time.Now()})
+	if len(stalls) > 0 {
+		env.t.Errorf("%d of %d jobs stalled with %d owners, the first: %s", len(stalls), len(env.jobs), env.epoch(cluster.ShardID{Service: service}), stalls[0])
+	}
+}
+
+// TestSlowNodesStallJobs guards against owners that are replaced one after the other since all nodes
+// are slow: none of them is dead, and each takeover adds to the load that makes them late.
+func TestSlowNodesStallJobs(t *testing.T) {
+	const slowFor = 20 * time.Second
+	for name, slow := range map[string]func(env *stallEnv){
+		"processor 32 times slower": func(env *stallEnv) { env.slowDown(32) },
+		"links of 0.5 Mbit/s":       func(env *stallEnv) { env.narrowLinks(62_500) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				env := newStallEnv(t, smallHost{rate: 2_500_000, share: 0.4, cost: 50 * time.Microsecond})
+				defer env.close()
+				began := time.Now()
+				load := make(chan struct{})
+				go func() { env.submitJobs(5, 30*time.Second); close(load) }()
+				time.Sleep(5 * time.Second)
+				slow(env)
+				time.Sleep(slowFor)
+				env.slowDown(1)
+				env.narrowLinks(env.host.rate)
+				<-load
+				time.Sleep(10 * time.Second)
+				env.checkNoStalls(began)
+				env.checkOverloadViolations()
+			})
+		})
+	}
+}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -61,9 +61,11 @@
 	// evacuations are the operators' orders so far.
 	evacuations []evacuation
 	// gangs are the runs of gangs, by step and run.
-	gangs        map[gangKey]*gangRun
-	incarnations int
-	owner        string
+	gangs map[gangKey]*gangRun
+	// allIncarnations are the workers that were started, also those that have ended.
+	allIncarnations []*Worker
+	incarnations    int
+	owner           string
 	// machineLists is how often the machines have been listed.
 	machineLists int
 	stops        []func()
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -3,6 +3,7 @@
 package site
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -65,6 +66,8 @@
 	faults WorkerFaults
 	// failNewRuns is set while all new runs fail.
 	failNewRuns bool
+	// unsoundAt is when the worker first ended, drained, left the directory or had a fault.
+	unsoundAt time.Time
 }
 
 // WorkerFaults are the faults that a worker simulates.
@@ -98,9 +101,31 @@
 	if cfg.ReportStartTime {
 		w.startTime = w.startedAt.UnixMilli()
 	}
+	s.allIncarnations = append(s.allIncarnations, w)
 	return w
 }
 
+// incarnationsSoFar returns all incarnations of workers that were started.
+func (s *Site) incarnationsSoFar() []*Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.allIncarnations)
+}
+
+// setUnsound records that the worker is not sound any more. The caller holds mu.
+func (w *Worker) setUnsound() {
+	if w.unsoundAt.IsZero() {
+		w.unsoundAt = time.Now()
+	}
+}
+
+// isSoundAt reports whether work should start on the worker at a time.
+func (w *Worker) isSoundAt(at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !at.Before(w.startedAt.Add(workerSettleTime)) && (w.unsoundAt.IsZero() || at.Before(w.unsoundAt))
+}
+
 // Restart starts a new incarnation on the machine of a crashed worker, under a new ID.
 func (s *Site) Restart(old *Worker) *Worker { return s.restart(old, s.newIncarnation) }
 
@@ -165,6 +190,7 @@
 func (w *Worker) Drain() {
 	w.mu.Lock()
 	w.draining = true
+	w.setUnsound()
 	w.mu.Unlock()
 	w.announce()
 }
@@ -174,6 +200,7 @@
 func (w *Worker) RemoveFromDirectory() {
 	w.mu.Lock()
 	w.removed = true
+	w.setUnsound()
 	w.mu.Unlock()
 	w.site.Store.Remove("servers", w.ID)
 }
@@ -193,6 +220,7 @@
 // crashLocked ends all runs. The caller holds mu.
 func (w *Worker) crashLocked() {
 	w.terminated = true
+	w.setUnsound()
 	for _, t := range w.running {
 		if t.inGang {
 			w.site.leaveGang(t, false)
@@ -228,6 +256,7 @@
 func (w *Worker) Stop() {
 	w.mu.Lock()
 	w.terminated = true
+	w.setUnsound()
 	w.mu.Unlock()
 	w.stop()
 }
@@ -244,6 +273,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.faults = f
+	w.setUnsound()
 	for _, t := range w.running {
 		t.stuck = f.Stuck
 	}
@@ -255,6 +285,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.failNewRuns = fails
+	w.setUnsound()
 }
 
 // RunningTasks returns the number of tasks that run on the worker.
