cell, scheduler: late answers are recorded; what a takeover waits for is logged

The log couldn't tell an owner that answers late from one that doesn't answer, nor whether the node that judged was late itself, nor what a takeover waits for. A ping now goes on after its answer is late and records it; the decisions are unchanged.

--- a/internal/cell/earlierowners.go
+++ b/internal/cell/earlierowners.go
@@ -37,6 +37,8 @@
 	cause string
 	// ended is set if the owner has certainly ended.
 	ended bool
+	// silentFor is how long the owner had not answered.
+	silentFor time.Duration
 }
 
 // unsettledOwners returns the earlier owners of a shard that may not have ended when the given
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -22,6 +22,9 @@
 		return float64(len(n.owned))
 	})
 	n.metrics.NewGauge("switchbank_ownership_unconfirmed_seconds", n.longestUnconfirmed)
+	n.metrics.NewGauge("switchbank_own_delay_seconds", func() float64 { return n.ownDelay.value().Seconds() })
+	n.metrics.NewGauge("switchbank_takeover_workers_awaited", func() float64 { return float64(n.takeoverWaits().Workers) })
+	n.metrics.NewGauge("switchbank_takeover_tasks_held_back", func() float64 { return float64(n.takeoverWaits().Tasks) })
 	n.metrics.NewGauge("switchbank_peers_up", func() float64 { return float64(n.peers.countUp()) })
 	n.metrics.NewGauge("switchbank_store_silent_seconds", func() float64 {
 		return n.store.silentFor().Seconds()
@@ -59,6 +62,18 @@
 	return longest.Seconds()
 }
 
+// takeoverWaits returns what the takeovers that are not complete wait for and hold back.
+func (n *Node) takeoverWaits() (sum scheduler.TakeoverWait) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, o := range n.owned {
+		wait := o.TakeoverWait()
+		sum.Workers += wait.Workers
+		sum.Tasks += wait.Tasks
+	}
+	return sum
+}
+
 // counts returns the sums of the counters of the shards that run here. They start at 0 with
 // each ownership.
 func (n *Node) counts() scheduler.Counts {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -131,6 +131,8 @@
 	configRead confirmation
 	// ownersRead is set once the owners' rows have been read.
 	ownersRead atomic.Bool
+	// ownDelay is how late this process runs.
+	ownDelay delayMeter
 	// fetching is set while a configuration is being fetched from a peer.
 	fetching atomic.Bool
 	draining atomic.Bool
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -237,7 +237,8 @@
 	}
 	row.Version = res.Version
 	n.Log.Info("shard taken", events.OwnershipTaken, zap.Stringer("shard", shard), zap.Int64("epoch", next.Epoch),
-		zap.String("from", rec.Owner.Name), zap.String("cause", loss.cause), zap.Int("unsettled", len(next.Unsettled)))
+		zap.String("from", rec.Owner.Name), zap.String("cause", loss.cause), zap.Int("unsettled", len(next.Unsettled)), zap.Duration("silent_for", loss.silentFor),
+		zap.Duration("answer_time", n.peers.answerTime(rec.Owner)), zap.Duration("own_delay", n.ownDelay.value()))
 	n.startOwner(shard, row, next, <-fence, sent)
 	return true
 }
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -62,8 +62,11 @@
 	// the time until the next such ping.
 	lastRetry     time.Time
 	retryInterval time.Duration
-	// reply is its last reply to a ping.
-	reply pingReply
+	// reply is its last reply to a ping, and replySentAt when that ping was sent.
+	reply       pingReply
+	replySentAt time.Time
+	// answerTime is how long it takes to answer pings.
+	answerTime recentMax
 	// owners are its last answers about the shards that this node owns.
 	owners map[cluster.ShardID]ownerAnswer
 	// refusedSent is the last change of this node's record of refused jobs that the node was
@@ -98,6 +101,7 @@
 	if old.Incarnation != m.Incarnation {
 		old.member, old.failingSince = m, time.Time{}
 		old.refusedSent, old.refusedReceived = 0, 0
+		old.replySentAt, old.answerTime = time.Time{}, recentMax{}
 	}
 }
 
@@ -274,6 +278,17 @@
 	return *q, true
 }
 
+// answerTime returns the longest time that a node recently took to answer a ping; 0: it is unknown.
+func (p *peers) answerTime(m member) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.byName[m.Name]
+	if q == nil || q.Incarnation != m.Incarnation {
+		return 0
+	}
+	return q.answerTime.Value(time.Now())
+}
+
 // isDown reports whether a node has failed to answer and has not answered since.
 func (p *peers) isDown(name string) bool {
 	q, ok := p.get(name)
--- a/internal/cell/ping.go
+++ b/internal/cell/ping.go
@@ -10,7 +10,9 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"switchbank.example/switchbank/internal/conns"
 	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/httpx"
 	"switchbank.example/switchbank/internal/tables"
 )
 
@@ -32,6 +34,8 @@
 	// reconnect. A node that is gone for good costs one call a minute.
 	minRetryInterval = 500 * time.Millisecond
 	maxRetryInterval = time.Minute
+	// lateAnswerTime is how long a late reply is waited for: it is a sign of life until then.
+	lateAnswerTime = 4 * time.Second
 	// forgetAfter is how long a peer may fail before it is left out of the rounds.
 	forgetAfter = 20 * time.Second
 )
@@ -119,15 +123,41 @@
 	return list
 }
 
-// ping pings a node and records its reply.
+// ping pings a node and returns its reply if that comes in time. A late reply is recorded too: it
+// shows that the node is slow, and not dead.
 func (p *peers) ping(ctx context.Context, m member) (pingReply, error) {
+	type result struct {
+		reply pingReply
+		err   error
+	}
+	answered := make(chan result, 1)
+	go func() {
+		reply, err := p.sendPing(m)
+		answered <- result{reply, err}
+	}()
+	timeout := time.NewTimer(peerTimeout)
+	defer timeout.Stop()
+	select {
+	case r := <-answered:
+		return r.reply, r.err
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return pingReply{}, &Error{"ping", KindNoAnswer, errors.New(m.Name + " has not answered in time")}
+}
+
+// sendPing pings a node, and records that it doesn't answer as soon as its reply is late, and the
+// reply when it comes.
+func (p *peers) sendPing(m member) (pingReply, error) {
 	req := pingRequest{From: p.n.me, Knows: p.count(), PartsAway: p.n.store.parts.countAway(), Owns: p.n.ownerEpochs()}
 	known, _ := p.get(m.Name)
 	refusedSent := p.n.sendRefused(&req, known)
 	sent := time.Now()
-	reply, err := call[pingRequest, pingReply](ctx, p, m.Address, pathPing, req, peerTimeout)
+	ctx, cancel := conns.WithLateResponse(p.n.ctx, peerTimeout, lateAnswerTime, func() { p.recordFailure(m, sent, errLate) })
+	defer cancel()
+	reply, err := httpx.Call[pingRequest, pingReply](ctx, p.client, "http://"+m.Address+pathPing, req)
 	if err != nil {
-		p.recordFailure(m, err)
+		p.recordFailure(m, sent, err)
 		return reply, err
 	}
 	p.addMember(reply.Me)
@@ -136,19 +166,8 @@
 	for _, o := range reply.Members {
 		p.addIfUnknown(o)
 	}
-	p.mu.Lock()
-	q := p.byName[reply.Me.Name]
-	var wasDown bool
-	if q != nil {
-		wasDown = !q.failingSince.IsZero()
-		q.refusedSent, q.refusedReceived = refusedSent, reply.RefusedLast
-		q.lastOK, q.failingSince, q.reply = time.Now(), time.Time{}, reply
-	}
-	p.mu.Unlock()
+	p.recordReply(reply, sent, refusedSent)
 	p.recordOwners(reply.Me.Name, sent, reply.Owners, reply.Knows)
-	if wasDown {
-		p.n.Log.Info("peer answers again", events.PeerRecovered, zap.String("peer", reply.Me.Name))
-	}
 	if reply.PartsAway > 0 {
 		p.n.store.parts.suspect()
 	}
@@ -158,6 +177,32 @@
 	return reply, nil
 }
 
+// errLate is the cause of a failure while the reply may still come.
+var errLate = errors.New("the reply is late")
+
+// recordReply records a node's reply to a ping that was sent at the given time. Of replies that come
+// out of order the latest one counts, but each is a sign of life.
+func (p *peers) recordReply(reply pingReply, sent time.Time, refusedSent int64) {
+	now := time.Now()
+	p.mu.Lock()
+	q := p.byName[reply.Me.Name]
+	if q == nil || q.Incarnation != reply.Me.Incarnation {
+		p.mu.Unlock()
+		return
+	}
+	wasDown := !q.failingSince.IsZero()
+	q.lastOK, q.failingSince = now, time.Time{}
+	q.answerTime.Observe(now, now.Sub(sent))
+	if !sent.Before(q.replySentAt) {
+		q.refusedSent, q.refusedReceived = refusedSent, reply.RefusedLast
+		q.reply, q.replySentAt = reply, sent
+	}
+	p.mu.Unlock()
+	if wasDown {
+		p.n.Log.Info("peer answers again", events.PeerRecovered, zap.String("peer", reply.Me.Name), zap.Duration("answered_after", now.Sub(sent)))
+	}
+}
+
 // sendRefused adds to a ping the refused jobs that the peer may not know.
 func (n *Node) sendRefused(req *pingRequest, to peer) (sent int64) {
 	req.RefusedAfter = to.refusedReceived
@@ -176,12 +221,13 @@
 	}
 }
 
-// recordFailure records a failed call to a node, and logs the first failure.
-func (p *peers) recordFailure(m member, err error) {
+// recordFailure records that a call to a node, sent at the given time, has failed or is late, and
+// logs the first failure. It counts for nothing if the node has answered another call since.
+func (p *peers) recordFailure(m member, sent time.Time, err error) {
 	p.mu.Lock()
 	q := p.byName[m.Name]
 	var first bool
-	if q != nil && q.Incarnation == m.Incarnation {
+	if q != nil && q.Incarnation == m.Incarnation && !q.lastOK.After(sent) {
 		if first = q.failingSince.IsZero(); first {
 			q.failingSince = time.Now()
 			q.lastRetry, q.retryInterval = q.failingSince, minRetryInterval
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -58,7 +58,7 @@
 	for i, shard := range layout.IDs() {
 		watches[i] = &ownerWatch{shard: shard}
 	}
-	for tables.Sleep(ctx, firstWatchDelay); ctx.Err() == nil; tables.Sleep(ctx, watchInterval) {
+	for tables.Sleep(ctx, firstWatchDelay); ctx.Err() == nil; n.ownDelay.sleep(ctx, watchInterval) {
 		for _, w := range watches {
 			if n.startCheckIfDue(w, time.Now()) {
 				n.group.Go(func() error { n.checkOwner(ctx, w); return nil })
@@ -156,14 +156,22 @@
 	return s.refused > 0 || !s.isolatedSince.IsZero() || !s.silentSince.IsZero()
 }
 
+// silentFor returns how long the owner has not answered.
+func (s *suspicion) silentFor(now time.Time) time.Duration {
+	if s.silentSince.IsZero() {
+		return 0
+	}
+	return now.Sub(s.silentSince)
+}
+
 // ownerLoss returns why an owner has to be replaced, if it has to be.
 func (n *Node) ownerLoss(ctx context.Context, shard cluster.ShardID, rec ownerRecord, s *suspicion) ownerLoss {
 	if rec.Owner.Name == "" {
-		return ownerLoss{"no owner", true}
+		return ownerLoss{cause: "no owner", ended: true}
 	}
 	if rec.Owner.Name == n.me.Name {
 		// A node of the same name at another address may still run.
-		return ownerLoss{"owner has ended on this node", rec.Owner.Address == n.me.Address}
+		return ownerLoss{cause: "owner has ended on this node", ended: rec.Owner.Address == n.me.Address}
 	}
 	if s.incarnation != rec.Owner.Incarnation {
 		*s = suspicion{incarnation: rec.Owner.Incarnation}
@@ -174,17 +182,18 @@
 	if err == nil {
 		s.refused, s.silentSince = 0, time.Time{}
 		if reply.Me.Incarnation != rec.Owner.Incarnation {
-			return ownerLoss{"owner has restarted", true}
+			return ownerLoss{cause: "owner has restarted", ended: true}
 		}
 		return ownerLoss{}
 	}
 	if isRefused(err) {
 		if s.refused++; s.refused >= maxRefusedPings {
-			return ownerLoss{"owner refuses connections", isProcessGone(err)}
+			return ownerLoss{cause: "owner refuses connections", ended: isProcessGone(err)}
 		}
 		return ownerLoss{}
 	}
-	return ownerLoss{cause: n.silentOwnerLossCause(ctx, shard, rec.Owner, s)}
+	cause := n.silentOwnerLossCause(ctx, shard, rec.Owner, s)
+	return ownerLoss{cause: cause, silentFor: s.silentFor(time.Now())}
 }
 
 // silentOwnerLossCause returns why an owner that didn't answer a ping has to be replaced, or
--- a/internal/cell/witnesses.go
+++ b/internal/cell/witnesses.go
@@ -36,9 +36,10 @@
 	result := witnessReport{isolated: others}
 	for _, p := range asked {
 		wg.Go(func() {
+			sent := time.Now()
 			reply, err := call[pingRequest, pingReply](ctx, n.peers, p.Address, pathPing, pingRequest{From: n.me, Knows: n.peers.count(), About: m.Name}, witnessTimeout)
 			if err != nil {
-				n.peers.recordFailure(p, err)
+				n.peers.recordFailure(p, sent, err)
 				return
 			}
 			mu.Lock()
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -12,6 +12,7 @@
 //
 // WithStallTimeout bounds a call by the progress of its response: a large response on a
 // slow link may take any time, while one that doesn't begin, or stalls, is given up.
+// WithLateResponse waits longer for a response that is of use even if it comes late.
 //
 // A call that fails after a connection was made may have reached the server. If no byte of it
 // was written, its error is an Error of KindNotSent: it had no effect.
@@ -83,6 +84,7 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	sent, usage := t.now(), t.Usage.countCall(r)
 	var used usedConns
+	whenLate(r.Context(), func() { t.closeSilent(dialAddress(r.URL), sent) })
 	res, err := t.http.RoundTrip(r.WithContext(used.trace(r.Context())))
 	if err != nil {
 		t.closeSilent(dialAddress(r.URL), sent)
--- a/internal/conns/stall.go
+++ b/internal/conns/stall.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -54,6 +55,11 @@
 type stallTimer struct {
 	timer   *time.Timer
 	arrived atomic.Bool
+
+	mu sync.Mutex
+	// late is set while the response is late, and onLate is called then; nil: nobody asks.
+	late   bool
+	onLate func()
 }
 
 type stallTimerKey struct{}
@@ -81,6 +87,50 @@
 	}
 }
 
+// WithLateResponse is like WithStallTimeout, for a call whose response is of use even if it is late.
+// When nothing has arrived within begin, onLate is called and idle connections to the same address
+// are closed if they were silent too, but the call ends only when nothing has arrived within limit.
+func WithLateResponse(ctx context.Context, begin, limit time.Duration, onLate func()) (context.Context, context.CancelFunc) {
+	c, cancel := WithStallTimeout(ctx, limit)
+	t, _ := c.Value(stallTimerKey{}).(*stallTimer)
+	late := time.AfterFunc(begin, func() {
+		if !t.arrived.Load() && c.Err() == nil {
+			t.becomeLate()
+			onLate()
+		}
+	})
+	return c, func() {
+		late.Stop()
+		cancel()
+	}
+}
+
+// becomeLate records that the response is late.
+func (t *stallTimer) becomeLate() {
+	t.mu.Lock()
+	t.late = true
+	onLate := t.onLate
+	t.mu.Unlock()
+	if onLate != nil {
+		onLate()
+	}
+}
+
+// whenLate calls fn once the response of a call under WithLateResponse is late.
+func whenLate(ctx context.Context, fn func()) {
+	t, ok := ctx.Value(stallTimerKey{}).(*stallTimer)
+	if !ok {
+		return
+	}
+	t.mu.Lock()
+	t.onLate = fn
+	late := t.late
+	t.mu.Unlock()
+	if late {
+		fn()
+	}
+}
+
 // ResponseStarted reports whether the response of a call under a stall timeout has begun to
 // arrive.
 func ResponseStarted(ctx context.Context) bool {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -110,6 +110,7 @@
 	TeamWaits             = zap.String(Field, "SB1642")
 	TeamPartGiven         = zap.String(Field, "SB1643")
 	DataCentresEvacuated  = zap.String(Field, "SB1644")
+	TakeoverWaits         = zap.String(Field, "SB1645")
 )
 
 // The events of nodes on a platform.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -308,6 +308,13 @@
 	return o.shard.Counts()
 }
 
+// TakeoverWait returns what a takeover that is not complete waits for and holds back.
+func (o *Owner) TakeoverWait() scheduler.TakeoverWait {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.shard.TakeoverWait()
+}
+
 // QuarantinedWorkers returns how many workers of the shard are quarantined, or on probation after
 // it.
 func (o *Owner) QuarantinedWorkers() int {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -279,6 +279,7 @@
 	s.updateForecast(now)
 	s.updateSlowness()
 	s.logWaitingTasks(now)
+	s.logTakeover(now)
 }
 
 // emit queues a command for Schedule to return.
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -27,6 +27,8 @@
 	// while the store is unavailable.
 	machinesListed bool
 	expected       map[string]bool
+	// loggedAt is when the log last told what the takeover waits for.
+	loggedAt time.Time
 	// complete is set once every worker has answered, even if the takeover ended before:
 	// then all is known that an earlier owner started. Until then a worker may still
 	// report more.
@@ -75,6 +77,59 @@
 	}
 }
 
+// TakeoverWait is what a takeover that is not complete waits for, and what it holds back.
+type TakeoverWait struct {
+	// Workers is how many workers haven't answered, and Example names one of them.
+	Workers int
+	Example string
+	// Tasks is how many tasks wait since they may run on these workers.
+	Tasks int
+}
+
+// TakeoverWait returns what the takeover waits for; all is zero once it has ended.
+func (s *Shard) TakeoverWait() (wait TakeoverWait) {
+	if !s.takeover.open {
+		return wait
+	}
+	for id := range s.takeover.expected {
+		if s.workers[id] == nil {
+			wait.Workers++
+			wait.Example = id
+		}
+	}
+	for _, w := range s.workerList {
+		if !w.answeredSinceLoad {
+			wait.Workers++
+			wait.Example = w.info.ID
+		}
+	}
+	for _, j := range s.active {
+		for st := range j.steps() {
+			for _, t := range st.tasks {
+				if t.uncertain && !t.done {
+					wait.Tasks++
+				}
+			}
+		}
+	}
+	return wait
+}
+
+// takeoverLogInterval is the time after which the log tells again what a takeover waits for.
+const takeoverLogInterval = time.Second
+
+// logTakeover logs what a takeover waits for.
+func (s *Shard) logTakeover(now time.Time) {
+	if !s.takeover.open || now.Sub(latest(s.takeover.loggedAt, s.takeover.loadedAt)) < takeoverLogInterval {
+		return
+	}
+	s.takeover.loggedAt = now
+	wait := s.TakeoverWait()
+	s.log.Info("takeover waits", events.TakeoverWaits, zap.Int64("epoch", s.params.Epoch), zap.Duration("since", now.Sub(s.startedAt)), zap.Int("workers", wait.Workers),
+		zap.String("one_is", wait.Example), zap.Int("tasks", wait.Tasks), zap.Bool("machines_listed", s.takeover.machinesListed),
+		zap.Duration("at_most", s.earlierLeasesEnd().Sub(now)))
+}
+
 // firstAnswerTime is how long after the load of a shard the workers may take for their first answers,
 // however long ago earlier owners ended: a load can take longer than all leases.
 const firstAnswerTime = 1500 * time.Millisecond
