cell, owner: late owners are not taken for dead, and call their workers less often

Callers saw accepted jobs with nothing running for seconds beside free room (LOST).

- A late answer is a sign of life, also one that a witness has heard.
A silent owner is waited for four times as long as its last answers took, and as this node itself ran late, 4 s at most; a second if most of the nodes that were asked are silent as well.
A dead owner that answered fast is replaced as before.
- An owner whose workers all answer late is slow itself: it waits longer for them and lets holds stay open for up to 2 s in place of 0.5 s, so that it calls less often.
Sixteen workers are asked at once what they run.

--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -93,6 +93,8 @@
 	Evacuations []cluster.EvacuationOrder `json:"evacuations,omitempty"`
 	// AboutAnswers tells whether the node named in About answered the ping.
 	AboutAnswers bool `json:"about_answers,omitempty"`
+	// AboutHeardMS is how long ago that node last answered, in milliseconds; 0: it never did.
+	AboutHeardMS int64 `json:"about_heard_ms,omitempty"`
 	// Refused are refused jobs that the sender may not know, and RefusedLast is the number of the
 	// last change among those that the node knows.
 	Refused     []admission.Record `json:"refused,omitempty"`
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -84,6 +84,7 @@
 			defer cancel()
 			_, err := n.peers.ping(c, q.member)
 			reply.AboutAnswers = err == nil
+			reply.AboutHeardMS = n.peers.heardAgo(req.About).Milliseconds()
 		}
 	}
 	return reply, nil
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -289,6 +289,28 @@
 	return q.answerTime.Value(time.Now())
 }
 
+// answeredSince reports whether that incarnation of a node has answered since a time.
+func (p *peers) answeredSince(m member, since time.Time) bool {
+	q, ok := p.get(m.Name)
+	return ok && q.Incarnation == m.Incarnation && q.lastOK.After(since)
+}
+
+// anyAnsweredSince reports whether any other node has answered since a time.
+func (p *peers) anyAnsweredSince(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.sorted, func(q *peer) bool { return q.lastOK.After(since) })
+}
+
+// heardAgo returns how long ago a node last answered, a millisecond at least; 0: it never did.
+func (p *peers) heardAgo(name string) time.Duration {
+	q, ok := p.get(name)
+	if !ok || q.lastOK.IsZero() {
+		return 0
+	}
+	return max(time.Since(q.lastOK), time.Millisecond)
+}
+
 // isDown reports whether a node has failed to answer and has not answered since.
 func (p *peers) isDown(name string) bool {
 	q, ok := p.get(name)
--- a/internal/cell/ping.go
+++ b/internal/cell/ping.go
@@ -192,7 +192,9 @@
 	}
 	wasDown := !q.failingSince.IsZero()
 	q.lastOK, q.failingSince = now, time.Time{}
-	q.answerTime.Observe(now, now.Sub(sent))
+	if !p.n.ownDelay.lastLate().After(sent) {
+		q.answerTime.Observe(now, now.Sub(sent))
+	}
 	if !sent.Before(q.replySentAt) {
 		q.refusedSent, q.refusedReceived = refusedSent, reply.RefusedLast
 		q.reply, q.replySentAt = reply, sent
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -136,7 +136,10 @@
 	if loss.cause == "" || n.store.down() || !n.claim(ctx, shard, version) {
 		return
 	}
-	n.takeShard(ctx, shard, version, loss)
+	// An owner that is silent and not known to have ended may have answered during the claim.
+	if suspect.silentSince.IsZero() || !n.peers.answeredSince(rec.Owner, suspect.silentSince) {
+		n.takeShard(ctx, shard, version, loss)
+	}
 	n.releaseClaim(shard)
 	*suspect = suspicion{}
 }
@@ -176,6 +179,7 @@
 	if s.incarnation != rec.Owner.Incarnation {
 		*s = suspicion{incarnation: rec.Owner.Incarnation}
 	}
+	sent := time.Now()
 	c, cancel := context.WithTimeout(ctx, watchPingTimeout)
 	reply, err := n.peers.ping(c, rec.Owner)
 	cancel()
@@ -192,25 +196,39 @@
 		}
 		return ownerLoss{}
 	}
+	s.noteSilence(sent, n.ownDelay.lastLate())
 	cause := n.silentOwnerLossCause(ctx, shard, rec.Owner, s)
 	return ownerLoss{cause: cause, silentFor: s.silentFor(time.Now())}
 }
 
+// noteSilence records that a ping that was sent at the given time was not answered in time. The time
+// in which this process did not run doesn't count as silence of the owner.
+func (s *suspicion) noteSilence(sent, ownLateAt time.Time) {
+	if s.silentSince.IsZero() {
+		s.silentSince = sent
+	}
+	if ownLateAt.After(s.silentSince) {
+		s.silentSince = ownLateAt
+	}
+}
+
 // silentOwnerLossCause returns why an owner that didn't answer a ping has to be replaced, or
-// an empty string. It asks other nodes first, and allows more time to an owner that took the
-// shard recently.
+// an empty string. It asks other nodes first, and allows more time to an owner whose answers have
+// been late.
 func (n *Node) silentOwnerLossCause(ctx context.Context, shard cluster.ShardID, owner member, s *suspicion) string {
-	if s.silentSince.IsZero() {
-		s.silentSince = time.Now()
+	report := n.askWitnesses(ctx, owner, s.silentSince)
+	if report.reachedBy == "" && n.peers.answeredSince(owner, s.silentSince) {
+		report.reachedBy = n.me.Name
 	}
-	report := n.askWitnesses(ctx, owner)
 	if report.reachedBy != "" {
 		n.Log.Info("owner answers other nodes", events.OwnerSuspected, zap.String("owner", owner.Name), zap.String("peer", report.reachedBy))
 		s.isolatedSince, s.silentSince = time.Time{}, time.Time{}
 		return ""
 	}
+	patience := n.silencePatience(shard, owner, report)
 	if !report.isolated {
-		if time.Since(s.silentSince) < n.silencePatience(shard) {
+		s.isolatedSince = time.Time{}
+		if s.silentFor(time.Now()) < patience {
 			return ""
 		}
 		return "owner is silent"
@@ -219,7 +237,7 @@
 		s.isolatedSince = time.Now()
 		n.Log.Info("no other node answers this one", events.OwnerSuspected, zap.String("owner", owner.Name))
 	}
-	if time.Since(s.isolatedSince) < isolationDelay {
+	if time.Since(s.isolatedSince) < isolationDelay+patience || n.peers.anyAnsweredSince(s.isolatedSince) {
 		return ""
 	}
 	return "all other nodes are silent"
@@ -234,17 +252,35 @@
 	ownerChangeWindow = 10 * time.Second
 	patiencePerChange = 2 * time.Second
 	maxPatience       = 4 * time.Second
+	// patiencePerDelay is how many times longer than its last answers took a silent owner is
+	// waited for, and how many times longer than this node itself ran late. An owner that is
+	// short of processor time or bandwidth is late and not dead, and its successor would have
+	// to do the same work and load the shard in addition.
+	patiencePerDelay = 4
+	// unsurePatience is how long a silent owner is waited for at least while most of the nodes
+	// that were asked about it are silent as well: the network or this node may be slow.
+	unsurePatience = time.Second
 )
 
 // silencePatience returns how long a silent owner of a shard is waited for.
-func (n *Node) silencePatience(shard cluster.ShardID) time.Duration {
+func (n *Node) silencePatience(shard cluster.ShardID, owner member, report witnessReport) time.Duration {
+	patience := time.Duration(n.recentOwnerChanges(shard)) * patiencePerChange
+	patience = max(patience, patiencePerDelay*n.peers.answerTime(owner), patiencePerDelay*n.ownDelay.value())
+	if 2*report.answered < report.asked {
+		patience = max(patience, unsurePatience)
+	}
+	return min(patience, maxPatience)
+}
+
+// recentOwnerChanges returns how often a shard changed its owner recently.
+func (n *Node) recentOwnerChanges(shard cluster.ShardID) (recent int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now, recent := time.Now(), 0
+	now := time.Now()
 	for _, at := range n.owners[shard].changes {
 		if now.Sub(at) < ownerChangeWindow {
 			recent++
 		}
 	}
-	return min(time.Duration(recent)*patiencePerChange, maxPatience)
+	return recent
 }
--- a/internal/cell/witnesses.go
+++ b/internal/cell/witnesses.go
@@ -24,16 +24,19 @@
 	// reachedBy names a node that got an answer: a witness, or this node itself at a second
 	// attempt. It is empty if nobody did.
 	reachedBy string
+	// asked is how many nodes were asked, and answered how many of them have answered.
+	asked, answered int
 	// isolated is set if there are other nodes and none of them answered this one.
 	isolated bool
 }
 
-// askWitnesses asks a few peers whether a node answers them, and pings it once more itself.
-func (n *Node) askWitnesses(ctx context.Context, m member) witnessReport {
+// askWitnesses asks a few peers whether a node answers them, or has since the given time, and pings it
+// once more itself.
+func (n *Node) askWitnesses(ctx context.Context, m member, since time.Time) witnessReport {
 	asked, others := n.peers.witnesses(m.Name)
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	result := witnessReport{isolated: others}
+	result := witnessReport{asked: len(asked), isolated: others}
 	for _, p := range asked {
 		wg.Go(func() {
 			sent := time.Now()
@@ -45,7 +48,9 @@
 			mu.Lock()
 			defer mu.Unlock()
 			result.isolated = false
-			if reply.AboutAnswers {
+			result.answered++
+			heardAgo := time.Duration(reply.AboutHeardMS) * time.Millisecond
+			if reply.AboutAnswers || (heardAgo > 0 && heardAgo < time.Since(since)) {
 				result.reachedBy = p.Name
 			}
 		})
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -12,11 +12,18 @@
 )
 
 const (
-	// maxHoldWait is how long a worker may keep a hold open while it waits for a run to end.
-	// The progress known of its runs is at most this old.
-	maxHoldWait = 500 * time.Millisecond
-	// holdTimeoutSlack is added to the wait to get the timeout of a hold.
-	holdTimeoutSlack = 300 * time.Millisecond
+	// minHoldWait is how long a worker may keep a hold open while it waits for a run to end.
+	// The progress known of its runs is at most this old. While answers are late it is up to
+	// maxHoldWait, the platform's limit: a quarter of a worker's lease.
+	minHoldWait = 500 * time.Millisecond
+	maxHoldWait = 2 * time.Second
+	// holdTimeoutSlack is added to the wait to get the timeout of a hold, and up to
+	// maxHoldTimeoutSlack while answers are late.
+	holdTimeoutSlack    = 300 * time.Millisecond
+	maxHoldTimeoutSlack = 1500 * time.Millisecond
+	// maxParallelAsks is how many workers are asked at once what they run. A new owner asks all of
+	// its workers over new connections, and answers no pings meanwhile if its host is slow.
+	maxParallelAsks = 16
 	// minHoldPause is the shortest pause between two holds, so that runs that end together are
 	// reported together. A worker answers at once while some of its ended runs are not
 	// confirmed, so the next hold waits up to maxUnconfirmedPause for them to be persisted.
@@ -48,10 +55,15 @@
 func (o *Owner) holdLoop(ctx context.Context, id string) {
 	wait, failures := time.Duration(0), 0
 	for ctx.Err() == nil {
+		releaseSlot := func() {}
+		if wait == 0 {
+			releaseSlot = acquireSlot(ctx, o.askSlots)
+		}
 		o.mu.Lock()
 		seq, order, lastSeen, ok := o.shard.BeginHold(time.Now(), id)
 		o.mu.Unlock()
 		if !ok {
+			releaseSlot()
 			return
 		}
 		renewsLease := order.DeadlineMS != 0
@@ -59,9 +71,8 @@
 			// The worker has not answered yet, or is silent: ask at once what it runs.
 			wait = 0
 		}
-		c, cancel := context.WithTimeout(ctx, wait+holdTimeoutSlack)
-		report, reply := o.Workers.Hold(c, order, lastSeen, wait)
-		cancel()
+		report, reply := o.hold(ctx, order, lastSeen, wait, failures == 0)
+		releaseSlot()
 		if ctx.Err() != nil {
 			return
 		}
@@ -70,7 +81,7 @@
 			o.updateShard(func(s *scheduler.Shard, now time.Time) { s.Observe(now, id, seq, report) })
 			wait, failures = 0, 0
 			if renewsLease {
-				wait = maxHoldWait
+				wait = o.workerDelay.holdWait()
 			}
 			o.pauseBetweenHolds(ctx, id)
 			continue
@@ -95,6 +106,21 @@
 	}
 }
 
+// hold makes one hold. Whether it is answered in time tells how slow this node is, unless the worker
+// has been silent before.
+func (o *Owner) hold(ctx context.Context, order cluster.Order, lastSeen int64, wait time.Duration, telling bool) (cluster.Report, cluster.Reply) {
+	timeout := wait + o.workerDelay.timeout(holdTimeoutSlack, maxHoldTimeoutSlack)
+	c, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	began := time.Now()
+	report, reply := o.Workers.Hold(c, order, lastSeen, wait)
+	// An answer that comes before the wait is over tells of the end of a run.
+	if took := time.Since(began); telling && took >= wait && (reply == cluster.ReplyOK || reply == cluster.ReplyUnknown) {
+		o.workerDelay.Observe(took - wait)
+	}
+	return report, reply
+}
+
 // pauseBetweenHolds waits before the next hold, longer while ended runs are not persisted yet.
 func (o *Owner) pauseBetweenHolds(ctx context.Context, id string) {
 	tables.Sleep(ctx, minHoldPause)
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -91,7 +91,7 @@
 		readSlots := make(chan struct{}, o.cfg.MaxParallelReads)
 		for _, part := range JobParts(o.cfg.Shard.Service) {
 			g.Go(func() error {
-				defer acquireReadSlot(ctx, readSlots)()
+				defer acquireSlot(ctx, readSlots)()
 				rows, version, err := o.listWithRetry(ctx, tables.ListRequest{Table: TableJobs(o.cfg.Shard), Part: part})
 				if err == nil {
 					partsRead <- jobPartRows{part, rows, version}
@@ -108,11 +108,11 @@
 	return partsRead
 }
 
-// maxReadSlotTime is the longest time that a read keeps its slot; an answer usually takes 4 ms.
-const maxReadSlotTime = 50 * time.Millisecond
+// maxSlotTime is the longest time that a call keeps its slot; an answer usually takes 4 ms.
+const maxSlotTime = 50 * time.Millisecond
 
-// acquireReadSlot waits for a slot, which is released by releaseSlot or after maxReadSlotTime.
-func acquireReadSlot(ctx context.Context, slots chan struct{}) (releaseSlot func()) {
+// acquireSlot waits for a slot, which is released by releaseSlot or after maxSlotTime.
+func acquireSlot(ctx context.Context, slots chan struct{}) (releaseSlot func()) {
 	select {
 	case slots <- struct{}{}:
 	case <-ctx.Done():
@@ -120,7 +120,7 @@
 	}
 	var once sync.Once
 	releaseOnce := func() { once.Do(func() { <-slots }) }
-	t := time.AfterFunc(maxReadSlotTime, releaseOnce)
+	t := time.AfterFunc(maxSlotTime, releaseOnce)
 	return func() {
 		t.Stop()
 		releaseOnce()
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -86,9 +86,7 @@
 	if !ok {
 		return
 	}
-	c, cancel := context.WithTimeout(ctx, holdTimeoutSlack)
-	defer cancel()
-	report, reply := o.Workers.Hold(c, order, lastSeen, 0)
+	report, reply := o.hold(ctx, order, lastSeen, 0, false)
 	if ctx.Err() == nil && reply == cluster.ReplyOK {
 		o.updateShard(func(s *scheduler.Shard, now time.Time) { s.Observe(now, id, seq, report) })
 	}
@@ -105,7 +103,7 @@
 // sendOrder sends one order and passes its reply to onReply. If the ownership ends meanwhile,
 // there is no reply to pass on.
 func (o *Owner) sendOrder(ctx context.Context, to cluster.Order, send func(context.Context) cluster.Reply, onReply func(*scheduler.Shard, time.Time, cluster.Reply)) {
-	c, cancel := context.WithTimeout(ctx, o.replyTimes.Timeout())
+	c, cancel := context.WithTimeout(ctx, max(o.replyTimes.Timeout(), o.workerDelay.timeout(0, maxLateOrderTimeout)))
 	defer cancel()
 	sent := time.Now()
 	reply := send(c)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -89,6 +89,8 @@
 
 	mu    sync.Mutex
 	shard *scheduler.Shard
+	// askSlots limit how many workers are asked at once what they run.
+	askSlots chan struct{}
 	// holdLoops are the workers for which a holdLoop runs.
 	holdLoops map[string]bool
 	// invalidEntries maps the key of each invalid directory entry to the reason last reported.
@@ -103,6 +105,7 @@
 
 	advice        *AdviceQueue
 	replyTimes    ReplyTimeEstimator
+	workerDelay   workerDelay
 	deleteQueue   deleteQueue
 	fallback      fallback
 	unreadParts   unreadParts
@@ -130,7 +133,7 @@
 	shard.ConfirmOwnership(cfg.ConfirmedAt)
 	return &Owner{
 		cfg: cfg, Deps: deps, startedAt: time.Now(), shard: shard,
-		holdLoops: make(map[string]bool), invalidEntries: newInvalidEntries(), teamParts: teamParts{writing: make(chan struct{}, 1), answered: make(map[int]bool), next: cfg.Shard.Index},
+		askSlots: make(chan struct{}, maxParallelAsks), holdLoops: make(map[string]bool), invalidEntries: newInvalidEntries(), teamParts: teamParts{writing: make(chan struct{}, 1), answered: make(map[int]bool), next: cfg.Shard.Index},
 		wakeScheduler: make(chan struct{}, 1), wakePersist: make(chan struct{}, 1), wakeConfirm: make(chan struct{}, 1), wakeMachineList: make(chan struct{}, 1), wakeTeamParts: make(chan struct{}, 1),
 	}
 }
--- a/internal/owner/replytimes.go
+++ b/internal/owner/replytimes.go
@@ -19,6 +19,9 @@
 	// to 0.4 s, and starts that are given up add to the load.
 	MinOrderTimeout = 120 * time.Millisecond
 	MaxOrderTimeout = 600 * time.Millisecond
+	// maxLateOrderTimeout bounds the timeout while all workers' answers are late: a worker refuses
+	// a start that reaches it later.
+	maxLateOrderTimeout = 1200 * time.Millisecond
 	// InitialOrderTimeout is the timeout before any reply time is known.
 	InitialOrderTimeout = 300 * time.Millisecond
 	// meanGain and deviationGain are the weights of one sample in the running mean and in the
