cell: a few nodes that don't know a late owner don't replace it

- The candidate that watches most is one of the three nodes that are asked.
- A node that hasn't heard the owner for 2 s waits for a second.
- Candidates that are late, not refused, keep their place; a node that waited for its turn asks again.

--- a/internal/cell/candidates.go
+++ b/internal/cell/candidates.go
@@ -50,13 +50,15 @@
 	return candidate{n.me, xxhash.Sum64String(n.me.Name), owns}
 }
 
-// rank returns this node's position among the candidates for a shard. It counts the nodes
-// ahead instead of sorting them, since each node computes its rank several times a second for
-// each shard.
+// rank returns this node's position among the candidates for a shard, not counting its owner. It
+// counts the nodes ahead instead of sorting them, since each node computes its rank several times a
+// second for each shard. A node that is late counts, so that a small node doesn't take a shard because
+// the large ones are busy.
 func (n *Node) rank(shard cluster.ShardID) int {
 	self, hash, before := n.asCandidate(), xxhash.Sum64String(shard.String()), 0
-	n.peers.eachCandidate(self, func(c candidate) {
-		if c.compareForShard(hash, self) < 0 {
+	rec, _ := n.owner(shard)
+	n.peers.eachPossibleCandidate(self, func(c candidate) {
+		if c.Incarnation != rec.Owner.Incarnation && c.compareForShard(hash, self) < 0 {
 			before++
 		}
 	})
--- a/internal/cell/owndelay.go
+++ b/internal/cell/owndelay.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"switchbank.example/switchbank/internal/recent"
 	"switchbank.example/switchbank/internal/tables"
 )
 
@@ -14,7 +15,7 @@
 // its CPU quota, or have been stopped.
 type delayMeter struct {
 	mu     sync.Mutex
-	recent recentMax
+	recent recent.Max
 	// lateAt is when the process last ran late by more than a ping may take.
 	lateAt time.Time
 }
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -15,12 +15,16 @@
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/conns"
 	"switchbank.example/switchbank/internal/httpx"
+	"switchbank.example/switchbank/internal/recent"
 )
 
 const (
 	// peerUpFor is how long a peer counts as up after an answer, in addition to the time that
 	// a full round of pings takes.
-	peerUpFor       = 3 * time.Second
+	peerUpFor = 3 * time.Second
+	// lateFor is how long after its last answer a peer that has failed may be late only, in addition
+	// to the time that a full round of pings takes.
+	lateFor         = 5 * time.Second
 	peerDialTimeout = 250 * time.Millisecond
 	// peerIdleTimeout is how long an unused connection to a peer stays open: longer than the time
 	// between two pings of a peer among 40 nodes. Among many more, nearly all nodes would have a
@@ -58,6 +62,8 @@
 	// failingSince is the time of the first failure since the last answer; zero if there was
 	// none.
 	failingSince time.Time
+	// refused is set if the failures include a refused connection, so that nothing listens there.
+	refused bool
 	// lastRetry is when it was last pinged out of turn while failing, and retryInterval is
 	// the time until the next such ping.
 	lastRetry     time.Time
@@ -66,7 +72,7 @@
 	reply       pingReply
 	replySentAt time.Time
 	// answerTime is how long it takes to answer pings.
-	answerTime recentMax
+	answerTime recent.Max
 	// owners are its last answers about the shards that this node owns.
 	owners map[cluster.ShardID]ownerAnswer
 	// refusedSent is the last change of this node's record of refused jobs that the node was
@@ -100,16 +106,26 @@
 	}
 	if old.Incarnation != m.Incarnation {
 		old.member, old.failingSince = m, time.Time{}
-		old.refusedSent, old.refusedReceived = 0, 0
-		old.replySentAt, old.answerTime = time.Time{}, recentMax{}
+		old.refusedSent, old.refusedReceived, old.refused = 0, 0, false
+		old.replySentAt, old.answerTime = time.Time{}, recent.Max{}
 	}
 }
 
 // isUp reports whether a peer answered recently and no call to it has failed since. The
 // caller holds mu.
 func (p *peers) isUp(q *peer, now time.Time) bool {
-	roundTime := time.Duration(len(p.byName)/peersPerRound) * pingInterval
-	return now.Sub(q.lastOK) < peerUpFor+roundTime && q.failingSince.IsZero()
+	return now.Sub(q.lastOK) < peerUpFor+p.roundTime() && q.failingSince.IsZero()
+}
+
+// roundTime returns the time that a full round of pings takes. The caller holds mu.
+func (p *peers) roundTime() time.Duration {
+	return time.Duration(len(p.byName)/peersPerRound) * pingInterval
+}
+
+// mayBeUp reports whether a peer is up, or has answered recently and may only be late. The caller
+// holds mu.
+func (p *peers) mayBeUp(q *peer, now time.Time) bool {
+	return p.isUp(q, now) || (!q.refused && now.Sub(q.lastOK) < lateFor+p.roundTime())
 }
 
 // countUp returns how many peers are up.
@@ -143,8 +159,17 @@
 	}
 }
 
-// eachCandidate calls fn for the other nodes that may own shards. fn must not call peers.
+// eachCandidate calls fn for the other nodes that may own shards and are up. fn must not call peers.
 func (p *peers) eachCandidate(self candidate, fn func(c candidate)) {
+	p.eachCandidateThat(p.isUp, self, fn)
+}
+
+// eachPossibleCandidate is eachCandidate including the nodes that may be up.
+func (p *peers) eachPossibleCandidate(self candidate, fn func(c candidate)) {
+	p.eachCandidateThat(p.mayBeUp, self, fn)
+}
+
+func (p *peers) eachCandidateThat(counts func(q *peer, now time.Time) bool, self candidate, fn func(c candidate)) {
 	owned := p.n.shardCounts()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -159,7 +184,7 @@
 		// Include untried nodes with more CPU, so that a node doesn't take all shards before
 		// they can.
 		larger := q.untried() && c.cpuPerShard() > self.cpuPerShard()
-		if (larger || p.isUp(q, now)) && !q.reply.Draining {
+		if (larger || counts(q, now)) && !q.reply.Draining {
 			fn(c)
 		}
 	}
@@ -177,12 +202,15 @@
 	return best, ok
 }
 
-// witnesses returns a few peers that are up, other ones each time, to ask about a node.
-// others tells whether any other node is known at all.
-func (p *peers) witnesses(about string) (asked []member, others bool) {
+// witnesses returns a few peers to ask about a node: the one that watches it most, and some that are
+// up, other ones each time. others tells whether any other node is known at all.
+func (p *peers) witnesses(about, watcher string) (asked []member, others bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.sorted
+	if q := p.byName[watcher]; q != nil {
+		asked = append(asked, q.member)
+	}
 	p.pingCursor++
 	for i := range list {
 		q := list[(p.pingCursor+i)%len(list)]
@@ -190,6 +218,9 @@
 			continue
 		}
 		others = true
+		if q.Name == watcher {
+			continue
+		}
 		if p.isUp(q, time.Now()) && len(asked) < maxWitnesses {
 			asked = append(asked, q.member)
 		}
--- a/internal/cell/ping.go
+++ b/internal/cell/ping.go
@@ -191,7 +191,7 @@
 		return
 	}
 	wasDown := !q.failingSince.IsZero()
-	q.lastOK, q.failingSince = now, time.Time{}
+	q.lastOK, q.failingSince, q.refused = now, time.Time{}, false
 	if !p.n.ownDelay.lastLate().After(sent) {
 		q.answerTime.Observe(now, now.Sub(sent))
 	}
@@ -230,6 +230,7 @@
 	q := p.byName[m.Name]
 	var first bool
 	if q != nil && q.Incarnation == m.Incarnation && !q.lastOK.After(sent) {
+		q.refused = q.refused || isRefused(err)
 		if first = q.failingSince.IsZero(); first {
 			q.failingSince = time.Now()
 			q.lastRetry, q.retryInterval = q.failingSince, minRetryInterval
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -136,14 +137,26 @@
 	if loss.cause == "" || n.store.down() || !n.claim(ctx, shard, version) {
 		return
 	}
-	// An owner that is silent and not known to have ended may have answered during the claim.
-	if suspect.silentSince.IsZero() || !n.peers.answeredSince(rec.Owner, suspect.silentSince) {
-		n.takeShard(ctx, shard, version, loss)
+	defer n.releaseClaim(shard)
+	if n.answeredDuringClaim(ctx, shard, rec.Owner, suspect) {
+		return
 	}
-	n.releaseClaim(shard)
+	n.takeShard(ctx, shard, version, loss)
 	*suspect = suspicion{}
 }
 
+// answeredDuringClaim reports whether an owner that was silent has answered while this node waited
+// for its turn. The nodes before it didn't take the shard, so that they may have heard the owner.
+func (n *Node) answeredDuringClaim(ctx context.Context, shard cluster.ShardID, owner member, s *suspicion) bool {
+	if s.silentSince.IsZero() {
+		return false
+	}
+	if n.rank(shard) > 0 {
+		return n.silentOwnerLossCause(ctx, shard, owner, s) == ""
+	}
+	return n.peers.answeredSince(owner, s.silentSince)
+}
+
 // suspicion is the evidence that an owner is lost.
 type suspicion struct {
 	incarnation string
@@ -216,7 +229,7 @@
 // an empty string. It asks other nodes first, and allows more time to an owner whose answers have
 // been late.
 func (n *Node) silentOwnerLossCause(ctx context.Context, shard cluster.ShardID, owner member, s *suspicion) string {
-	report := n.askWitnesses(ctx, owner, s.silentSince)
+	report := n.askWitnesses(ctx, shard, owner, s.silentSince)
 	if report.reachedBy == "" && n.peers.answeredSince(owner, s.silentSince) {
 		report.reachedBy = n.me.Name
 	}
@@ -225,10 +238,11 @@
 		s.isolatedSince, s.silentSince = time.Time{}, time.Time{}
 		return ""
 	}
-	patience := n.silencePatience(shard, owner, report)
+	silentFor := s.silentFor(time.Now())
+	patience := n.silencePatience(shard, owner, report, silentFor)
 	if !report.isolated {
 		s.isolatedSince = time.Time{}
-		if s.silentFor(time.Now()) < patience {
+		if silentFor < patience {
 			return ""
 		}
 		return "owner is silent"
@@ -258,26 +272,35 @@
 	// to do the same work and load the shard in addition.
 	patiencePerDelay = 4
 	// unsurePatience is how long a silent owner is waited for at least while most of the nodes
-	// that were asked about it are silent as well: the network or this node may be slow.
+	// that were asked about it are silent as well, since the network or this node may be slow,
+	// and by a node that has not heard it for knownAnswerAge, and so doesn't know how late its
+	// answers are.
 	unsurePatience = time.Second
+	knownAnswerAge = 2 * time.Second
 )
 
-// silencePatience returns how long a silent owner of a shard is waited for.
-func (n *Node) silencePatience(shard cluster.ShardID, owner member, report witnessReport) time.Duration {
-	patience := time.Duration(n.recentOwnerChanges(shard)) * patiencePerChange
+// silencePatience returns how long an owner that has been silent for some time is waited for.
+func (n *Node) silencePatience(shard cluster.ShardID, owner member, report witnessReport, silentFor time.Duration) time.Duration {
+	patience := time.Duration(n.unsettledChanges(shard, owner)) * patiencePerChange
 	patience = max(patience, patiencePerDelay*n.peers.answerTime(owner), patiencePerDelay*n.ownDelay.value())
-	if 2*report.answered < report.asked {
+	unknown := n.peers.heardAgo(owner.Name) > knownAnswerAge+silentFor
+	if unknown || 2*report.answered < report.asked {
 		patience = max(patience, unsurePatience)
 	}
 	return min(patience, maxPatience)
 }
 
-// recentOwnerChanges returns how often a shard changed its owner recently.
-func (n *Node) recentOwnerChanges(shard cluster.ShardID) (recent int) {
+// unsettledChanges returns how often a shard changed its owner recently, unless the present owner has
+// answered for long enough after it took the shard: its takeover is then not what makes it silent.
+func (n *Node) unsettledChanges(shard cluster.ShardID, owner member) (recent int) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
+	changes := slices.Clone(n.owners[shard].changes)
+	n.mu.Unlock()
+	if len(changes) == 0 || n.peers.answeredSince(owner, changes[len(changes)-1].Add(patiencePerChange)) {
+		return 0
+	}
 	now := time.Now()
-	for _, at := range n.owners[shard].changes {
+	for _, at := range changes {
 		if now.Sub(at) < ownerChangeWindow {
 			recent++
 		}
--- a/internal/cell/witnesses.go
+++ b/internal/cell/witnesses.go
@@ -6,6 +6,10 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"switchbank.example/switchbank/internal/cluster"
 )
 
 const (
@@ -30,10 +34,23 @@
 	isolated bool
 }
 
-// askWitnesses asks a few peers whether a node answers them, or has since the given time, and pings it
-// once more itself.
-func (n *Node) askWitnesses(ctx context.Context, m member, since time.Time) witnessReport {
-	asked, others := n.peers.witnesses(m.Name)
+// firstWatcher returns the name of the first other candidate for a shard, which pings the owner most
+// often; "": there is none.
+func (n *Node) firstWatcher(shard cluster.ShardID, owner member) string {
+	hash := xxhash.Sum64String(shard.String())
+	var first candidate
+	n.peers.eachPossibleCandidate(n.asCandidate(), func(c candidate) {
+		if c.Incarnation != owner.Incarnation && (first.Name == "" || c.compareForShard(hash, first) < 0) {
+			first = c
+		}
+	})
+	return first.Name
+}
+
+// askWitnesses asks a few peers whether a shard's owner answers them, or has since the given time, and
+// pings it once more itself.
+func (n *Node) askWitnesses(ctx context.Context, shard cluster.ShardID, m member, since time.Time) witnessReport {
+	asked, others := n.peers.witnesses(m.Name, n.firstWatcher(shard, m))
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	result := witnessReport{asked: len(asked), isolated: others}
