--- a/internal/fanout/batcher.go
+++ b/internal/fanout/batcher.go
@@ -4,10 +4,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"compress/flate"
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"sync"
 	"time"
 
@@ -62,17 +64,15 @@
 	if err != nil {
 		panic("fanout: the level of compression is a constant: " + err.Error())
 	}
-	var tick <-chan time.Time
-	if b.keepalive > 0 {
-		t := time.NewTicker(b.keepalive)
-		defer t.Stop()
-		tick = t.C
-	}
-	for {
+	// A keepalive is due only when nothing else has been sent for that long.
+	interval := cmp.Or(b.keepalive, math.MaxInt64)
+	due := time.NewTimer(interval)
+	defer due.Stop()
+	for ; ; due.Reset(interval) {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-tick:
+		case <-due.C:
 		case <-b.ready:
 			tables.Sleep(ctx, batchDelay)
 		}
--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -13,6 +13,7 @@
 
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/recent"
 )
 
 // Helper is a node that calls workers for other nodes.
@@ -76,6 +77,8 @@
 	// suspectUntil is the time until which a failed helper is avoided, and directUntil the
 	// time until which a worker is called directly.
 	suspectUntil, directUntil map[string]time.Time
+	// overdue is for how long helpers were overdue lately though they were up.
+	overdue recent.Max
 }
 
 // New returns a Client. The caller has to close it.
@@ -284,23 +287,31 @@
 func (c *Client) streamTo(h Helper) *stream {
 	s := c.streams[h.Name]
 	if s == nil {
-		s = openStream(c.ctx, c.Client, h, func() time.Duration { return c.silenceLimit(h.Name) })
+		s = openStream(c.ctx, c.Client, h, func() time.Duration { return c.silenceLimit(h.Name) }, c.observeOverdue)
 		c.streams[h.Name] = s
 	}
 	return s
 }
 
 // silenceLimit returns how long a helper may be silent: less if another helper has been heard
-// recently.
+// recently, and more if helpers have been late.
 func (c *Client) silenceLimit(name string) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	usual := min(silencePerDelay*c.overdue.Value(time.Now()), maxHelperSilence)
 	for other, s := range c.streams {
-		if other != name && s.silentFor(time.Time{}) < helperSilence {
-			return helperSilence
+		if other != name && s.silentFor(time.Time{}) < max(helperSilence, usual/2) {
+			return max(helperSilence, usual)
 		}
 	}
-	return allHelpersSilence
+	return max(allHelpersSilence, usual)
+}
+
+// observeOverdue records for how long a helper was overdue that is heard again.
+func (c *Client) observeOverdue(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.overdue.Observe(time.Now(), d)
 }
 
 // dropOnce records that a connection has ended, unless that has been recorded before.
--- a/internal/fanout/stream.go
+++ b/internal/fanout/stream.go
@@ -23,19 +23,27 @@
 	ctx    context.Context
 	fail   context.CancelCauseFunc
 
-	// silenceLimit returns how long the helper may be silent.
+	// silenceLimit returns how long the helper may be silent, and onHeard is called with the time for
+	// which it was overdue when it is heard.
 	silenceLimit func() time.Duration
+	onHeard      func(overdue time.Duration)
 
 	mu         sync.Mutex
 	lastNumber int64
-	pending    map[int64]chan answer
+	pending    map[int64]pendingCall
 	lastHeard  time.Time
 }
 
+// pendingCall is a call that has not been answered.
+type pendingCall struct {
+	answer chan answer
+	sent   time.Time
+}
+
 // openStream connects to a helper in the background. Calls may be made at once, and fail if
 // the connection can't be made.
-func openStream(ctx context.Context, client *http.Client, helper Helper, limit func() time.Duration) *stream {
-	s := &stream{helper: helper, silenceLimit: limit, calls: newBatcher[call](0), pending: make(map[int64]chan answer), lastHeard: time.Now()}
+func openStream(ctx context.Context, client *http.Client, helper Helper, limit func() time.Duration, onHeard func(overdue time.Duration)) *stream {
+	s := &stream{helper: helper, silenceLimit: limit, onHeard: onHeard, calls: newBatcher[call](0), pending: make(map[int64]pendingCall), lastHeard: time.Now()}
 	s.ctx, s.fail = context.WithCancelCause(ctx)
 	body, lines := io.Pipe()
 	go func() { s.fail(s.readAnswers(client, body)) }()
@@ -73,21 +81,35 @@
 
 // deliver passes answers to the calls that wait for them.
 func (s *stream) deliver(list []answer) {
+	s.onHeard(s.endSilence(time.Now()))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastHeard = time.Now()
 	for _, a := range list {
-		if waiting := s.pending[a.N]; waiting != nil {
+		if waiting, ok := s.pending[a.N]; ok {
 			delete(s.pending, a.N)
-			waiting <- a
+			waiting.answer <- a
 		}
 	}
 }
 
+// endSilence records that the helper is heard, and returns for how long it was overdue while a call
+// was pending.
+func (s *stream) endSilence(now time.Time) (overdue time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.pending {
+		overdue = max(overdue, now.Sub(c.sent))
+	}
+	overdue = min(overdue, now.Sub(s.lastHeard)) - keepaliveInterval
+	s.lastHeard = now
+	return max(0, overdue)
+}
+
 // call makes a call through the helper; ok is false if the helper failed to answer.
 func (s *stream) call(ctx context.Context, c call) (a answer, ok bool) {
 	waiting := make(chan answer, 1)
-	n, sent := s.begin(waiting), time.Now()
+	sent := time.Now()
+	n := s.begin(pendingCall{waiting, sent})
 	defer s.end(n)
 	c.N = n
 	s.calls.add(c)
@@ -111,12 +133,12 @@
 	}
 }
 
-// begin assigns a number to a call whose answer goes to waiting.
-func (s *stream) begin(waiting chan answer) int64 {
+// begin assigns a number to a call.
+func (s *stream) begin(c pendingCall) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastNumber++
-	s.pending[s.lastNumber] = waiting
+	s.pending[s.lastNumber] = c
 	return s.lastNumber
 }
 
@@ -144,6 +166,11 @@
 	// allHelpersSilence is the limit if no other helper has been heard recently either: then
 	// the owner's own host or link is the likely cause.
 	allHelpersSilence = 600 * time.Millisecond
+	// Both limits are at least silencePerDelay times as long as helpers were overdue lately while
+	// they were up, and at most maxHelperSilence: this node or its link may be slow, and calls that go through
+	// another helper again, or through none, add to that.
+	silencePerDelay  = 4
+	maxHelperSilence = 2 * time.Second
 	// keepaliveInterval is how often a helper signals that it is up while calls are pending
 	// and no worker answers.
 	keepaliveInterval = 70 * time.Millisecond
