--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -20,6 +20,10 @@
 	// lease renewals just when the queue is longest.
 	minSchedulePause    = 4 * time.Millisecond
 	schedulePauseFactor = 4
+	// maxUnansweredStarts is how many starts may be unanswered before the scheduler starts no more.
+	// An owner that is short of processor time answers nobody while its orders queue up, gives
+	// them up and has to stop them. At 5 ms an answer it is 19,000 starts a second.
+	maxUnansweredStarts = 96
 )
 
 // scheduleLoop runs the scheduler in rounds and executes its commands.
@@ -35,6 +39,7 @@
 		}
 		o.mu.Lock()
 		began := time.Now()
+		o.shard.LimitStarts(maxUnansweredStarts - int(o.unansweredStarts.Load()))
 		commands := o.shard.Schedule(began)
 		took := time.Since(began)
 		if o.shard.TakeNewlyBlocked() {
@@ -55,8 +60,10 @@
 func (o *Owner) execute(ctx context.Context, c scheduler.Command) {
 	switch c := c.(type) {
 	case scheduler.Start:
+		o.unansweredStarts.Add(1)
 		go o.sendOrder(ctx, c.Order, func(ctx context.Context) cluster.Reply { return o.Workers.Start(ctx, c.StartOrder) },
 			func(s *scheduler.Shard, now time.Time, r cluster.Reply) {
+				o.unansweredStarts.Add(-1)
 				s.StartReplied(now, c.Worker, c.Task, c.Run, r)
 			})
 	case scheduler.FailJob:
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -22,6 +22,7 @@
 	"fmt"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -103,15 +104,17 @@
 	// fenceVersion is the version of the fence that this owner wrote.
 	fenceVersion int64
 
-	advice        *AdviceQueue
-	replyTimes    ReplyTimeEstimator
-	workerDelay   workerDelay
-	deleteQueue   deleteQueue
-	fallback      fallback
-	unreadParts   unreadParts
-	teamParts     teamParts
-	wakeScheduler chan struct{}
-	wakePersist   chan struct{}
+	advice      *AdviceQueue
+	replyTimes  ReplyTimeEstimator
+	workerDelay workerDelay
+	// unansweredStarts is how many orders to start a run have not been answered.
+	unansweredStarts atomic.Int64
+	deleteQueue      deleteQueue
+	fallback         fallback
+	unreadParts      unreadParts
+	teamParts        teamParts
+	wakeScheduler    chan struct{}
+	wakePersist      chan struct{}
 	// wakeConfirm requests a confirmation of the ownership before the next one is due.
 	wakeConfirm chan struct{}
 	// wakeMachineList requests a listing of the machines before the next one is due.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -35,6 +35,9 @@
 				if st.done == len(st.tasks) {
 					continue
 				}
+				if s.startsLeft <= 0 {
+					return
+				}
 				if !st.ready(now) {
 					s.prefetch(now, st)
 					continue
@@ -317,6 +320,7 @@
 	r := s.addRun(now, t, n, w, runStarting)
 	r.resumed = t.checkpoint != ""
 	s.counts.Starts++
+	s.startsLeft--
 	s.log.Info("starting run", events.RunStarted, zap.Stringer("task", t.id), zap.Int64("run", n), zap.String("worker", w.info.ID),
 		zap.Bool("resumed", r.resumed), zap.Duration("due_in", st.job.rank.Due.Sub(now)))
 	s.emit(Start{cluster.StartOrder{
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -27,6 +27,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -176,6 +177,8 @@
 	directoryReadAt, directoryReadSince time.Time
 	// scannedAt is when all workers and runs were last scanned.
 	scannedAt time.Time
+	// startsLeft is how many more runs are started before the next round ends.
+	startsLeft int
 	// round counts the rounds of decisions.
 	round int64
 	// reservingSteps is how many steps have reserved room in this round.
@@ -231,13 +234,17 @@
 		dirty: make(map[string]*job), movedAway: make(map[string]movedJob), takeover: takeover{open: true, loadedAt: now, jobsLoadedAt: now},
 		approvalRates: make(map[string]float64), ratios: make(map[stepKind]*ratio), kindSpeeds: make(map[string]*kindSpeed), load: unknownLoad, forecasts: newForecasts(),
 		teams: make(map[string]*teamState), ledger: quota.NewLedger(params.Index, params.Shards), unseenRound: -1, partsKnown: params.Shards <= 1,
-		ordering: params.ordering(), startSpreads: make(map[stepKind]*meanSpread),
+		startsLeft: math.MaxInt, ordering: params.ordering(), startSpreads: make(map[stepKind]*meanSpread),
 	}
 }
 
 // Counts returns the totals so far.
 func (s *Shard) Counts() Counts { return s.counts }
 
+// LimitStarts limits how many runs are started from now on. The step that reaches the limit is placed
+// as a whole, and the others wait for a higher limit.
+func (s *Shard) LimitStarts(n int) { s.startsLeft = n }
+
 // Schedule takes all decisions that are open at now and returns the commands that carry
 // them out.
 func (s *Shard) Schedule(now time.Time) []Command {
