scheduler: a crash that a new owner assumes is no evidence in other shards

A new owner of a shard that holds members of another shard's gang assumed one more crash under a suspect (run 400000, worker ""), with no word on the cause. The owner that leads the gang heard of it as of a crash that happened, and counted it as the third that makes the task the cause (chance 1.25e-7). Only the shard that leads a gang assumes it now.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -245,9 +245,11 @@
 
 // assumeCrashBeforeTakeover counts one more start and crash of a suspect that an earlier owner
 // started isolated and that runs nowhere: that owner may have ended before it could persist
-// them. They say nothing about whether the task is the cause.
+// them. They say nothing about whether the task is the cause. For a member of a gang of several
+// shards the one that leads it assumes that: it would take a crash that another shard has assumed for
+// one that happened.
 func (s *Shard) assumeCrashBeforeTakeover(now time.Time, t *task) {
-	if !t.mustIsolate() || t.done || len(t.runs) > 0 {
+	if !t.mustIsolate() || t.done || len(t.runs) > 0 || t.step.job.isParticipant() {
 		return
 	}
 	if len(t.crashes.Runs) >= manyCrashes {
