matrix/site: no job may stall in the calm after faults and searches

The check of the rule runs in all tests that wait until jobs have settled, and in the searches of joint gangs, workers that restart, and cuts: from 4 s after the last fault on, nothing of a job may wait for 3 s beside room. A gang counts as done with its first member, and a worker as room again once its fault has ended.

--- a/matrix/site/env_test.go
+++ b/matrix/site/env_test.go
@@ -39,8 +39,11 @@
 	cellWorkers  = 6
 	workerCores  = 4000
 	callDeadline = 3 * time.Second
-	// batchAttempts is how often a task of the batch queue may fail.
-	batchAttempts = 3
+	// batchAttempts is how often a task of the batch queue may fail, and urgentAttempts one of the
+	// urgent queue, whose steps need tickets.
+	batchAttempts  = 3
+	urgentAttempts = 2
+	urgentQueue    = "urgent"
 	// shardedWorkers is the number of workers of an environment with two shards, and
 	// workersPerShard that of each shard: two more than the gangs of the load need.
 	shardedWorkers  = 8
@@ -85,6 +88,8 @@
 	stalls []stall
 	// longRunning is the job of the load whose tasks run until the end of the test.
 	longRunning string
+	// stallJobs describe the accepted jobs for the check of stalls.
+	stallJobs []site.StallJob
 	// crashing holds the jobs with a task that crashes its workers.
 	crashing map[string]bool
 	// closed is set once the environment is being closed: no worker restarts any more.
@@ -174,7 +179,7 @@
 // routes returns an urgent queue, whose steps need tickets, and a batch queue.
 func routes() []site.Route {
 	return []site.Route{
-		{Name: "urgent", Host: "h", PathPrefix: "/urgent/", MaxAttempts: 2, Stretch: 1.5, TargetMS: 250, Upstream: service,
+		{Name: urgentQueue, Host: "h", PathPrefix: "/urgent/", MaxAttempts: urgentAttempts, Stretch: 1.5, TargetMS: 250, Upstream: service,
 			Advice: &site.AdviceCost{DecideMS: 20, EachMS: 0.1, ValidMS: 2500}},
 		{Name: "batch", Host: "h", PathPrefix: "/batch/", Priority: 2, MaxAttempts: batchAttempts, Stretch: 2, TargetMS: 1200, Upstream: service},
 	}
@@ -369,6 +374,7 @@
 			env.mu.Lock()
 			env.accepted = append(env.accepted, id)
 			env.mu.Unlock()
+			env.addStallJob(queue, id, body)
 			return id
 		}
 		rejected = rejected && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
--- a/matrix/site/joint_test.go
+++ b/matrix/site/joint_test.go
@@ -245,10 +245,12 @@
 	env.checkJobsSucceeded()
 }
 
-// waitAndRecordSuccesses waits, and records which jobs succeed meanwhile: states are kept for two
-// minutes only, and some schedules last longer.
+// waitAndRecordSuccesses waits after the last fault, and records which jobs succeed meanwhile: states are
+// kept for two minutes only, and some schedules last longer. No job may stall.
 func (env *testEnv) waitAndRecordSuccesses(d time.Duration) {
 	const interval = 10 * time.Second
+	calmSince := time.Now()
+	defer func() { env.checkNoStallsSince(calmSince.Add(site.CalmBeforeStall)) }()
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(interval) {
 		for _, id := range env.accepted {
 			if !env.succeeded[id] && env.state("batch", id) == "succeeded" {
--- a/matrix/site/load_test.go
+++ b/matrix/site/load_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"switchbank.example/switchbank/standin/site"
 )
 
 // The specs of the jobs of the load. A spec repeats a task's CPU request, so that workers can check
@@ -53,6 +55,7 @@
 func (env *testEnv) submitAndCancel() {
 	id := env.submit("batch", "60000 cpu=1000", stepBody{Count: 1, CPU: 1000, MemoryMB: 500, EstimateMS: 60_000})
 	time.Sleep(time.Second)
+	env.endStallCheck(id)
 	for range 20 {
 		for _, n := range env.nodeNames() {
 			status, _ := env.call(n, http.MethodDelete, "/batch/"+id, "")
@@ -82,6 +85,8 @@
 // only the two tasks of the load's long-running job still run.
 func (env *testEnv) checkJobsSettled() {
 	env.t.Helper()
+	calmSince := time.Now()
+	defer func() { env.checkNoStallsSince(calmSince.Add(site.CalmBeforeStall)) }()
 	unsettled := fmt.Errorf("not checked yet")
 	for end := time.Now().Add(settleTimeout); unsettled != nil && time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
 		unsettled = env.unsettledJob()
--- a/matrix/site/stalls_test.go
+++ b/matrix/site/stalls_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,11 +17,49 @@
 	"switchbank.example/switchbank/standin/site"
 )
 
+// addStallJob adds a job that was accepted to those that may not stall.
+func (env *testEnv) addStallJob(queue, id, body string) {
+	attempts := batchAttempts
+	if queue == urgentQueue {
+		attempts = urgentAttempts
+	}
+	j, err := site.ParseStallJob(id, body, queue == urgentQueue, attempts)
+	if err != nil {
+		env.t.Error(err)
+		return
+	}
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.stallJobs = append(env.stallJobs, j)
+}
+
+// endStallCheck lets a job wait from now on, since it is about to be cancelled.
+func (env *testEnv) endStallCheck(id string) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	for i := range env.stallJobs {
+		if env.stallJobs[i].ID == id {
+			env.stallJobs[i].Cancelled = time.Now()
+		}
+	}
+}
+
+// checkNoStallsSince checks that no accepted job has waited beside room since a time. Jobs with a task
+// that crashes its workers may wait.
+func (env *testEnv) checkNoStallsSince(since time.Time) {
+	env.t.Helper()
+	env.mu.Lock()
+	jobs := slices.DeleteFunc(slices.Clone(env.stallJobs), func(j site.StallJob) bool { return env.crashing[j.ID] })
+	env.mu.Unlock()
+	for _, stall := range env.site.Stalls(site.StallCheck{Jobs: jobs, From: since, Until: time.Now()}) {
+		env.t.Error(stall)
+	}
+}
+
 // stallEnv is an environment of many workers under a load that leaves room for all of it.
 type stallEnv struct {
 	*testEnv
 	host smallHost
-	jobs []site.StallJob
 }
 
 // newStallEnv returns an environment of twelve nodes and 120 workers in one shard.
@@ -51,17 +90,13 @@
 	second.DependsOn = []int{0}
 	body := env.encodeJob("1000 cpu=1000", step, second)
 	for i := range perSecond * int(d/time.Second) {
-		id := fmt.Sprintf("%016x", xxhash.Sum64String(fmt.Sprint(len(env.jobs), i)))
+		id := fmt.Sprintf("%016x", xxhash.Sum64String(fmt.Sprint(i)))
 		go func() {
 			status, _ := env.call(fmt.Sprintf("n%d", i%smallNodes), http.MethodPost, "/urgent/"+id, body)
 			if status != http.StatusOK {
 				return
 			}
-			env.mu.Lock()
-			defer env.mu.Unlock()
-			env.jobs = append(env.jobs, site.StallJob{ID: id, Accepted: time.Now(), MaxAttempts: 2, Steps: []site.StallStep{
-				{Tasks: 4, CPUMilli: 1000, MemoryMB: 500, NeedsTicket: true}, {Tasks: 4, CPUMilli: 1000, MemoryMB: 500, NeedsTicket: true, DependsOn: []int{0}},
-			}})
+			env.addStallJob(urgentQueue, id, body)
 		}()
 		time.Sleep(time.Second / time.Duration(perSecond))
 	}
@@ -70,9 +105,9 @@
 // checkNoStalls checks that no job has waited beside room since a time, however slow the nodes were.
 func (env *stallEnv) checkNoStalls(since time.Time) {
 	env.t.Helper()
-	stalls := env.site.Stalls(site.StallCheck{Jobs: env.jobs, From: since, Until: time.Now()})
+	stalls := env.site.Stalls(site.StallCheck{Jobs: env.stallJobs, From: since, Until: time.Now()})
 	if len(stalls) > 0 {
-		env.t.Errorf("%d of %d jobs stalled with %d owners, the first: %s", len(stalls), len(env.jobs), env.epoch(cluster.ShardID{Service: service}), stalls[0])
+		env.t.Errorf("%d of %d jobs stalled with %d owners, the first: %s", len(stalls), len(env.stallJobs), env.epoch(cluster.ShardID{Service: service}), stalls[0])
 	}
 }
 
--- a/standin/site/stalls.go
+++ b/standin/site/stalls.go
@@ -3,6 +3,7 @@
 package site
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -14,16 +15,18 @@
 	// maxStall is the platform's bound for the time in which nothing of a job runs although the
 	// turn of a task has come and there is room for it twice over.
 	maxStall = 3 * time.Second
-	// calmBefore is how long before a stall nothing may have disturbed the system.
-	calmBefore = 4 * time.Second
 	// stallRoom is how many times the room that a step needs must be free.
 	stallRoom = 2
 	// stallSampling is the time between two looks at all jobs.
 	stallSampling = 100 * time.Millisecond
-	// workerSettleTime is how long after its start a worker counts as room.
+	// workerSettleTime is how long after its start, or the end of a fault, a worker counts as room.
 	workerSettleTime = 2 * time.Second
 )
 
+// CalmBeforeStall is the platform's bound for how long before a stall nothing may have disturbed the
+// system.
+const CalmBeforeStall = 4 * time.Second
+
 // StallJob describes an accepted job of which something should run.
 type StallJob struct {
 	ID string
@@ -49,6 +52,36 @@
 	MaxPerWorker int
 }
 
+// jobSubmission is the body of a request that submits a job, as far as a stall depends on it.
+type jobSubmission struct {
+	Steps []struct {
+		Count       int    `json:"Count"`
+		CPU         int64  `json:"Cpu"`
+		MemoryMB    int64  `json:"MemMb"`
+		DependsOn   []int  `json:"DependsOn"`
+		Gang        bool   `json:"Gang"`
+		Constraints string `json:"Constraints"`
+		PerWorker   int    `json:"AntiAffinity"`
+	} `json:"Steps"`
+}
+
+// ParseStallJob returns the description of a job that was accepted just now, from the body with which
+// it was submitted. needsTicket is set if its queue has an advice service.
+func ParseStallJob(id, body string, needsTicket bool, maxAttempts int) (StallJob, error) {
+	var sub jobSubmission
+	if err := json.Unmarshal([]byte(body), &sub); err != nil {
+		return StallJob{}, fmt.Errorf("site: job %s: %w", id, err)
+	}
+	j := StallJob{ID: id, Accepted: time.Now(), MaxAttempts: maxAttempts}
+	for _, st := range sub.Steps {
+		j.Steps = append(j.Steps, StallStep{
+			Tasks: st.Count, CPUMilli: st.CPU, MemoryMB: st.MemoryMB, DependsOn: st.DependsOn, Gang: st.Gang, NeedsTicket: needsTicket,
+			Label: st.Constraints, MaxPerWorker: st.PerWorker,
+		})
+	}
+	return j, nil
+}
+
 // StallCheck is a check for jobs that wait beside room.
 type StallCheck struct {
 	Jobs        []StallJob
@@ -175,7 +208,7 @@
 		if at.Sub(since) < maxStall {
 			continue
 		}
-		if d := w.check.Disturbed; d != nil && d(at.Add(-maxStall-calmBefore), at) {
+		if d := w.check.Disturbed; d != nil && d(at.Add(-maxStall-CalmBeforeStall), at) {
 			continue
 		}
 		w.reported[j.ID] = true
@@ -199,8 +232,10 @@
 	return "", false
 }
 
+// isDone reports whether all tasks of a step have succeeded: those of a gang end with the first one.
 func (w *stallWatch) isDone(j StallJob, step int) bool {
-	return len(w.done[stepName(j.ID, step)]) >= j.Steps[step].Tasks
+	done := len(w.done[stepName(j.ID, step)])
+	return done >= j.Steps[step].Tasks || (j.Steps[step].Gang && done > 0)
 }
 
 // wantedPlaces returns for how many tasks a step needs room at once.
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -66,8 +66,15 @@
 	faults WorkerFaults
 	// failNewRuns is set while all new runs fail.
 	failNewRuns bool
-	// unsoundAt is when the worker first ended, drained, left the directory or had a fault.
-	unsoundAt time.Time
+	// soundness holds when the worker became sound or unsound: it ended, drained, left the directory
+	// or had a fault.
+	soundness []soundChange
+}
+
+// soundChange is a time from which on work should, or shouldn't, start on a worker.
+type soundChange struct {
+	at    time.Time
+	sound bool
 }
 
 // WorkerFaults are the faults that a worker simulates.
@@ -112,18 +119,24 @@
 	return slices.Clone(s.allIncarnations)
 }
 
-// setUnsound records that the worker is not sound any more. The caller holds mu.
-func (w *Worker) setUnsound() {
-	if w.unsoundAt.IsZero() {
-		w.unsoundAt = time.Now()
-	}
+// recordSoundness records whether work should start on the worker from now on. The caller holds mu.
+func (w *Worker) recordSoundness() {
+	sound := !w.terminated && !w.draining && !w.removed && !w.failNewRuns && w.faults == (WorkerFaults{})
+	w.soundness = append(w.soundness, soundChange{time.Now(), sound})
 }
 
-// isSoundAt reports whether work should start on the worker at a time.
+// isSoundAt reports whether work should start on the worker at a time, since it has been sound for
+// workerSettleTime.
 func (w *Worker) isSoundAt(at time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !at.Before(w.startedAt.Add(workerSettleTime)) && (w.unsoundAt.IsZero() || at.Before(w.unsoundAt))
+	last := soundChange{w.startedAt, true}
+	for _, c := range w.soundness {
+		if !c.at.After(at) {
+			last = c
+		}
+	}
+	return last.sound && at.Sub(last.at) >= workerSettleTime
 }
 
 // Restart starts a new incarnation on the machine of a crashed worker, under a new ID.
@@ -190,7 +203,7 @@
 func (w *Worker) Drain() {
 	w.mu.Lock()
 	w.draining = true
-	w.setUnsound()
+	w.recordSoundness()
 	w.mu.Unlock()
 	w.announce()
 }
@@ -200,7 +213,7 @@
 func (w *Worker) RemoveFromDirectory() {
 	w.mu.Lock()
 	w.removed = true
-	w.setUnsound()
+	w.recordSoundness()
 	w.mu.Unlock()
 	w.site.Store.Remove("servers", w.ID)
 }
@@ -220,7 +233,7 @@
 // crashLocked ends all runs. The caller holds mu.
 func (w *Worker) crashLocked() {
 	w.terminated = true
-	w.setUnsound()
+	w.recordSoundness()
 	for _, t := range w.running {
 		if t.inGang {
 			w.site.leaveGang(t, false)
@@ -256,7 +269,7 @@
 func (w *Worker) Stop() {
 	w.mu.Lock()
 	w.terminated = true
-	w.setUnsound()
+	w.recordSoundness()
 	w.mu.Unlock()
 	w.stop()
 }
@@ -273,7 +286,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.faults = f
-	w.setUnsound()
+	w.recordSoundness()
 	for _, t := range w.running {
 		t.stuck = f.Stuck
 	}
@@ -285,7 +298,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.failNewRuns = fails
-	w.setUnsound()
+	w.recordSoundness()
 }
 
 // RunningTasks returns the number of tasks that run on the worker.
