--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -108,6 +108,18 @@
 	}
 }
 
+// TestSoakStallsJobs is TestSoak with the check that no job waits beside room after the last fault.
+func TestSoakStallsJobs(t *testing.T) {
+	for _, seed := range soakSeeds(t) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSoak(t, seed)
+			s.checksStalls = true
+			s.run()
+		})
+	}
+}
+
 // soak is the run of one seed.
 type soak struct {
 	*siteCell
@@ -141,6 +153,10 @@
 	failing map[string]bool
 	// gangs holds the jobs whose tasks start and fail together.
 	gangs map[string]bool
+	// checksStalls is set if no job may wait beside room after the last fault.
+	checksStalls bool
+	// stallJobs describe the accepted jobs for the check of stalls.
+	stallJobs []site.StallJob
 }
 
 // newSoak starts the cell for a seed.
@@ -247,11 +263,13 @@
 		// The job may have been accepted by a write that was late and followed its cancellation.
 		s.cancelJob(i, id)
 	}
+	calmSince := time.Now()
 	checkedJobs := s.runCalmPhase()
 	for i := range persistentJobs {
 		s.cancelJob(i, jobID(persistentJobBase, i))
 	}
 	s.waitUntilEnded()
+	s.checkNoStallsSince(calmSince.Add(site.CalmBeforeStall))
 	s.checkConfig()
 	for _, violation := range s.site.Violations(site.Expectations{Refused: s.refused, OrdersDelayed: s.ordersDelayed, LongRunning: checkedJobs, Teams: s.teamExpectations()}) {
 		s.t.Error(violation)
--- a/e2e/soakload_test.go
+++ b/e2e/soakload_test.go
@@ -61,6 +61,7 @@
 			s.mu.Lock()
 			s.accepted = append(s.accepted, id)
 			s.mu.Unlock()
+			s.addStallJob(queue, id, body)
 			return
 		}
 		refused = refused && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
