cell: an answer restarts the wait of an isolated node, and doesn't end it

A node that no other answers takes a shard after 3 s. Since late answers count, one answer of any node within that time would have kept it from taking the shard until a witness answered again, and it waited for the patience in addition to the 3 s. Found by reading the change; no test or play had met it.

--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -249,11 +249,11 @@
 		}
 		return "owner is silent"
 	}
-	if s.isolatedSince.IsZero() {
+	if s.isolatedSince.IsZero() || n.peers.anyAnsweredSince(s.isolatedSince) {
 		s.isolatedSince = time.Now()
 		n.Log.Info("no other node answers this one", events.OwnerSuspected, zap.String("owner", owner.Name))
 	}
-	if time.Since(s.isolatedSince) < isolationDelay+patience || n.peers.anyAnsweredSince(s.isolatedSince) {
+	if time.Since(s.isolatedSince) < max(isolationDelay, patience) {
 		return ""
 	}
 	return "all other nodes are silent"
