--- a/internal/cell/ping.go
+++ b/internal/cell/ping.go
@@ -143,7 +143,7 @@
 	case <-timeout.C:
 	case <-ctx.Done():
 	}
-	return pingReply{}, &Error{"ping", KindNoAnswer, errors.New(m.Name + " has not answered in time")}
+	return pingReply{}, errLate
 }
 
 // sendPing pings a node, and records that it doesn't answer as soon as its reply is late, and the
@@ -178,7 +178,7 @@
 }
 
 // errLate is the cause of a failure while the reply may still come.
-var errLate = errors.New("the reply is late")
+var errLate = &Error{"ping", KindNoAnswer, errors.New("the reply is late")}
 
 // recordReply records a node's reply to a ping that was sent at the given time. Of replies that come
 // out of order the latest one counts, but each is a sign of life.
--- a/internal/fanout/stream.go
+++ b/internal/fanout/stream.go
@@ -167,8 +167,8 @@
 	// the owner's own host or link is the likely cause.
 	allHelpersSilence = 600 * time.Millisecond
 	// Both limits are at least silencePerDelay times as long as helpers were overdue lately while
-	// they were up, and at most maxHelperSilence: this node or its link may be slow, and calls that go through
-	// another helper again, or through none, add to that.
+	// they were up, and at most maxHelperSilence: this node or its link may be slow, and calls
+	// that go through another helper again, or through none, add to that.
 	silencePerDelay  = 4
 	maxHelperSilence = 2 * time.Second
 	// keepaliveInterval is how often a helper signals that it is up while calls are pending
