--- a/standin/site/stalls.go
+++ b/standin/site/stalls.go
@@ -117,8 +117,8 @@
 	check   StallCheck
 	workers []*Worker
 	steps   map[string]StallStep // by job and number, as in "job.0.1"
-	// running are the runs on each worker, by task.
-	running  map[string]map[string]bool
+	// running holds what the runs on each worker take, by task, also those of jobs that aren't checked.
+	running  map[string]map[string]int64
 	busy     map[string]int // runs of each job
 	done     map[string]map[string]bool
 	failures map[string]int // of each task
@@ -131,7 +131,7 @@
 
 func newStallWatch(s *Site, c StallCheck) *stallWatch {
 	w := &stallWatch{
-		site: s, check: c, workers: s.incarnationsSoFar(), steps: make(map[string]StallStep), running: make(map[string]map[string]bool), busy: make(map[string]int),
+		site: s, check: c, workers: s.incarnationsSoFar(), steps: make(map[string]StallStep), running: make(map[string]map[string]int64), busy: make(map[string]int),
 		done: make(map[string]map[string]bool), failures: make(map[string]int), failed: make(map[string]bool), waitsSince: make(map[string]time.Time), reported: make(map[string]bool),
 	}
 	for _, j := range c.Jobs {
@@ -154,12 +154,12 @@
 	switch e.Kind {
 	case EventStart:
 		if w.running[e.Worker] == nil {
-			w.running[e.Worker] = make(map[string]bool)
+			w.running[e.Worker] = make(map[string]int64)
 		}
-		w.running[e.Worker][e.Task] = true
+		w.running[e.Worker][e.Task] = e.CPUMilli
 		w.busy[job]++
 	case EventEnd, EventGangTimeout, EventSuccess:
-		if w.running[e.Worker][e.Task] {
+		if _, ok := w.running[e.Worker][e.Task]; ok {
 			delete(w.running[e.Worker], e.Task)
 			w.busy[job]--
 		}
@@ -260,9 +260,8 @@
 // placesOn returns for how many more tasks of a step a worker has room.
 func (w *stallWatch) placesOn(k *Worker, step string, st StallStep) int {
 	cpu, memory, same := k.cfg.CPUMilli, k.cfg.MemoryMB, 0
-	for task := range w.running[k.ID] {
-		other := w.steps[stepOf(task)]
-		cpu, memory = cpu-other.CPUMilli, memory-other.MemoryMB
+	for task, taken := range w.running[k.ID] {
+		cpu, memory = cpu-taken, memory-w.steps[stepOf(task)].MemoryMB
 		if stepOf(task) == step {
 			same++
 		}
