--- a/internal/owner/workerdelay.go
+++ b/internal/owner/workerdelay.go
@@ -14,8 +14,9 @@
 	// timeoutPerDelay is how many times longer than usual an answer may take.
 	timeoutPerDelay = 4
 	// holdWaitPerDelay is how many times longer than an answer takes a hold stays open at least. It
-	// bounds the share of its time that this node spends on holds at which nothing ends.
-	holdWaitPerDelay = 10
+	// bounds the share of its time that this node spends on holds at which nothing ends. With 10
+	// the progress of runs was known too late in bursts.
+	holdWaitPerDelay = 3
 )
 
 // workerDelay estimates how long workers take to answer. If all of them are late it is this node that
