--- a/matrix/site/stalls_test.go
+++ b/matrix/site/stalls_test.go
@@ -63,7 +63,8 @@
 }
 
 // newStallEnv returns an environment of twelve nodes and 120 workers in one shard.
-func newStallEnv(t *testing.T, h smallHost) *stallEnv {
+func newStallEnv(t *testing.T) *stallEnv {
+	h := smallHost{rate: 2_500_000, share: 0.4, cost: 50 * time.Microsecond}
 	env := &stallEnv{testEnv: newSmallHostEnv(t, h), host: h}
 	time.Sleep(6 * time.Second)
 	return env
@@ -171,7 +172,7 @@
 func TestDeadOwnersStallJobs(t *testing.T) {
 	const owners, ownerReplacedWithin, between = 3, time.Second, 4 * time.Second
 	synctest.Test(t, func(t *testing.T) {
-		env := newStallEnv(t, smallHost{rate: 2_500_000, share: 0.4, cost: 50 * time.Microsecond})
+		env := newStallEnv(t)
 		defer env.close()
 		began := time.Now()
 		var load sync.WaitGroup
@@ -198,7 +199,7 @@
 func TestTakeoverBesideSilentWorkersStallsJobs(t *testing.T) {
 	const silent, silentFor = 5, 16 * time.Second
 	synctest.Test(t, func(t *testing.T) {
-		env := newStallEnv(t, smallHost{rate: 2_500_000, share: 0.4, cost: 50 * time.Microsecond})
+		env := newStallEnv(t)
 		defer env.close()
 		began, unreachable := time.Now(), make(map[string]bool)
 		var load sync.WaitGroup
@@ -234,7 +235,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				env := newStallEnv(t, smallHost{rate: 2_500_000, share: 0.4, cost: 50 * time.Microsecond})
+				env := newStallEnv(t)
 				defer env.close()
 				began := time.Now()
 				var load sync.WaitGroup
