matrix/site: the check of stalls reads the accepted jobs under their lock

Calls hold the lock of the list, the check didn't. It takes a copy under the lock now, as checkNoStallsSince does. The rule and its bound are as before.

--- a/matrix/site/stalls_test.go
+++ b/matrix/site/stalls_test.go
@@ -129,9 +129,12 @@
 // checkNoStallsBeside is checkNoStalls with workers that don't count as room.
 func (env *stallEnv) checkNoStallsBeside(since time.Time, unreachable map[string]bool) {
 	env.t.Helper()
-	stalls := env.site.Stalls(site.StallCheck{Jobs: env.stallJobs, From: since, Until: time.Now(), Unreachable: unreachable})
+	env.mu.Lock()
+	jobs := slices.Clone(env.stallJobs)
+	env.mu.Unlock()
+	stalls := env.site.Stalls(site.StallCheck{Jobs: jobs, From: since, Until: time.Now(), Unreachable: unreachable})
 	if len(stalls) > 0 {
-		env.t.Errorf("%d of %d jobs stalled with %d owners, the first: %s", len(stalls), len(env.stallJobs), env.epoch(cluster.ShardID{Service: service}), stalls[0])
+		env.t.Errorf("%d of %d jobs stalled with %d owners, the first: %s", len(stalls), len(jobs), env.epoch(cluster.ShardID{Service: service}), stalls[0])
 	}
 }
 
