--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 LDFLAGS := -s -w
 FUZZTIME ?= 3s
 
-.PHONY: all build run test race e2e soak matrix lint bench slopes measure fuzz fuzz tools verify clean
+.PHONY: all build run test race race-packages race-site-a race-site-b e2e soak matrix lint bench slopes measure fuzz tools verify clean
 
 all: build
 
@@ -30,8 +30,21 @@
 # Each test binary uses one processor: with the race detector, Go 1.26's runtime lets the
 # threads of a synctest bubble share one context if they run channel timers at the same time
 # (maybeRunChan), and crashes in it. The detector finds races with one processor as well.
+# The tests of matrix/site take most of the time, and run as two processes beside the others.
+RACE      := $(GO) test -race -cpu 1 -timeout 45m
+SITE_HALF := Test[A-M].*
+
 race:
-	$(GO) test -race -cpu 1 -timeout 45m $(SKIP) ./...
+	$(MAKE) -j 3 --output-sync=target race-packages race-site-a race-site-b
+
+race-packages:
+	$(RACE) $(SKIP) $$($(GO) list ./... | grep -v '/matrix/site$$')
+
+race-site-a:
+	$(RACE) $(SKIP) -run '^$(SITE_HALF)$$' ./matrix/site
+
+race-site-b:
+	$(RACE) -skip '^($(KNOWN_RED)|$(SITE_HALF))$$' ./matrix/site
 
 # e2e runs the example as separate processes over TCP, and kills a node during the run.
 e2e: build
