matrix/site: a gang waits for parts of its team's limit: known red

make test failed once on TestTeamExceedsLimitOfManyShards, all nodes killed: the check of stalls, new in checkJobsSettled, found a gang of three of which nothing ran for 3 s beside room for 118 of its tasks. Four of a few hundred more plays failed in the same way, all with this fault. Counted within the team's limit (on a scratch copy), there was room for 5 and 6 tasks in two of them, so that the check is right: in the play that was traced the gang's shard has 494 of the limit's 9000 thousandths of a core for 5 s, while parts go from shard to shard.

The other faults stay as they are.

--- a/matrix/site/faults_test.go
+++ b/matrix/site/faults_test.go
@@ -62,6 +62,9 @@
 	return slices.Concat(nodeFaults(), ownerPartitions(), storeFaults(), crashFaults(), workerFaults())
 }
 
+// allNodesKilled is the name of the fault that kills all nodes at once.
+const allNodesKilled = "all nodes killed"
+
 // nodeFaults returns the faults of whole nodes, and the run without a fault.
 func nodeFaults() []fault {
 	return []fault{
@@ -74,7 +77,7 @@
 			}
 			return nil
 		}},
-		{"all nodes killed", func(env *testEnv) func() {
+		{allNodesKilled, func(env *testEnv) func() {
 			names := env.killAll()
 			return func() {
 				for _, n := range names {
--- a/matrix/site/teamlimit_test.go
+++ b/matrix/site/teamlimit_test.go
@@ -276,26 +276,40 @@
 // TestTeamExceedsLimitOfManyShards runs faults of nodes on a service of 15 shards of one rack each.
 // No shard's part of the team's limit holds a task of its batches.
 func TestTeamExceedsLimitOfManyShards(t *testing.T) {
-	const shards, workersOfShard = 15, 2
 	for _, f := range nodeFaults() {
-		t.Run(f.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				env := newEnvWith(t, shards*workersOfShard, workersOfShard, func(env *testEnv) {
-					env.key = redKey
-					env.configureLimit(1, teamLimit)
-				})
-				defer env.close()
-				load := env.startLoad(loadDuration, 0)
-				env.injectFault(f, faultStart)
-				load.Wait()
-				for i := range shards {
-					if env.ownerRow(cluster.ShardID{Service: service, Index: i}).Epoch == 0 {
-						t.Errorf("there is no shard %d", i)
-					}
-				}
-				env.checkJobsSettled()
-				env.checkTeamLimit()
-			})
-		})
+		if f.name != allNodesKilled {
+			t.Run(f.name, func(t *testing.T) { runLimitOfManyShards(t, f) })
+		}
 	}
 }
+
+// TestLimitOfManyShardsStallsJobs guards against a gang that waits for parts of its team's limit from
+// other shards after all nodes were killed, although the team has room within its limit.
+func TestLimitOfManyShardsStallsJobs(t *testing.T) {
+	for _, f := range nodeFaults() {
+		if f.name == allNodesKilled {
+			runLimitOfManyShards(t, f)
+		}
+	}
+}
+
+func runLimitOfManyShards(t *testing.T, f fault) {
+	const shards, workersOfShard = 15, 2
+	synctest.Test(t, func(t *testing.T) {
+		env := newEnvWith(t, shards*workersOfShard, workersOfShard, func(env *testEnv) {
+			env.key = redKey
+			env.configureLimit(1, teamLimit)
+		})
+		defer env.close()
+		load := env.startLoad(loadDuration, 0)
+		env.injectFault(f, faultStart)
+		load.Wait()
+		for i := range shards {
+			if env.ownerRow(cluster.ShardID{Service: service, Index: i}).Epoch == 0 {
+				t.Errorf("there is no shard %d", i)
+			}
+		}
+		env.checkJobsSettled()
+		env.checkTeamLimit()
+	})
+}
