cell: one function finds the first candidate for a key

firstWatcher repeated the loop of bestCandidate over another set of candidates. Both call firstCandidate now.

--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -192,13 +192,19 @@
 // bestCandidate returns the first of the other nodes in the order of candidates for a key,
 // such as a shard's name; ok is false if there is none.
 func (p *peers) bestCandidate(self candidate, key string) (best candidate, ok bool) {
+	return firstCandidate(key, func(fn func(c candidate)) { p.eachCandidate(self, fn) })
+}
+
+// firstCandidate returns the first of the candidates that each passes to its argument, in their order
+// for a key; ok is false if there is none.
+func firstCandidate(key string, each func(fn func(c candidate))) (first candidate, ok bool) {
 	hash := xxhash.Sum64String(key)
-	p.eachCandidate(self, func(c candidate) {
-		if !ok || c.compareForShard(hash, best) < 0 {
-			best, ok = c, true
+	each(func(c candidate) {
+		if !ok || c.compareForShard(hash, first) < 0 {
+			first, ok = c, true
 		}
 	})
-	return best, ok
+	return first, ok
 }
 
 // witnesses returns a few peers to ask about a node: the one that watches it most, and some that are
--- a/internal/cell/witnesses.go
+++ b/internal/cell/witnesses.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"switchbank.example/switchbank/internal/cluster"
 )
 
@@ -37,12 +35,12 @@
 // firstWatcher returns the name of the first other candidate for a shard, which pings the owner most
 // often; "": there is none.
 func (n *Node) firstWatcher(shard cluster.ShardID, owner member) string {
-	hash := xxhash.Sum64String(shard.String())
-	var first candidate
-	n.peers.eachPossibleCandidate(n.asCandidate(), func(c candidate) {
-		if c.Incarnation != owner.Incarnation && (first.Name == "" || c.compareForShard(hash, first) < 0) {
-			first = c
-		}
+	first, _ := firstCandidate(shard.String(), func(fn func(c candidate)) {
+		n.peers.eachPossibleCandidate(n.asCandidate(), func(c candidate) {
+			if c.Incarnation != owner.Incarnation {
+				fn(c)
+			}
+		})
 	})
 	return first.Name
 }
