scheduler: one iterator over the workers that haven't answered

TakeoverWait counted the same workers that allAnswered looks for, in a copy of its loops. Both range over unansweredWorkers now, and allAnswered still stops at the first one. Behaviour is unchanged: make lint and make test passed, with the searches of the model in them.

--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -91,17 +92,9 @@
 	if !s.takeover.open {
 		return wait
 	}
-	for id := range s.takeover.expected {
-		if s.workers[id] == nil {
-			wait.Workers++
-			wait.Example = id
-		}
-	}
-	for _, w := range s.workerList {
-		if !w.answeredSinceLoad {
-			wait.Workers++
-			wait.Example = w.info.ID
-		}
+	for id := range s.unansweredWorkers() {
+		wait.Workers++
+		wait.Example = id
 	}
 	for _, j := range s.active {
 		for st := range j.steps() {
@@ -189,15 +182,25 @@
 
 // allAnswered reports whether every worker that is known or expected has answered.
 func (s *Shard) allAnswered() bool {
-	for id := range s.takeover.expected {
-		if w := s.workers[id]; w == nil || !w.answeredSinceLoad {
-			return false
-		}
+	for range s.unansweredWorkers() {
+		return false
 	}
-	for _, w := range s.workerList {
-		if !w.answeredSinceLoad {
-			return false
+	return true
+}
+
+// unansweredWorkers iterates over the IDs of the workers that are known or expected, and have not
+// answered since the shard was loaded.
+func (s *Shard) unansweredWorkers() iter.Seq[string] {
+	return func(yield func(id string) bool) {
+		for id := range s.takeover.expected {
+			if s.workers[id] == nil && !yield(id) {
+				return
+			}
+		}
+		for _, w := range s.workerList {
+			if !w.answeredSinceLoad && !yield(w.info.ID) {
+				return
+			}
 		}
 	}
-	return true
 }
