--- a/standin/site/gang.go
+++ b/standin/site/gang.go
@@ -51,7 +51,7 @@
 }
 
 func gangKeyOf(t *taskRun) gangKey {
-	return gangKey{t.task[:strings.LastIndexByte(t.task, '.')], t.run}
+	return gangKey{stepOf(t.task), t.run}
 }
 
 // joinGang records that a member of a gang has started.
--- a/standin/site/orders.go
+++ b/standin/site/orders.go
@@ -94,7 +94,7 @@
 	if req.Run <= w.finishedRuns[req.Task] || w.running[req.Task] != nil {
 		return "old"
 	}
-	step := req.Task[:strings.LastIndexByte(req.Task, '.')]
+	step := stepOf(req.Task)
 	if req.Ticket != "" && !isValidTicket(req.Ticket, step, w.ID, time.Now()) {
 		w.site.record(w, req.Task, req.Run, EventInvalidTicket, req.Fence)
 		return "ticket"
