review: the stand-in ends its processes when it is stopped

A case that is stopped by a signal, or takes too long, ended its nodes but left its temporary folder.

--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -579,3 +579,64 @@
 	}
 	return longest
 }
+
+// runCancel: the store goes down while a submission is written, carries the write out late, and
+// meanwhile the client cancels the job.
+func runCancel(rec *record, trouble bool) (verdict, error) {
+	const (
+		// lateBy is how late the store carries the write out, and downTime how long it is down.
+		lateBy, downTime = 5800 * time.Millisecond, 2 * time.Second
+		// patience is the client's deadline for the submission.
+		patience = 1500 * time.Millisecond
+		// cancelMax is cancel_ms.
+		cancelMax = 3 * time.Second
+	)
+	d, err := startDeployment(program, rec, []site.Route{route("inkaso-core", 250)}, workerPlan{service: "inkaso-core", count: 48})
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return verdict{}, err
+	}
+	path := prefix + id(1)
+	began := time.Now()
+	if trouble {
+		d.site.Store.SetFaults(site.StoreFaults{Late: 1, LateBy: lateBy})
+		time.AfterFunc(50*time.Millisecond, func() { d.site.Store.SetFaults(site.StoreFaults{Down: true}) })
+		time.AfterFunc(downTime, func() {
+			d.site.Store.SetFaults(site.StoreFaults{})
+			rec.line("the store answers again")
+		})
+	}
+	status := d.callWithin(d.nodes[0], patience, http.MethodPost, path, job{Spec: "40000 cpu=1000", Steps: []step{{Count: 4, Cpu: 1000, MemMb: 256, EstimateMs: 40000}}})
+	rec.line("client: POST %s at %s: %d", path, d.nodes[0].name, status)
+	time.Sleep(time.Until(began.Add(downTime + 50*time.Millisecond)))
+	acknowledged := false
+	for range 10 {
+		status := d.callAt(d.nodes[3], http.MethodDelete, path, nil, nil)
+		rec.line("client: DELETE %s at %s: %d", path, d.nodes[3].name, status)
+		if acknowledged = status == http.StatusOK || status == http.StatusGone; acknowledged {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if !acknowledged {
+		return verdict{}, errors.New("the cancel was not acknowledged")
+	}
+	cancelled := time.Now()
+	time.Sleep(8 * time.Second)
+	late := 0
+	for _, e := range d.site.Events() {
+		if e.Kind == site.EventStart && e.At.Sub(cancelled) > cancelMax {
+			late++
+		}
+	}
+	status, state := d.state(path)
+	rec.line("client: GET %s: %d %s", path, status, state)
+	running := 0
+	for _, w := range d.workers {
+		running += w.RunningTasks()
+	}
+	rec.runs(d.site, func(string) bool { return true })
+	return verdict{late > 0 || running > 0, fmt.Sprintf("%d tasks of the cancelled job started later than cancel_ms after the acknowledgement, %d of them run %s after it (UNASKED)", late, running, (8 * time.Second).String())}, nil
+}
--- a/review/_standin2/deployment.go
+++ b/review/_standin2/deployment.go
@@ -103,6 +103,7 @@
 		record: rec, dir: dir, program: program, platformAddresses: [3]string(addresses[:3]), unhealthy: make(map[string]bool),
 		client: &http.Client{Timeout: callDeadline + time.Second},
 	}
+	started.Store(d)
 	workerAddresses, nodeAddresses := addresses[3:3+total], addresses[3+total:]
 	d.site = site.New(site.Config{
 		Service: plans[0].service, StoreAddress: addresses[0], AdviceAddress: addresses[1], MachinesAddress: addresses[2],
@@ -384,13 +385,26 @@
 }
 
 func (d *deployment) callAt(n *node, method, path string, body []byte, reply any) int {
+	return d.callFor(n, callDeadline, method, path, body, reply)
+}
+
+// callWithin hands a job in at a node, with a deadline.
+func (d *deployment) callWithin(n *node, deadline time.Duration, method, path string, job any) int {
+	body, err := json.Marshal(job)
+	if err != nil {
+		return 0
+	}
+	return d.callFor(n, deadline, method, path, body, nil)
+}
+
+func (d *deployment) callFor(n *node, deadline time.Duration, method, path string, body []byte, reply any) int {
 	r, err := http.NewRequestWithContext(context.Background(), method, "http://"+n.callers+path, bytes.NewReader(body))
 	if err != nil {
 		return 0
 	}
 	r.Host = host
 	r.Header.Set("Content-Type", "application/json")
-	r.Header.Set("X-Switchbank-Deadline-Ms", fmt.Sprint(callDeadline.Milliseconds()))
+	r.Header.Set("X-Switchbank-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	res, err := d.client.Do(r)
 	if err != nil {
 		return 0
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -6,13 +6,14 @@
 //
 // Usage: stand CASE RECORD, from the root of the repository. TROUBLE=0 leaves the disruption out.
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. The cases
-// memory and label have no folder of their own; the report tells of them.
+// memory, label and cancel have no folder of their own; the report tells of them.
 package main
 
 import (
 	"fmt"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -26,6 +27,9 @@
 	program    = "target/switchbank"
 )
 
+// started is the deployment, for the case that it has to be ended early.
+var started atomic.Pointer[deployment]
+
 // verdict is the outcome of a case: whether the rule was broken, and how that shows.
 type verdict struct {
 	broken bool
@@ -40,6 +44,7 @@
 	"service":  runService,
 	"waiting":  runWaiting,
 	"label":    runLabel,
+	"cancel":   runCancel,
 }
 
 func main() {
@@ -82,6 +87,8 @@
 	case <-time.After(maxRunTime):
 		rec.line("the case took too long")
 	}
-	// The nodes end with this process.
+	if d := started.Load(); d != nil {
+		d.close()
+	}
 	os.Exit(exitCannotRun)
 }
