--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -580,8 +580,8 @@
 	return longest
 }
 
-// runCancel: the store goes down while a submission is written, carries the write out late, and
-// meanwhile the client cancels the job.
+// runCancel: the store goes down while a job of lasting tasks is submitted, carries the write out late,
+// and meanwhile the client cancels the job.
 func runCancel(rec *record, trouble bool) (verdict, error) {
 	const (
 		// lateBy is how late the store carries the write out, and downTime how long it is down.
@@ -608,7 +608,7 @@
 			rec.line("the store answers again")
 		})
 	}
-	status := d.callWithin(d.nodes[0], patience, http.MethodPost, path, job{Spec: "40000 cpu=1000", Steps: []step{{Count: 4, Cpu: 1000, MemMb: 256, EstimateMs: 40000}}})
+	status := d.callWithin(d.nodes[0], patience, http.MethodPost, path, job{Spec: "400 lasting cpu=3400", Steps: []step{{Count: 8, Cpu: 3400, MemMb: 6200, EstimateMs: 400, LongRunning: true}}})
 	rec.line("client: POST %s at %s: %d", path, d.nodes[0].name, status)
 	time.Sleep(time.Until(began.Add(downTime + 50*time.Millisecond)))
 	acknowledged := false
