--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -640,3 +641,71 @@
 	rec.runs(d.site, func(string) bool { return true })
 	return verdict{late > 0 || running > 0, fmt.Sprintf("%d tasks of the cancelled job started later than cancel_ms after the acknowledgement, %d of them run %s after it (UNASKED)", late, running, (8 * time.Second).String())}, nil
 }
+
+// runSilent: some workers are cut off for 5.5 s, and the owner of the shard is killed at the same time.
+func runSilent(rec *record, trouble bool) (verdict, error) {
+	const (
+		cutTime = 5500 * time.Millisecond
+		offTime = 3500 * time.Millisecond
+		jobs    = 6
+	)
+	d, err := startDeployment(program, rec, []site.Route{route("inkaso-core", 250)}, workerPlan{service: "inkaso-core", count: 48})
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return verdict{}, err
+	}
+	for i := range jobs {
+		two := []step{{Count: 4, Cpu: 1000, MemMb: 256, EstimateMs: 1000}, {Count: 4, Cpu: 1000, MemMb: 256, EstimateMs: 1000, DependsOn: []int{0}}}
+		if !d.submit(prefix+id(1+i), job{Spec: "1000", Steps: two}) {
+			return verdict{}, errors.New("a job was not accepted")
+		}
+	}
+	if !waitFor(3*time.Second, func() bool { return countStarts(d) >= 4*jobs }) {
+		return verdict{}, errors.New("the tasks did not start")
+	}
+	owner := d.owner()
+	if owner == nil {
+		return verdict{}, errors.New("no node owns the shard")
+	}
+	if trouble {
+		// 8 of 48 workers, on which nothing runs.
+		cut := 0
+		for _, w := range d.workers {
+			if cut < 8 && w.RunningTasks() == 0 {
+				d.cut(w, cutTime)
+				cut++
+			}
+		}
+		rec.line("%d workers on which nothing runs are cut off for %s; %s, which owns the shard, loses power for %s", cut, cutTime, owner.name, offTime)
+		d.mu.Lock()
+		d.offUntil = time.Now().Add(offTime)
+		d.mu.Unlock()
+		owner.kill()
+	}
+	idle := longestIdle(d, 14*time.Second, func() bool { return countDone(d) < 8*jobs })
+	rec.runs(d.site, func(string) bool { return true })
+	return verdict{idle > 3*time.Second, fmt.Sprintf("nothing of %d jobs ran for %.2f s on end beside 40 empty workers (LOST)", jobs, idle.Seconds())}, nil
+}
+
+// owner returns the node that owns the shard, by what nodes tell each other.
+func (d *deployment) owner() *node {
+	for _, n := range d.nodes {
+		res, err := d.client.Post("http://"+n.peers+"/peer/v2/ping", "application/json", strings.NewReader("{}"))
+		if err != nil {
+			continue
+		}
+		var reply struct {
+			Owns []struct {
+				Shard string `json:"shard"`
+			} `json:"owns"`
+		}
+		err = json.NewDecoder(res.Body).Decode(&reply)
+		_ = res.Body.Close()
+		if err == nil && len(reply.Owns) > 0 {
+			return n
+		}
+	}
+	return nil
+}
--- a/review/_standin2/deployment.go
+++ b/review/_standin2/deployment.go
@@ -56,6 +56,8 @@
 	mu sync.Mutex
 	// unhealthy holds the addresses of the workers that refuse all starts.
 	unhealthy map[string]bool
+	// cutUntil is until when the workers at some addresses are cut off from all nodes.
+	cutUntil map[string]time.Time
 	// refusedStarts counts the starts that they have refused.
 	refusedStarts int
 	closed        bool
@@ -100,7 +102,7 @@
 		return nil, err
 	}
 	d := &deployment{
-		record: rec, dir: dir, program: program, platformAddresses: [3]string(addresses[:3]), unhealthy: make(map[string]bool),
+		record: rec, dir: dir, program: program, platformAddresses: [3]string(addresses[:3]), unhealthy: make(map[string]bool), cutUntil: make(map[string]time.Time),
 		client: &http.Client{Timeout: callDeadline + time.Second},
 	}
 	started.Store(d)
@@ -209,6 +211,15 @@
 		os.Exit(exitCannotRun)
 	}
 	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if cut := d.cutFor(address); cut > 0 {
+			// The call never arrives, and its caller hears nothing.
+			_, _ = io.Copy(io.Discard, r.Body)
+			select {
+			case <-r.Context().Done():
+			case <-time.After(cut):
+			}
+			panic(http.ErrAbortHandler)
+		}
 		if r.URL.Path == "/api/run-start" && d.refusesStart(address) {
 			// A 503 from an unhealthy worker, which has done nothing.
 			_, _ = io.Copy(io.Discard, r.Body)
@@ -230,6 +241,19 @@
 	}
 }
 
+// cut cuts a worker off from all nodes for some time. It runs on.
+func (d *deployment) cut(w *site.Worker, most time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cutUntil[w.Address] = time.Now().Add(most)
+}
+
+func (d *deployment) cutFor(address string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Until(d.cutUntil[address])
+}
+
 // maxEnds is how many ends a worker lists at once.
 const maxEnds = 500
 
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -45,6 +45,7 @@
 	"waiting":  runWaiting,
 	"label":    runLabel,
 	"cancel":   runCancel,
+	"silent":   runSilent,
 }
 
 func main() {
