--- a/review/_standin2/deployment.go
+++ b/review/_standin2/deployment.go
@@ -497,6 +497,9 @@
 	Constraints string `json:"Constraints,omitempty"`
 	LongRunning bool   `json:"LongRunning,omitempty"`
 	MayMiss     int    `json:"may_miss,omitempty"`
+	Gang        bool   `json:"Gang,omitempty"`
+	// AntiAffinity is how many tasks of the step one worker may run.
+	AntiAffinity int `json:"AntiAffinity,omitempty"`
 }
 
 // record is the file of what was sent, answered and run.
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -6,8 +6,8 @@
 //
 // Usage: stand CASE RECORD, from the root of the repository. TROUBLE=0 leaves the disruption out.
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. The cases
-// schedule, memory, cancel, quota, long, waiting, label and silent have no folder of their own; the
-// report tells of them.
+// schedule, memory, cancel, quota, long, reserve, public, waiting, label and silent
+// have no folder of their own; the report tells of them.
 package main
 
 import (
@@ -48,6 +48,8 @@
 	"cancel":   runCancel,
 	"silent":   runSilent,
 	"long":     runLong,
+	"reserve":  runReserve,
+	"public":   runPublic,
 	"quota":    runQuota,
 	"loop":     runLoop,
 	"flap":     runFlap,
