review: a job of long tasks never ends and stops others

Case 8 (LOST). 96 tasks of 200 s are taken for stalled after 1.3 s, since each percent takes 2 s, and all 48 workers are quarantined for up to 8 s at a time: over 500 starts in 70 s without an end, gaps of 8.0 s in which nothing of the job runs, and small jobs that wait for up to 7.8 s on empty workers.

--- a/review/_standin2/long.go
+++ b/review/_standin2/long.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"switchbank.example/switchbank/standin/site"
@@ -16,6 +17,7 @@
 		workers       = 48
 		width         = 96
 		cpuMilli      = 3500
+		perWorker     = 2
 		smallJobs     = 24
 		smallInterval = 1500 * time.Millisecond
 		// leadTime is how long the job of long tasks runs alone.
@@ -33,7 +35,7 @@
 		return verdict{}, err
 	}
 	ms := taskTime.Milliseconds()
-	if !d.submit(prefix+id(1), job{Spec: fmt.Sprintf("%d cpu=%d", ms, cpuMilli), Steps: []step{{Count: width, Cpu: cpuMilli, MemMb: 1024, EstimateMs: ms}}}) {
+	if !d.submit(prefix+id(1), job{Spec: fmt.Sprintf("%d cpu=%d", ms, cpuMilli), Steps: []step{{Count: width, Cpu: cpuMilli, MemMb: 1024, EstimateMs: ms, AntiAffinity: perWorker}}}) {
 		return verdict{}, errors.New("the job of long tasks was not accepted")
 	}
 	time.Sleep(leadTime)
@@ -49,11 +51,34 @@
 	waits := waitsForStart(d, acceptedAt)
 	inUse := mostInUse(d)
 	starts := countKind(d, id(1), site.EventStart)
+	gap := longestGap(d, id(1))
 	rec.line("at most %.1f of %d cores were in use", float64(inUse)/1000, workers*workerCPUMilli/1000)
 	rec.runs(d.site, func(string) bool { return true })
 	if 2*inUse >= workers*workerCPUMilli {
 		return verdict{false, "half of the service's capacity was in use"}, nil
 	}
-	return verdict{waits.over > 0, fmt.Sprintf("nothing of %d of %d accepted small jobs ran for over 3 s beside %d sound workers of which at most %.0f%% of the cores were in use (LOST), the longest wait was %.1f s; the %d long tasks were started %d times",
-		waits.over, len(acceptedAt), workers, 100*float64(inUse)/(workers*workerCPUMilli), waits.longest.Seconds(), width, starts)}, nil
+	return verdict{waits.over > 0 || gap > stallBound, fmt.Sprintf("nothing of %d of %d accepted small jobs ran for over 3 s, for up to %.1f s, beside %d sound workers of which at most %.0f%% of the cores were in use (LOST); the %d long tasks were started %d times, and nothing of them ran for up to %.1f s (LOST)",
+		waits.over, len(acceptedAt), waits.longest.Seconds(), workers, 100*float64(inUse)/(workers*workerCPUMilli), width, starts, gap.Seconds())}, nil
+}
+
+// longestGap returns for how long on end nothing of a job ran between two of its runs.
+func longestGap(d *deployment, id string) (longest time.Duration) {
+	running, idleSince := 0, time.Time{}
+	for _, e := range d.site.Events() {
+		if job, _, _ := strings.Cut(e.Task, "."); job != id {
+			continue
+		}
+		switch e.Kind {
+		case site.EventStart:
+			if running == 0 && !idleSince.IsZero() {
+				longest = max(longest, e.At.Sub(idleSince))
+			}
+			running++
+		case site.EventEnd, site.EventSuccess:
+			if running--; running == 0 {
+				idleSince = e.At
+			}
+		}
+	}
+	return longest
 }
