review: one lost answer of the store loses a job that moves between two shards

The answer to a move from shard 1 to shard 0 is lost; the job is moved back meanwhile, the first owner takes it for never moved and moves it again under a number that shard 0 ignores. The accepted job never runs, and is pending 20 s after all 200 workers are empty. It takes the place of the job of long tasks, which keeps its command.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,4 +8,4 @@
 	echo "target/switchbank or target/review-2/stand is missing: build first" >&2
 	exit 2
 fi
-exec target/review-2/stand long review/8/record.txt
+exec target/review-2/stand move review/8/record.txt
--- a/review/_standin2/deployment.go
+++ b/review/_standin2/deployment.go
@@ -52,6 +52,8 @@
 	platformAddresses [3]string
 	client            *http.Client
 	next              int
+	// losesAnswer reports whether the store's answer to a transaction is lost; nil: none is.
+	losesAnswer func(body []byte) bool
 	// key is the client's key, where calls need one.
 	key string
 
@@ -87,8 +89,13 @@
 	// label is the additional label of the first labelled workers.
 	label    string
 	labelled int
+	// rackLabels are additional labels of all workers of a rack, by its name.
+	rackLabels map[string]string
 }
 
+// hostCPUShare is the share of a core that each host has.
+var hostCPUShare = "0.4"
+
 // startDeployment starts the platform, the workers and the nodes, and waits until all nodes are ready.
 func startDeployment(program string, rec *record, routes []site.Route, plans ...workerPlan) (*deployment, error) {
 	dir, err := os.MkdirTemp("", "switchbank-review-")
@@ -123,6 +130,9 @@
 			if i < p.labelled {
 				cfg.Label = p.label
 			}
+			if label := p.rackLabels[cfg.Rack]; label != "" {
+				cfg.Label = label
+			}
 			d.workers = append(d.workers, d.site.AddWorker(cfg))
 		}
 	}
@@ -232,6 +242,19 @@
 			serveLimitedEnds(w, r, h)
 			return
 		}
+		if r.URL.Path == "/api/rows-tx" && d.losesAnswer != nil {
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				panic(http.ErrAbortHandler)
+			}
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			if d.losesAnswer(body) {
+				// The store does what it is asked, and its answer is lost.
+				h.ServeHTTP(httptest.NewRecorder(), r)
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
+		}
 		h.ServeHTTP(w, r)
 	}))
 	_ = srv.Listener.Close()
@@ -313,7 +336,7 @@
 		"{{Node}}", n.name, "{{Zone}}", n.dataCentre, "{{Listen.Front}}", n.callers, "{{Listen.Ready}}", n.ready, "{{Listen.Control}}", n.peers,
 		"{{Ip}}", "127.0.0.1", "{{PortRange.0}}", metricsPort, "{{Seeds|json}}", string(seedsJSON),
 		"{{platform.Address}}", d.platformAddresses[0], "{{advice}}", d.platformAddresses[1], "{{Cloud.Address}}", d.platformAddresses[2],
-		"{{Orders}}", "invocation", "{{Limits.MemoryMb}}", fmt.Sprint(memoryMB), "{{Limits.CpuShare}}", "0.4", "{{Limits.Cores}}", "1", "{{Limits.LinkMbps}}", "1000.0",
+		"{{Orders}}", "invocation", "{{Limits.MemoryMb}}", fmt.Sprint(memoryMB), "{{Limits.CpuShare}}", hostCPUShare, "{{Limits.Cores}}", "1", "{{Limits.LinkMbps}}", "1000.0",
 		"{{Bounds.HoldMaxMs}}", "10000", "{{Bounds.stop_ms}}", "200", "{{Bounds.GraceS}}", "6", "{{Bounds.status_s}}", "120",
 		"{{#Bounds.RevokeStrict}}true{{/Bounds.RevokeStrict}}{{^Bounds.RevokeStrict}}false{{/Bounds.RevokeStrict}}", "false",
 		"{{#Bounds.RevokeMs}}{{Bounds.RevokeMs}}{{/Bounds.RevokeMs}}{{^Bounds.RevokeMs}}5000{{/Bounds.RevokeMs}}", "5000",
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -6,7 +6,7 @@
 //
 // Usage: stand CASE RECORD, from the root of the repository. TROUBLE=0 leaves the disruption out.
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. The cases
-// schedule, memory, cancel, quota, reserve, public, waiting, label and silent
+// schedule, memory, long, cancel, quota, reserve, public, waiting, label and silent
 // have no folder of their own; the report tells of them.
 package main
 
@@ -48,6 +48,7 @@
 	"cancel":   runCancel,
 	"silent":   runSilent,
 	"long":     runLong,
+	"move":     runMove,
 	"reserve":  runReserve,
 	"public":   runPublic,
 	"quota":    runQuota,
