scheduler: visit each dependency of a job once

The slack of a step that finds no room was computed by a walk over every path from it to the end of the job, 2^(n-2) of them, with the owner's lock held.

The lengths of all paths are now computed in one pass over the steps and their dependencies, and kept for 50 ms. Which dependencies of a step are done is remembered, and the expected end of a step is computed once a round, not once for each step that waits for it.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -280,23 +280,10 @@
 		return
 	}
 	cost := st.job.spec.Policy.Advice.Duration(minWorkersPerCall * 2)
-	for _, k := range st.spec.After {
-		if !s.allEndWithin(now, st.repeat.steps[k], cost+prefetchSlack) {
+	for _, k := range st.openDependencies() {
+		if in, known := s.expectedEnd(now, st.repeat.steps[k]); !known || in > cost+prefetchSlack {
 			return
 		}
 	}
 	s.requestAdvice(now, st, st.spec.Count, false)
 }
-
-// allEndWithin reports whether all tasks of a step are expected to end within d.
-func (s *Shard) allEndWithin(now time.Time, st *step, d time.Duration) bool {
-	for _, t := range st.tasks {
-		if t.done {
-			continue
-		}
-		if len(t.runs) == 0 || s.remainingTime(now, t.runs[0]) > d {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -54,6 +54,7 @@
 type repeat struct {
 	due   time.Time
 	steps []*step
+	paths paths
 }
 
 // step is a step of one repeat.
@@ -64,6 +65,11 @@
 	spec   *cluster.Step
 	tasks  []*task
 	done   int
+	// depsDone is how many of the steps that it depends on, in the order of the specification,
+	// are known to be done.
+	depsDone int
+	// end is when its tasks are expected to have ended, as last computed.
+	end stepEnd
 	// lastGangRun is the highest run number that the gang has used.
 	lastGangRun int64
 	advice      advice
@@ -290,12 +296,7 @@
 	if st.job.isParticipant() {
 		return st.recentlyQueried(now)
 	}
-	for _, k := range st.spec.After {
-		if dep := st.repeat.steps[k]; dep.done < len(dep.tasks) {
-			return false
-		}
-	}
-	return true
+	return st.dependenciesDone()
 }
 
 // EndJob ends a job as cancelled or failed, as persisted for all of its shards: none of its
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -149,23 +149,6 @@
 	w.reserved[st] = res
 }
 
-// slack returns for how long a step may wait without making its job late.
-func (s *Shard) slack(now time.Time, st *step) time.Duration {
-	return st.job.rank.Due.Sub(now) - s.criticalPathFrom(st)
-}
-
-// criticalPathFrom returns how long the work from the start of a step to the end of its
-// job is expected to take.
-func (s *Shard) criticalPathFrom(st *step) time.Duration {
-	after := time.Duration(0)
-	for _, next := range st.repeat.steps {
-		if slices.Contains(next.spec.After, st.id.Step) {
-			after = max(after, s.criticalPathFrom(next))
-		}
-	}
-	return s.expectedTime(st) + after
-}
-
 // placement is room for one task on a worker, and in what time it will be free.
 type placement struct {
 	w  *worker
