scheduler: weigh the failures for which a worker is blamed

A worker is now blamed if the chance that its failures are the jobs' own is below 1 in 2,000, by the record of each job. A step whose tasks have failed for 1.5 s on three workers, or eight times, without a success or a run that outlives them by far, says nothing about workers: quarantines that rest on it end, and its runs are no probes. Its long-running tasks wait longer after each failure, up to 2.4 s.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -111,6 +111,7 @@
 	TeamPartGiven         = zap.String(Field, "SB1643")
 	DataCentresEvacuated  = zap.String(Field, "SB1644")
 	TakeoverWaits         = zap.String(Field, "SB1645")
+	StepAlwaysFails       = zap.String(Field, "SB1646")
 )
 
 // The events of nodes on a platform.
--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -56,7 +56,7 @@
 		return w
 	}
 	return s.bestWorker(now, t.step, nil, func(w *worker) bool {
-		return elsewhere(w) && w.health.sinceNewSuccess.failures == 0 && !w.health.probing
+		return elsewhere(w) && w.health.sinceNewSuccess.failures() == 0 && !w.health.probing
 	})
 }
 
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,14 +12,6 @@
 )
 
 const (
-	// quarantineFailures is how many failures without a success between them, of at least
-	// two jobs, quarantine a worker: if one job in fifty has a task that fails by its own
-	// fault, this happens on a healthy worker once in two thousand times.
-	quarantineFailures = 2
-	// quarantineNewFailures is the same without a success of a run that started after the
-	// failed ones. A worker that fails all new tasks within milliseconds still completes
-	// its old ones for a second, and so gets room for more and more.
-	quarantineNewFailures = 3
 	// minQuarantine and maxQuarantine bound how long a worker is quarantined: most faults
 	// of workers last some seconds, and each probe costs a failed run.
 	minQuarantine = 2 * time.Second
@@ -60,6 +53,8 @@
 	quarantinedAt, quarantinedUntil, restrictedSince time.Time
 	quarantineTime                                   time.Duration
 	cause                                            quarantineCause
+	// evidence are the failures for which the worker was quarantined.
+	evidence failureStreak
 	// probing is set from the quarantine until a success ends the probation. If tasks
 	// failed, only the success of a run that started since does.
 	probing bool
@@ -70,28 +65,6 @@
 	slowSteps map[*step]time.Time
 }
 
-// failureStreak counts failures without a success between them.
-type failureStreak struct {
-	failures int
-	// jobs are those whose runs failed.
-	jobs map[string]bool
-}
-
-// add counts the failure of a run of a job.
-func (f *failureStreak) add(job string) {
-	if f.jobs == nil {
-		f.jobs = make(map[string]bool)
-	}
-	f.jobs[job] = true
-	f.failures++
-}
-
-// blamesWorker reports whether there are at least so many failures, of more than one job,
-// so that the worker is the likely cause.
-func (f *failureStreak) blamesWorker(failures int) bool {
-	return f.failures >= failures && len(f.jobs) > 1
-}
-
 // recordSuccess resets the failure counts after a success, and reports whether that ends
 // the worker's probation. A run that started before one that failed does not show that the
 // worker is healthy now, and neither does one whose start is unknown.
@@ -100,14 +73,24 @@
 	if h.probing && h.cause == causeTasksFail && !h.startedSinceQuarantine(r) {
 		return false
 	}
-	if h.sinceNewSuccess.failures > 0 && (r == nil || !r.startedAt.After(h.lastFailedStart)) {
+	if h.sinceNewSuccess.failures() > 0 && (r == nil || !r.startedAt.After(h.lastFailedStart)) {
 		return false
 	}
 	probationOver = h.probing
+	h.sinceNewSuccess.chargeSteps()
 	h.sinceNewSuccess, h.probing, h.quarantineTime, h.proven = failureStreak{}, false, 0, true
 	return probationOver
 }
 
+// reconsider ends a quarantine for failures of a step that turned out to fail wherever it
+// runs, if the others don't suffice. The worker stays on probation.
+func (h *health) reconsider(now time.Time, rec *failureRecord) {
+	rests := slices.ContainsFunc(h.evidence.steps, func(e failedStep) bool { return e.rec == rec })
+	if rests && h.cause == causeTasksFail && now.Before(h.quarantinedUntil) && !h.evidence.blamesWorker(quarantineFailures) {
+		h.quarantinedUntil = now
+	}
+}
+
 // startedSinceQuarantine reports whether a run can show that the cause of the last
 // quarantine is gone: it started after the quarantine began.
 func (h *health) startedSinceQuarantine(r *run) bool {
@@ -152,7 +135,8 @@
 // acceptsTask reports whether the worker may be given another task. Successes of older
 // runs don't shorten a quarantine: a faulty worker may still complete its old tasks, and
 // would be given new ones while its fault lasts. While the worker is probed, each task has
-// to end, prove the worker healthy or run for maxProbeWait before the next one starts.
+// to end, prove the worker healthy or run for maxProbeWait before the next one starts. Tasks
+// that fail wherever they run prove nothing, and delay no others.
 func (h *health) acceptsTask(now time.Time, w *worker) bool {
 	if now.Before(h.quarantinedUntil) {
 		return false
@@ -161,7 +145,7 @@
 		return true
 	}
 	for _, r := range w.runs {
-		if h.startedSinceQuarantine(r) && !r.provesWorker(now) && now.Sub(r.startedAt) < maxProbeWait {
+		if h.startedSinceQuarantine(r) && !r.provesWorker(now) && !r.task.step.alwaysFails() && now.Sub(r.startedAt) < maxProbeWait {
 			return false
 		}
 	}
@@ -188,18 +172,31 @@
 	}
 }
 
-// workerFailed counts the failure of a run of a job against the worker; the run may be
-// nil.
-func (s *Shard) workerFailed(now time.Time, w *worker, r *run, job string) {
+// runFailed counts the failure of a run of a step against its worker and against the step; the
+// run may be nil.
+func (s *Shard) runFailed(now time.Time, w *worker, r *run, st *step) {
 	if r != nil && r.provesWorker(now) {
 		return
 	}
-	h := &w.health
+	ran := time.Duration(0)
+	if r != nil {
+		ran = now.Sub(r.startedAt)
+	}
+	st.ensureRecord().addFailure(now, w.info.ID, ran)
+	s.workerFailed(now, w, r, st)
+}
+
+// workerFailed counts the failure of a run of a step against its worker; the run may be nil.
+func (s *Shard) workerFailed(now time.Time, w *worker, r *run, st *step) {
+	h, rec := &w.health, st.ensureRecord()
+	h.sinceSuccess.add(rec)
+	h.sinceNewSuccess.add(rec)
+	if rec.alwaysFails {
+		return
+	}
 	if r != nil && r.startedAt.After(h.lastFailedStart) {
 		h.lastFailedStart = r.startedAt
 	}
-	h.sinceSuccess.add(job)
-	h.sinceNewSuccess.add(job)
 	h.proven = false
 	if (h.probing && h.startedSinceQuarantine(r)) || h.sinceSuccess.blamesWorker(quarantineFailures) || h.sinceNewSuccess.blamesWorker(quarantineNewFailures) {
 		s.quarantine(now, w, causeTasksFail)
@@ -218,8 +215,9 @@
 	}
 	h.quarantineTime = min(max(2*h.quarantineTime, minQuarantine), maxQuarantine)
 	h.quarantinedAt, h.quarantinedUntil, h.probing, h.cause = now, now.Add(h.quarantineTime), true, cause
+	h.evidence = h.sinceNewSuccess
 	s.counts.Quarantines++
 	s.log.Warn("worker quarantined", events.WorkerQuarantined, zap.String("worker", w.info.ID), zap.String("cause", string(cause)),
-		zap.Int("failures", h.sinceNewSuccess.failures), zap.Int("jobs", len(h.sinceNewSuccess.jobs)), zap.Duration("for", h.quarantineTime))
+		zap.Int("failures", h.sinceNewSuccess.failures()), zap.Int("steps", len(h.sinceNewSuccess.steps)), zap.Duration("for", h.quarantineTime))
 	h.sinceSuccess, h.sinceNewSuccess = failureStreak{}, failureStreak{}
 }
--- a/internal/scheduler/isolate.go
+++ b/internal/scheduler/isolate.go
@@ -183,7 +183,7 @@
 // compareForIsolation orders workers by how good they are for an isolated run. A failure
 // before the crash would tell nothing.
 func (w *worker) compareForIsolation(now time.Time, o *worker) int {
-	failures := func(w *worker) int { return w.health.sinceNewSuccess.failures }
+	failures := func(w *worker) int { return w.health.sinceNewSuccess.failures() }
 	uptime := func(w *worker) time.Duration { return min(w.uptime(now), longUptime) }
 	used := func(w *worker) float64 { return w.used.DominantShare(w.info.Capacity) }
 	return cmp.Or(cmp.Compare(failures(w), failures(o)), cmp.Compare(uptime(o), uptime(w)), cmp.Compare(used(w), used(o)))
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -44,6 +44,8 @@
 	failing bool
 	// skippedBatches is how many batches in a row have not included the job's changes.
 	skippedBatches int
+	// failures has a record of failures for each step that has any; nil: no step has.
+	failures []*failureRecord
 	// tasksLeft is how many tasks have not succeeded.
 	tasksLeft int
 	// forecast is the forecast that was made when the job was accepted; nil: there is none.
@@ -107,6 +109,8 @@
 	// takeover.
 	uncertain bool
 	notBefore time.Time
+	// failureDelay is for how long a long-running task was last delayed after a failure.
+	failureDelay time.Duration
 	// lostAt is the time at which the last run that was lost with its worker had ended; zero: none
 	// was lost.
 	lostAt time.Time
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -99,6 +99,7 @@
 		r.percent, r.percentChangedAt = e.Percent, now
 	}
 	r.latencyMS = e.Usage
+	noteSurvivor(now, r)
 	s.creditLongRunning(now, w, r)
 	s.clearSuspect(r)
 	if e.Checkpoint != "" {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -67,6 +67,9 @@
 	isolated bool
 	// credited is set once a long-running run has counted as a success of its worker.
 	credited bool
+	// survived is set once the run has counted as a success of its step, because it has run
+	// for far longer than those that failed.
+	survived bool
 }
 
 func (r *run) key() runKey { return runKey{r.task.id, r.number} }
@@ -200,12 +203,12 @@
 		return
 	case cluster.ReplyTicketInvalid:
 		r.task.step.advice.discardTicket(id)
-	case cluster.ReplyBusy, cluster.ReplyInvalid:
-		s.workerFailed(now, r.worker, r, r.task.id.Job)
-		if reply == cluster.ReplyBusy {
-			// An invalid order may be the fault of the job.
-			r.worker.busyUntil = now.Add(s.params.StopTime + busyWorkerDelay)
-		}
+	case cluster.ReplyBusy:
+		s.workerFailed(now, r.worker, r, r.task.step)
+		r.worker.busyUntil = now.Add(s.params.StopTime + busyWorkerDelay)
+	case cluster.ReplyInvalid:
+		// It may be the fault of the job.
+		s.runFailed(now, r.worker, r, r.task.step)
 	case cluster.ReplyNotSent:
 		s.HoldFailed(now, id, "connection not made")
 	case cluster.ReplyFenced, cluster.ReplyStaleRun, cluster.ReplyDeadlinePassed, cluster.ReplyNoRoom:
--- a/internal/scheduler/runend.go
+++ b/internal/scheduler/runend.go
@@ -19,6 +19,9 @@
 	// earlyFailureDelay keeps a long-running task that fails right after its start from
 	// being restarted with each round trip.
 	earlyFailureDelay = 300 * time.Millisecond
+	// maxEarlyFailureDelay bounds that delay, which doubles where all tasks of a step fail:
+	// they would take the place of others with each start.
+	maxEarlyFailureDelay = 2400 * time.Millisecond
 )
 
 // handleEnd processes a reported end of a run. The run may be unknown, for example one
@@ -76,6 +79,9 @@
 
 // taskSucceeded handles a success; the run may be nil.
 func (s *Shard) taskSucceeded(now time.Time, w *worker, r *run, t *task) {
+	if rec := t.step.record(); rec != nil {
+		rec.addSuccess()
+	}
 	s.workerSucceeded(now, w, r)
 	if r != nil && !r.resumed {
 		t.runTime = now.Sub(r.startedAt)
@@ -109,11 +115,9 @@
 	}
 	t.avoidWorker, t.avoidSince = w.info.ID, now
 	s.counts.Failed++
-	s.workerFailed(now, w, r, t.id.Job)
+	s.runFailed(now, w, r, st)
 	if st.spec.LongRunning {
-		if r != nil && now.Sub(r.startedAt) < earlyFailureWindow {
-			t.notBefore = now.Add(earlyFailureDelay)
-		}
+		t.delayAfterFailure(now, r)
 		return
 	}
 	t.failed = append(t.failed, n)
@@ -125,6 +129,21 @@
 	}
 }
 
+// delayAfterFailure delays the next start of a long-running task after a failure; the run may
+// be nil. The delay doubles while the task fails right after each start and all others of its
+// step do, too.
+func (t *task) delayAfterFailure(now time.Time, r *run) {
+	if r == nil || now.Sub(r.startedAt) >= earlyFailureWindow {
+		return
+	}
+	if t.step.alwaysFails() {
+		t.failureDelay = min(2*max(t.failureDelay, earlyFailureDelay), maxEarlyFailureDelay)
+	} else {
+		t.failureDelay = earlyFailureDelay
+	}
+	t.notBefore = now.Add(t.failureDelay)
+}
+
 // failJobIfOutOfAttempts fails the job of a task that has no attempt left, and reports
 // whether it did.
 func (s *Shard) failJobIfOutOfAttempts(now time.Time, t *task) bool {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -276,6 +276,7 @@
 	s.expireInDoubt(now)
 	s.forgetIncarnations(now)
 	s.checkProgress(now)
+	s.findFailingSteps(now)
 	s.detectLeavingWorkers(now)
 	s.stopOnLeavingWorkers(now)
 	s.paceBestEffortRuns(now)
