owner, cell: a job stays one job when its queue gets another service

A job was looked up, and kept from being accepted twice, by a pin in a part of the store that was named after the service that the queue has now.

The part follows from the job's ID alone now, and the pin names the service, in which the job stays. Rows of several services in one table are told apart by their keys. Waiting and the look-ups before a refusal ask all services, and services that have left the configuration are watched after a restart, too.

--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -114,7 +114,7 @@
 // storeParts returns the parts of the store: those of the jobs, that of the owners' rows
 // (""), and those of the shards' progress.
 func storeParts() []string {
-	parts := append(owner.JobParts("billing"), "")
+	parts := append(owner.JobParts(), "")
 	for i := range soakWorkers / soakWorkersPerShard {
 		parts = append(parts, owner.ProgressPart(cluster.ShardID{Service: "billing", Index: i}))
 	}
--- a/internal/cell/admit.go
+++ b/internal/cell/admit.go
@@ -150,7 +150,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, pinLookupTimeout)
 	defer cancel()
-	_, _, answer := n.lookUpPin(ctx, AllTeams, job.Service, job.ID)
+	_, _, answer := n.lookUpPin(ctx, AllTeams, job.ID)
 	return answer != AnswerNoJob
 }
 
--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -87,17 +87,17 @@
 }
 
 // State returns the state of a job that the viewer may see, from its owner or else from the
-// store.
+// store. The service is that of the job's queue now; the job may run in another one.
 func (n *Node) State(ctx context.Context, v Viewer, service, id string) (cluster.State, Answer) {
 	for _, shard := range n.likelyShards(service, id) {
 		if reply := n.stateFromOwner(ctx, shard, id); reply.Known {
 			return reply.visibleTo(v)
 		}
 	}
-	if n.store.down() || !n.partAnswers(ctx, "state", service, id) {
+	if n.store.down() || !n.partAnswers(ctx, "state", id) {
 		return "", AnswerRefused
 	}
-	pin, _, answer := n.lookUpPin(ctx, v, service, id)
+	pin, _, answer := n.lookUpPin(ctx, v, id)
 	if answer != AnswerOK {
 		return "", answer
 	}
@@ -141,7 +141,7 @@
 	return reply
 }
 
-// Cancel cancels a job that the viewer may see, durably.
+// Cancel cancels a job that the viewer may see, durably. The service is as for State.
 func (n *Node) Cancel(ctx context.Context, v Viewer, service, id string) Answer {
 	state, answer := n.State(ctx, v, service, id)
 	if answer != AnswerOK {
@@ -150,12 +150,12 @@
 	if state.Finished() {
 		return AnswerOK
 	}
-	part, maybeCommitted := owner.JobPart(service, id), false
+	part, maybeCommitted := owner.JobPart(id), false
 	for n.mayRetry(ctx) {
-		if !maybeCommitted && !n.partAnswers(ctx, "cancel", service, id) {
+		if !maybeCommitted && !n.partAnswers(ctx, "cancel", id) {
 			return AnswerRefused
 		}
-		shards, err := n.cancelOnce(ctx, v, service, id)
+		shards, err := n.cancelOnce(ctx, v, id)
 		if err == nil {
 			n.Log.Info("cancel accepted", events.CancelAccepted, zap.String("job", id), zap.String("state", string(state)), zap.Stringers("shards", shards))
 			for _, shard := range shards {
@@ -174,10 +174,10 @@
 
 // partAnswers reports whether a job's part of the store is expected to answer a call, and counts
 // the calls that end because it is not.
-func (n *Node) partAnswers(ctx context.Context, kind, service, id string) bool {
+func (n *Node) partAnswers(ctx context.Context, kind, id string) bool {
 	c, cancel := attemptContext(ctx)
 	defer cancel()
-	if n.store.partAnswers(c, owner.JobPart(service, id)) {
+	if n.store.partAnswers(c, owner.JobPart(id)) {
 		return true
 	}
 	n.countPartRefusal(kind)
@@ -186,10 +186,10 @@
 
 // cancelOnce looks up a job's shards and makes one attempt to write its cancellation to them. If
 // the outcome of the write is unknown, so is the kind of the error.
-func (n *Node) cancelOnce(ctx context.Context, v Viewer, service, id string) ([]cluster.ShardID, error) {
+func (n *Node) cancelOnce(ctx context.Context, v Viewer, id string) ([]cluster.ShardID, error) {
 	c, cancel := attemptContext(ctx)
 	defer cancel()
-	pin, row, answer := n.lookUpPin(c, v, service, id)
+	pin, row, answer := n.lookUpPin(c, v, id)
 	if answer != AnswerOK {
 		return nil, errNotCancelled("the job's pin can't be read: " + string(answer))
 	}
--- a/internal/cell/layout.go
+++ b/internal/cell/layout.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,8 +37,16 @@
 	return l, ok
 }
 
+// knownLayouts returns the layouts of all services that are or were in the configuration, by name.
+func (n *Node) knownLayouts() []cluster.Layout {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.SortedFunc(maps.Values(n.layouts), func(a, b cluster.Layout) int { return strings.Compare(a.Service, b.Service) })
+}
+
 // applyLayout records the layout of a service. The first one stays: it is written once and
-// never changes.
+// never changes. The service's shards are watched also if it isn't in the configuration any
+// more, since they may have jobs.
 func (n *Node) applyLayout(r tables.Row) {
 	var l cluster.Layout
 	if err := json.Unmarshal(r.Value, &l); err != nil || l.Shards < 1 || l.Shards > cluster.MaxShards || layoutPrefix+l.Service != r.Key {
@@ -51,6 +61,9 @@
 	n.mu.Unlock()
 	if !known {
 		n.Log.Info("layout in force", events.LayoutInForce, zap.String("service", l.Service), zap.Int("shards", l.Shards), zap.Int("racks", len(l.Racks)))
+		if n.Config() != nil {
+			n.watchService(l.Service)
+		}
 	}
 }
 
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -119,7 +119,7 @@
 		return stateReply{}, errNotOwner()
 	}
 	state, team, ok := o.JobState(q.ID)
-	return stateReply{Known: ok, State: state, Team: team, Unresolved: n.unresolved.Contains(unresolvedKey(q.Shard.Service, q.ID))}, nil
+	return stateReply{Known: ok, State: state, Team: team, Unresolved: n.unresolved.Contains(q.ID)}, nil
 }
 
 func (n *Node) handleWaiting(_ context.Context, q waitingQuery) (waitingReply, error) {
--- a/internal/cell/pins.go
+++ b/internal/cell/pins.go
@@ -138,9 +138,10 @@
 	return shards
 }
 
-// likelyShards returns the shards whose owners are asked first about a job.
+// likelyShards returns the shards whose owners are asked first about a job of a queue that has
+// the service now.
 func (n *Node) likelyShards(service, id string) []cluster.ShardID {
-	if pin, ok := n.pins.Get(id); ok && pin.Shards[0].Service == service {
+	if pin, ok := n.pins.Get(id); ok {
 		return pin.Shards[:1]
 	}
 	layout, ok := n.layout(service)
@@ -153,15 +154,15 @@
 
 // lookUpPin reads a job's pin from the store: the row that names the shards of its parts and
 // its team. A job that the viewer may not see doesn't exist for it.
-func (n *Node) lookUpPin(ctx context.Context, v Viewer, service, id string) (owner.Pin, tables.Row, Answer) {
-	row, found, err := tables.Get(ctx, n.store, owner.TablePins, owner.JobPart(service, id), id)
+func (n *Node) lookUpPin(ctx context.Context, v Viewer, id string) (owner.Pin, tables.Row, Answer) {
+	row, found, err := tables.Get(ctx, n.store, owner.TablePins, owner.JobPart(id), id)
 	if err != nil {
 		return owner.Pin{}, row, AnswerRefused
 	}
 	if !found {
 		return owner.Pin{}, row, AnswerNoJob
 	}
-	pin, err := owner.ParsePin(service, row)
+	pin, err := owner.ParsePin(row)
 	if err != nil {
 		n.Log.Warn("pin row skipped", events.RowSkipped, zap.String("job", id), zap.Error(err))
 		return owner.Pin{}, row, AnswerRefused
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -135,7 +135,7 @@
 // being accepted now, and not a job of another team with the same ID.
 func (n *Node) acceptedBefore(job *cluster.Job, current []tables.Row) bool {
 	for _, r := range current {
-		if pin, err := owner.ParsePin(job.Service, r); err == nil {
+		if pin, err := owner.ParsePin(r); err == nil {
 			return pin.Team == job.Team
 		}
 	}
--- a/internal/cell/unresolved.go
+++ b/internal/cell/unresolved.go
@@ -36,13 +36,10 @@
 	return c
 }
 
-// unresolvedKey is the key of a job of unknown outcome.
-func unresolvedKey(service, id string) string { return service + "/" + id }
-
 // noteUnresolved remembers that a job may have been accepted, here and at the owners of the
 // shards that may get it.
 func (n *Node) noteUnresolved(job *cluster.Job) {
-	n.unresolved.Add(unresolvedKey(job.Service, job.ID), struct{}{})
+	n.unresolved.Add(job.ID, struct{}{})
 	for _, shard := range n.likelyShards(job.Service, job.ID) {
 		n.notifyOwner(shard, func(*owner.Owner) {}, func(ctx context.Context, m member) error {
 			_, err := call[jobQuery, empty](ctx, n.peers, m.Address, pathUnresolved, jobQuery{shard, job.ID}, peerTimeout)
@@ -53,7 +50,7 @@
 
 // handleUnresolved remembers that a peer doesn't know whether a job was accepted.
 func (n *Node) handleUnresolved(_ context.Context, q jobQuery) (empty, error) {
-	n.unresolved.Add(unresolvedKey(q.Shard.Service, q.ID), struct{}{})
+	n.unresolved.Add(q.ID, struct{}{})
 	return empty{}, nil
 }
 
@@ -61,19 +58,31 @@
 // call may have: a job that was accepted, or may have been, is not refused, as far as this node
 // and the owners know.
 func (n *Node) answerUnsent(ctx context.Context, job *cluster.Job, cause string) Answer {
-	if pin, ok := n.pins.Get(job.ID); ok && pin.Shards[0].Service == job.Service && pin.Team == job.Team {
+	if pin, ok := n.pins.Get(job.ID); ok && pin.Team == job.Team {
 		return n.answerAccepted(job)
 	}
-	reply := n.askOwners(ctx, job.ID, n.likelyShards(job.Service, job.ID))
+	reply := n.askOwners(ctx, job.ID, n.possibleShards(job.Service, job.ID))
 	switch {
 	case reply.Known && reply.Team == job.Team:
 		return n.answerAccepted(job)
-	case reply.Unresolved || n.unresolved.Contains(unresolvedKey(job.Service, job.ID)):
+	case reply.Unresolved || n.unresolved.Contains(job.ID):
 		return n.answerUnknown(job.ID)
 	}
 	return n.refuse(job.ID, cause)
 }
 
+// possibleShards returns the shards whose owners may know of a job: those of its queue's service
+// first, and then those of all others, which the queue may have had when an earlier call came.
+func (n *Node) possibleShards(service, id string) []cluster.ShardID {
+	shards := n.likelyShards(service, id)
+	for _, layout := range n.knownLayouts() {
+		if layout.Service != service {
+			shards = append(shards, n.candidatesByLoad(&layout, id)...)
+		}
+	}
+	return shards
+}
+
 // askOwners asks the owners of shards about a job until one knows it. Unresolved is set in the
 // reply if any of those asked holds the job's outcome for unknown.
 func (n *Node) askOwners(ctx context.Context, id string, shards []cluster.ShardID) (reply stateReply) {
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -16,18 +16,29 @@
 // waitingTimeout bounds the query for the length of a queue.
 const waitingTimeout = 600 * time.Millisecond
 
-// Waiting returns how many jobs of a queue have not begun.
+// Waiting returns how many jobs of a queue have not begun. The service is that of the queue now;
+// jobs that were accepted while the queue had another one wait there, and aren't counted while
+// that one doesn't answer.
 func (n *Node) Waiting(ctx context.Context, service, queue string) (int, Answer) {
 	layout, ok := n.layout(service)
 	if !ok {
 		return 0, AnswerRefused
 	}
 	shards := layout.IDs()
+	for _, other := range n.knownLayouts() {
+		if other.Service != service {
+			shards = append(shards, other.IDs()...)
+		}
+	}
 	counts := make([]int, len(shards))
 	g, ctx := errgroup.WithContext(ctx)
 	for i, shard := range shards {
 		g.Go(func() (err error) {
 			counts[i], err = n.waitingInShard(ctx, shard, queue)
+			if err != nil && shard.Service != service {
+				n.Log.Info("failed to count jobs of queue in its earlier service", events.PeerLost, zap.String("queue", queue), zap.Stringer("shard", shard), zap.Error(err))
+				return nil
+			}
 			return err
 		})
 	}
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -34,17 +34,26 @@
 	maxRefusedPings = 2
 )
 
-// watchServices starts a watcher for each new service of the configuration.
+// watchServices starts a watcher for each new service of the configuration, and for those that
+// have a layout since an earlier configuration had them.
 func (n *Node) watchServices(services []cluster.Service) {
+	for _, s := range services {
+		n.watchService(s.Name)
+	}
+	for _, l := range n.knownLayouts() {
+		n.watchService(l.Service)
+	}
+}
+
+// watchService starts a watcher for a service unless there is one.
+func (n *Node) watchService(service string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, s := range services {
-		if n.watched[s.Name] {
-			continue
-		}
-		n.watched[s.Name] = true
-		n.group.Go(func() error { n.watchShards(n.ctx, s.Name); return nil })
+	if n.watched[service] {
+		return
 	}
+	n.watched[service] = true
+	n.group.Go(func() error { n.watchShards(n.ctx, service); return nil })
 }
 
 // watchShards checks the owners of a service's shards once its layout is known. One loop
--- a/internal/owner/applyloaded.go
+++ b/internal/owner/applyloaded.go
@@ -39,11 +39,12 @@
 	var ends []tables.Row
 	hasRow, n := make(map[string]bool, len(rows)), 0
 	for _, r := range rows {
-		hasRow[r.Key] = true
-		if _, ok := parseCancelKey(r.Key); ok {
+		id, cancel, _ := parseJobKey(o.cfg.Shard.Service, r.Key)
+		if cancel {
 			ends = append(ends, r)
 			continue
 		}
+		hasRow[id] = true
 		if o.applyLoadedJob(now, r, progress) {
 			n++
 		}
@@ -54,7 +55,7 @@
 		}
 	}
 	for _, r := range ends {
-		id, _ := parseCancelKey(r.Key)
+		id, _, _ := parseJobKey(o.cfg.Shard.Service, r.Key)
 		o.shard.EndJob(now, id, endState(r))
 	}
 	return n
@@ -82,14 +83,14 @@
 		return false
 	}
 	var p *scheduler.Progress
-	if pr, found := progress[r.Key]; found {
+	if pr, found := progress[job.ID]; found {
 		if p = o.decodeProgress(pr); p != nil && !p.IsCurrent(&job) {
 			// The progress is from before the job moved away and came back.
 			p = nil
 		}
 	}
 	if p != nil && p.State.Finished() {
-		o.deleteQueue.add(jobRows(o.cfg.Shard, r.Key)...)
+		o.deleteQueue.add(JobRow(o.cfg.Shard, job.ID), cancelRow(o.cfg.Shard, job.ID))
 	}
 	o.shard.AddJob(now, job, p, true)
 	if p != nil && p.Moving {
@@ -105,7 +106,7 @@
 	if err == nil {
 		err = job.Validate()
 	}
-	if err == nil && job.ID != r.Key {
+	if id, _, _ := parseJobKey(o.cfg.Shard.Service, r.Key); err == nil && job.ID != id {
 		err = &Error{"decode job", KindLoad, &cluster.Error{Op: "decode", Kind: cluster.KindInvalid, Field: "id"}}
 	}
 	if err != nil {
--- a/internal/owner/deleteloop.go
+++ b/internal/owner/deleteloop.go
@@ -25,7 +25,7 @@
 		forgottenJobs := o.shard.TakeForgottenJobs()
 		o.mu.Unlock()
 		for _, id := range forgottenJobs {
-			o.deleteQueue.add(pinRow(o.cfg.Shard, id))
+			o.deleteQueue.add(pinRow(id))
 		}
 		if rows := o.deleteQueue.takeBatch(); len(rows) > 0 {
 			o.deleteRows(ctx, rows)
--- a/internal/owner/failjob.go
+++ b/internal/owner/failjob.go
@@ -35,11 +35,11 @@
 // writeJobFailed makes one attempt to write the end of a job. A job without a pin is forgotten
 // already.
 func (o *Owner) writeJobFailed(ctx context.Context, id string) error {
-	pin, found, err := tables.Get(ctx, o.Tables, TablePins, JobPart(o.cfg.Shard.Service, id), id)
+	pin, found, err := tables.Get(ctx, o.Tables, TablePins, JobPart(id), id)
 	if err != nil || !found {
 		return err
 	}
-	p, err := ParsePin(o.cfg.Shard.Service, pin)
+	p, err := ParsePin(pin)
 	if err != nil {
 		return err
 	}
--- a/internal/owner/fallbackrows.go
+++ b/internal/owner/fallbackrows.go
@@ -25,10 +25,9 @@
 	return fallbackRequest(fallbackPrefix(shard) + id + "/")
 }
 
-// fallbackRequest lists the fallback rows whose keys have the prefix, which ends in a slash.
+// fallbackRequest lists the fallback rows whose keys have the prefix.
 func fallbackRequest(prefix string) tables.ListRequest {
-	const afterSlash = string('/' + 1)
-	return tables.ListRequest{Table: tableFallback, From: prefix, To: strings.TrimSuffix(prefix, "/") + afterSlash}
+	return tables.WithPrefix(tables.ListRequest{Table: tableFallback}, prefix)
 }
 
 // fallbackRow returns the fallback row of one change of a job.
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -89,10 +89,10 @@
 	o.group.Go(func() error {
 		g, ctx := errgroup.WithContext(ctx)
 		readSlots := make(chan struct{}, o.cfg.MaxParallelReads)
-		for _, part := range JobParts(o.cfg.Shard.Service) {
+		for _, part := range JobParts() {
 			g.Go(func() error {
 				defer acquireSlot(ctx, readSlots)()
-				rows, version, err := o.listWithRetry(ctx, tables.ListRequest{Table: TableJobs(o.cfg.Shard), Part: part})
+				rows, version, err := o.listWithRetry(ctx, tables.WithPrefix(tables.ListRequest{Table: TableJobs(o.cfg.Shard), Part: part}, jobKeyPrefix(o.cfg.Shard.Service)))
 				if err == nil {
 					partsRead <- jobPartRows{part, rows, version}
 				}
@@ -134,7 +134,7 @@
 	defer timeout.Stop()
 	timedOut := false
 	loaded.missingParts = make(map[string]bool, NumJobParts)
-	for _, part := range JobParts(o.cfg.Shard.Service) {
+	for _, part := range JobParts() {
 		loaded.missingParts[part] = true
 	}
 	for len(loaded.missingParts) > 0 && (!timedOut || len(loaded.missingParts) == NumJobParts) {
--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -223,11 +223,10 @@
 		o.Log.Error("moving job failed", events.JobMoved, zap.String("job", job.ID), zap.Error(err))
 		return false, err
 	}
-	part, from := JobPart(job.Service, job.ID), TableJobs(o.cfg.Shard)
 	txn.If[0].Version = pin.Version
-	txn.If = append(txn.If, tables.Row{Table: from, Part: part, Key: job.ID + cancelSuffix})
+	txn.If = append(txn.If, cancelRow(o.cfg.Shard, job.ID))
 	if job.ShardID() != o.cfg.Shard {
-		txn.Remove = []tables.Row{{Table: from, Part: part, Key: job.ID}}
+		txn.Remove = []tables.Row{JobRow(o.cfg.Shard, job.ID)}
 	}
 	res, err := o.Tables.Commit(ctx, txn)
 	// No earlier attempt is pending, so a refusal is final.
@@ -249,14 +248,14 @@
 
 // readPinOnce is readPin without retries.
 func (o *Owner) readPinOnce(ctx context.Context, id string) (pin tables.Row, found bool, err error) {
-	row, ok, err := tables.Get(ctx, o.Tables, TablePins, JobPart(o.cfg.Shard.Service, id), id)
+	row, ok, err := tables.Get(ctx, o.Tables, TablePins, JobPart(id), id)
 	return row, err == nil && ok && o.isPinnedHere(row), err
 }
 
 // isPinnedHere reports whether a job's pin names only this shard. An unreadable pin counts as
 // such, since the job's row is in this shard, and is replaced.
 func (o *Owner) isPinnedHere(row tables.Row) bool {
-	pin, err := ParsePin(o.cfg.Shard.Service, row)
+	pin, err := ParsePin(row)
 	if err != nil {
 		o.Log.Warn("unreadable pin is replaced", events.RowSkipped, zap.String("job", row.Key), zap.Error(err))
 		return true
@@ -285,7 +284,7 @@
 // teamOf returns the team of a job by its pin. A pin that can't be read is replaced by the owner
 // that has the job.
 func (o *Owner) teamOf(id string, row tables.Row) string {
-	if pin, err := ParsePin(o.cfg.Shard.Service, row); err == nil {
+	if pin, err := ParsePin(row); err == nil {
 		return pin.Team
 	}
 	o.mu.Lock()
@@ -313,7 +312,8 @@
 // still known here.
 func (o *Owner) reloadJointJob(ctx context.Context, id string) {
 	for ctx.Err() == nil {
-		row, found, err := tables.Get(ctx, o.Tables, TableJobs(o.cfg.Shard), JobPart(o.cfg.Shard.Service, id), id)
+		key := JobRow(o.cfg.Shard, id)
+		row, found, err := tables.Get(ctx, o.Tables, key.Table, key.Part, key.Key)
 		switch {
 		case err != nil:
 			tables.Sleep(ctx, moveRetryDelay)
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -90,7 +90,7 @@
 	for _, r := range batch.Records {
 		o.deleteQueue.add(o.fallback.removeRows(r.Job)...)
 		if r.Final {
-			o.deleteQueue.add(jobRows(o.cfg.Shard, r.Job)...)
+			o.deleteQueue.add(JobRow(o.cfg.Shard, r.Job), cancelRow(o.cfg.Shard, r.Job))
 		}
 	}
 }
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -28,7 +28,8 @@
 	jobsPrefix    = "jobs-"
 )
 
-// TableJobs returns the table of a shard's jobs.
+// TableJobs returns the table of a shard's jobs. Shards of the same index of several services
+// share it, since the store has few tables; their keys begin with the service.
 func TableJobs(shard cluster.ShardID) string { return jobsPrefix + strconv.Itoa(shard.Index) }
 
 // NumJobParts is the number of parts over which the accepted jobs of a service are spread. A
@@ -42,37 +43,55 @@
 // digits.
 const cancelSuffix = ".cancel"
 
-// JobPart returns the part of a job's rows. It depends only on the service and the ID, so that
-// a job that is submitted twice is accepted once, whichever shard a node would choose for it.
-func JobPart(service, id string) string {
-	return partName(service, int(xxhash.Sum64String(id)%NumJobParts))
-}
+// JobPart returns the part of a job's rows. It depends only on the ID, so that a job that is
+// submitted twice is accepted once, whichever shard a node would choose for it, and whichever
+// service its queue has by then.
+func JobPart(id string) string { return partName(int(xxhash.Sum64String(id) % NumJobParts)) }
 
-// partName returns the name of a service's i-th part.
-func partName(service string, i int) string { return service + "-" + strconv.Itoa(i) }
+// partName returns the name of the i-th part.
+func partName(i int) string { return "job-" + strconv.Itoa(i) }
 
-// JobParts returns all parts of a service's jobs.
-func JobParts(service string) []string {
+// JobParts returns all parts of the jobs.
+func JobParts() []string {
 	parts := make([]string, NumJobParts)
 	for i := range parts {
-		parts[i] = partName(service, i)
+		parts[i] = partName(i)
 	}
 	return parts
 }
 
-// jobRows returns rows with only the table, part and key of a job and its cancel.
-func jobRows(shard cluster.ShardID, id string) []tables.Row {
-	table, part := TableJobs(shard), JobPart(shard.Service, id)
-	return []tables.Row{{Table: table, Part: part, Key: id}, {Table: table, Part: part, Key: id + cancelSuffix}}
+// JobRow returns a row with only the table, part and key of a job in a shard.
+func JobRow(shard cluster.ShardID, id string) tables.Row {
+	return tables.Row{Table: TableJobs(shard), Part: JobPart(id), Key: jobKeyPrefix(shard.Service) + id}
+}
+
+// cancelRow is JobRow for the job's cancel.
+func cancelRow(shard cluster.ShardID, id string) tables.Row {
+	row := JobRow(shard, id)
+	row.Key += cancelSuffix
+	return row
+}
+
+// jobKeyPrefix returns the prefix of the keys of a service's jobs.
+func jobKeyPrefix(service string) string { return service + "/" }
+
+// parseJobKey returns the job that a row in TableJobs names, and whether the row is its cancel;
+// ok is false for a row of another service.
+func parseJobKey(service, key string) (id string, cancel, ok bool) {
+	id, ok = strings.CutPrefix(key, jobKeyPrefix(service))
+	id, cancel = strings.CutSuffix(id, cancelSuffix)
+	return id, cancel, ok
 }
 
 // pinRow returns a row with only the table, part and key of a job's pin.
-func pinRow(shard cluster.ShardID, id string) tables.Row {
-	return tables.Row{Table: TablePins, Part: JobPart(shard.Service, id), Key: id}
+func pinRow(id string) tables.Row {
+	return tables.Row{Table: TablePins, Part: JobPart(id), Key: id}
 }
 
 // pinValue is the value of a job's row in TablePins.
 type pinValue struct {
+	// Service is the service that runs the job, and stays when its queue gets another one.
+	Service string `json:"service"`
 	// Shards has one index for each part of the job; the first one leads the job.
 	Shards []int `json:"shards"`
 	// Team is the team to which the job belongs; empty if it came without a token.
@@ -90,8 +109,7 @@
 // commit if the job was accepted before.
 func AcceptJobTxn(parts []cluster.Job) (tables.Txn, error) {
 	job := parts[0]
-	part := JobPart(job.Service, job.ID)
-	txn := tables.Txn{If: []tables.Row{{Table: TablePins, Part: part, Key: job.ID}}}
+	txn := tables.Txn{If: []tables.Row{pinRow(job.ID)}}
 	var shards []cluster.ShardID
 	for _, j := range parts {
 		value, err := json.Marshal(j)
@@ -99,7 +117,9 @@
 			return tables.Txn{}, &Error{"accept job", KindLoad, err}
 		}
 		shards = append(shards, j.ShardID())
-		txn.Put = append(txn.Put, tables.Row{Table: TableJobs(j.ShardID()), Part: part, Key: job.ID, Value: value})
+		row := JobRow(j.ShardID(), job.ID)
+		row.Value = value
+		txn.Put = append(txn.Put, row)
 	}
 	txn.Put = append(txn.Put, newPinRow(job.ID, Pin{shards, job.Team}))
 	return txn, nil
@@ -107,7 +127,7 @@
 
 // newPinRow returns the pin that says which shards have the parts of a job.
 func newPinRow(id string, pin Pin) tables.Row {
-	p := pinValue{Team: pin.Team}
+	p := pinValue{Service: pin.Shards[0].Service, Team: pin.Team}
 	for _, s := range pin.Shards {
 		p.Shards = append(p.Shards, s.Index)
 	}
@@ -115,24 +135,24 @@
 	if err != nil {
 		panic("owner: a pin holds only numbers and a name: " + err.Error())
 	}
-	row := pinRow(pin.Shards[0], id)
+	row := pinRow(id)
 	row.Value = value
 	return row
 }
 
 // ParsePin reads a job's row in TablePins.
-func ParsePin(service string, row tables.Row) (Pin, error) {
+func ParsePin(row tables.Row) (Pin, error) {
 	var p pinValue
 	err := json.Unmarshal(row.Value, &p)
-	if err == nil && (len(p.Shards) == 0 || slices.Min(p.Shards) < 0) {
-		err = errors.New("names no shard")
+	if err == nil && (p.Service == "" || len(p.Shards) == 0 || slices.Min(p.Shards) < 0) {
+		err = errors.New("names no shard of a service")
 	}
 	if err != nil {
 		return Pin{}, &Error{"parse pin of " + row.Key, KindLoad, err}
 	}
 	pin := Pin{Shards: make([]cluster.ShardID, len(p.Shards)), Team: p.Team}
 	for i, index := range p.Shards {
-		pin.Shards[i] = cluster.ShardID{Service: service, Index: index}
+		pin.Shards[i] = cluster.ShardID{Service: p.Service, Index: index}
 	}
 	return pin, nil
 }
@@ -164,7 +184,8 @@
 	}
 	txn := tables.Txn{If: []tables.Row{pin}}
 	for _, shard := range shards {
-		row := tables.Row{Table: TableJobs(shard), Part: pin.Part, Key: pin.Key + cancelSuffix, Value: value}
+		row := cancelRow(shard, pin.Key)
+		row.Value = value
 		txn.Put = append(txn.Put, row)
 	}
 	return txn
@@ -186,9 +207,6 @@
 	return cluster.StateCancelled
 }
 
-// parseCancelKey returns the job ID in a key; ok is true if the key is that of a cancel.
-func parseCancelKey(key string) (id string, ok bool) { return strings.CutSuffix(key, cancelSuffix) }
-
 // stateOf returns the state in a progress row.
 func stateOf(row tables.Row) cluster.State {
 	p, err := scheduler.ParseProgress(row.Value, row.Version)
--- a/internal/owner/unreadparts.go
+++ b/internal/owner/unreadparts.go
@@ -23,11 +23,11 @@
 }
 
 // takePart removes a part and returns its progress and its rows.
-func (u *unreadParts) takePart(service, part string) (progress map[string]tables.Row, rows []tables.Row) {
+func (u *unreadParts) takePart(part string) (progress map[string]tables.Row, rows []tables.Row) {
 	delete(u.parts, part)
 	progress = make(map[string]tables.Row)
 	for id, r := range u.progress {
-		if JobPart(service, id) == part {
+		if JobPart(id) == part {
 			progress[id] = r
 			delete(u.progress, id)
 		}
@@ -43,7 +43,7 @@
 
 // mayBeUnread reports whether a job lies in a part that has not been read. The caller holds mu.
 func (o *Owner) mayBeUnread(id string) bool {
-	return o.unreadParts.parts[JobPart(o.cfg.Shard.Service, id)]
+	return o.unreadParts.parts[JobPart(id)]
 }
 
 // applyLateParts applies the jobs of parts that answer after the load.
@@ -65,7 +65,7 @@
 func (o *Owner) applyLatePart(p jobPartRows) {
 	o.mu.Lock()
 	now := time.Now()
-	progress, newer := o.unreadParts.takePart(o.cfg.Shard.Service, p.part)
+	progress, newer := o.unreadParts.takePart(p.part)
 	jobs := o.applyLoadedJobs(now, append(p.rows, newer...), progress)
 	o.shard.JobsRead(now)
 	o.rewriteFallbackJobs()
--- a/matrix/site/admission_test.go
+++ b/matrix/site/admission_test.go
@@ -128,7 +128,7 @@
 			t.Fatalf("%d jobs were accepted, %d refused", len(accepted), len(refused))
 		}
 		for _, id := range refused {
-			if env.site.Store.Value(owner.TablePins, owner.JobPart(service, id), id) != nil {
+			if env.site.Store.Value(owner.TablePins, owner.JobPart(id), id) != nil {
 				t.Errorf("refused job %s has a row in the store", id)
 			}
 		}
@@ -166,7 +166,7 @@
 		}
 		env.overload()
 		onlyStored := fmt.Sprintf("%016x", 0xb0)
-		env.site.Store.PutRaw(owner.TablePins, owner.JobPart(service, onlyStored), onlyStored, []byte(`{"shards":[0]}`))
+		env.site.Store.PutRaw(owner.TablePins, owner.JobPart(onlyStored), onlyStored, []byte(`{"service":"`+service+`","shards":[0]}`))
 		if r := env.submitOnce("n1", onlyStored, wideStep()); r.status != http.StatusOK {
 			t.Errorf("a job that only the store knows is answered with %+v", r)
 		}
@@ -184,7 +184,7 @@
 		defer env.close()
 		env.overload()
 		id := fmt.Sprintf("%016x", 0xb0)
-		env.site.Store.SetUnavailableParts(owner.JobPart(service, id))
+		env.site.Store.SetUnavailableParts(owner.JobPart(id))
 		r := env.submitOnce("n1", id, wideStep())
 		env.site.Store.SetUnavailableParts()
 		if r.status != http.StatusGatewayTimeout {
--- a/matrix/site/corruptrows_test.go
+++ b/matrix/site/corruptrows_test.go
@@ -27,7 +27,7 @@
 // corruptRows returns the rows that a node reads, except for the directory's.
 func corruptRows() []corruptRow {
 	shard := cluster.ShardID{Service: service}
-	part := owner.JobPart(service, corruptJobID)
+	part := owner.JobPart(corruptJobID)
 	return []corruptRow{
 		{"the configuration", "op", "", "config", "succeeded"},
 		{"a member's row", "cell", "", "node/n0", "succeeded"},
@@ -38,7 +38,7 @@
 		{"the parts of limits that were given", owner.TableProgress, owner.ProgressPart(shard), "!teams", "succeeded"},
 		{"the job's pin", owner.TablePins, part, corruptJobID, "succeeded"},
 		{"the job's progress", owner.TableProgress, owner.ProgressPart(shard), corruptJobID, "succeeded"},
-		{"the job's row", owner.TableJobs(shard), part, corruptJobID, "running"},
+		{"the job's row", owner.TableJobs(shard), part, owner.JobRow(shard, corruptJobID).Key, "running"},
 	}
 }
 
--- a/matrix/site/faults_test.go
+++ b/matrix/site/faults_test.go
@@ -127,7 +127,7 @@
 // everyThirdJobPart returns every third of the store's parts that hold the rows of jobs.
 func everyThirdJobPart() []string {
 	var parts []string
-	for i, p := range owner.JobParts(service) {
+	for i, p := range owner.JobParts() {
 		if i%3 == 0 {
 			parts = append(parts, p)
 		}
--- a/matrix/site/input_test.go
+++ b/matrix/site/input_test.go
@@ -109,8 +109,8 @@
 			env.site.Store.PutRaw("cell", "", "node/"+key, []byte(bad))
 			env.site.Store.PutRaw("cell", "", "owner/"+key, []byte(bad))
 			env.site.Store.PutRaw("cell", "", "layout/"+key, []byte(bad))
-			env.site.Store.PutRaw(owner.TablePins, owner.JobPart(service, key), key, []byte(bad))
-			env.site.Store.PutRaw(owner.TableJobs(shard0), owner.JobPart(service, key), key, []byte(bad))
+			env.site.Store.PutRaw(owner.TablePins, owner.JobPart(key), key, []byte(bad))
+			env.site.Store.PutRaw(owner.TableJobs(shard0), owner.JobPart(key), owner.JobRow(shard0, key).Key, []byte(bad))
 			env.site.Store.PutRaw(owner.TableProgress, owner.ProgressPart(shard0), key, []byte(bad))
 		}
 		time.Sleep(2 * time.Second)
--- a/matrix/site/movemark_test.go
+++ b/matrix/site/movemark_test.go
@@ -45,8 +45,8 @@
 // pinnedShard returns the shard that the job's pin names.
 func (env *testEnv) pinnedShard() cluster.ShardID {
 	env.t.Helper()
-	value := env.site.Store.Value(owner.TablePins, owner.JobPart(service, movingID), movingID)
-	pin, err := owner.ParsePin(service, tables.Row{Key: movingID, Value: value})
+	value := env.site.Store.Value(owner.TablePins, owner.JobPart(movingID), movingID)
+	pin, err := owner.ParsePin(tables.Row{Key: movingID, Value: value})
 	if err != nil || len(pin.Shards) != 1 {
 		env.t.Fatalf("the pin holds %s: %v", value, err)
 	}
@@ -83,7 +83,7 @@
 		defer env.close()
 		time.Sleep(2 * time.Second)
 		env.submitDelayedAndKillAll()
-		shard, part := env.pinnedShard(), owner.JobPart(service, movingID)
+		shard, part := env.pinnedShard(), owner.JobPart(movingID)
 		before := env.site.Store.Version(owner.TablePins, part, movingID)
 		env.markMoving(shard)
 		env.restartNodes()
@@ -119,9 +119,9 @@
 // completeMove rewrites the job's rows as the second write of a move does.
 func (env *testEnv) completeMove(from, to cluster.ShardID) {
 	env.t.Helper()
-	part := owner.JobPart(service, movingID)
+	row := owner.JobRow(from, movingID)
 	var job cluster.Job
-	if err := json.Unmarshal(env.site.Store.Value(owner.TableJobs(from), part, movingID), &job); err != nil {
+	if err := json.Unmarshal(env.site.Store.Value(row.Table, row.Part, row.Key), &job); err != nil {
 		env.t.Fatal(err)
 	}
 	job.Shard, job.Moves = to.Index, job.Moves+1
@@ -132,5 +132,5 @@
 	for _, row := range txn.Put {
 		env.site.Store.PutRaw(row.Table, row.Part, row.Key, row.Value)
 	}
-	env.site.Store.RemoveIn(owner.TableJobs(from), part, movingID)
+	env.site.Store.RemoveIn(row.Table, row.Part, row.Key)
 }
--- a/matrix/site/moveunavailable_test.go
+++ b/matrix/site/moveunavailable_test.go
@@ -29,13 +29,13 @@
 		// Jobs that were submitted together are moved in reverse order, so the second half blocks
 		// the first.
 		for _, id := range ids[len(ids)/2:] {
-			unavailable = append(unavailable, owner.JobPart(service, id))
+			unavailable = append(unavailable, owner.JobPart(id))
 		}
 		env.site.Store.SetUnavailableParts(unavailable...)
 		env.site.AddWorker(site.WorkerConfig{Rack: "r1-3", Label: "rare", CPUMilli: workerCores, MemoryMB: 32000})
 		time.Sleep(endsWithin)
 		for _, id := range ids {
-			if n, _ := env.starts(id); n != 1 && !slices.Contains(unavailable, owner.JobPart(service, id)) {
+			if n, _ := env.starts(id); n != 1 && !slices.Contains(unavailable, owner.JobPart(id)) {
 				t.Errorf("job %s was started %d times within %v, want once: its part of the store is available", id, n, endsWithin)
 			}
 		}
--- a/matrix/site/partoutage_test.go
+++ b/matrix/site/partoutage_test.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		slowest = max(slowest, a.took)
-		if env.site.Store.Version(owner.TablePins, owner.JobPart(service, a.id), a.id) != 0 {
+		if env.site.Store.Version(owner.TablePins, owner.JobPart(a.id), a.id) != 0 {
 			env.t.Errorf("job %s was refused and is accepted", a.id)
 		}
 		if a.took > maxRefusalTime {
@@ -184,7 +184,7 @@
 				env := newEnv(t)
 				defer env.close()
 				time.Sleep(4 * time.Second)
-				part := owner.JobParts(service)[7]
+				part := owner.JobParts()[7]
 				ids := jobIDsWhere(func(p string) bool { return p == part }, burst)
 				end := outage(env, part)
 				began := time.Now()
@@ -237,7 +237,7 @@
 				env := newEnv(t)
 				defer env.close()
 				time.Sleep(4 * time.Second)
-				part := owner.JobParts(service)[7]
+				part := owner.JobParts()[7]
 				ids := jobIDsWhere(func(p string) bool { return p == part }, 1+cellNodes)
 				id := ids[0]
 				body := env.encodeJob("300 cpu=100", stepBody{Count: 1, CPU: 100, MemoryMB: 10, EstimateMS: 300})
@@ -307,7 +307,7 @@
 		env.site.Store.SetFaults(site.StoreFaults{Late: 1, LateBy: 500 * time.Millisecond})
 		time.AfterFunc(50*time.Millisecond, func() {
 			env.site.Store.SetFaults(site.StoreFaults{})
-			env.site.Store.SetResetParts(owner.JobPart(service, id))
+			env.site.Store.SetResetParts(owner.JobPart(id))
 		})
 		time.AfterFunc(time.Second, func() { env.site.Store.SetResetParts() })
 		sentAt := time.Now()
@@ -332,7 +332,7 @@
 				env := newEnv(t)
 				defer env.close()
 				time.Sleep(4 * time.Second)
-				part := owner.JobParts(service)[7]
+				part := owner.JobParts()[7]
 				ids := jobIDsWhere(func(p string) bool { return p == part }, 4)
 				env.submitTo("n0", "batch", ids[0], "30000 cpu=100", stepBody{Count: 1, CPU: 100, MemoryMB: 10, EstimateMS: 30_000})
 				end := outage(env, part)
--- a/matrix/site/parts_test.go
+++ b/matrix/site/parts_test.go
@@ -137,7 +137,7 @@
 	chain := jobIDsWhere(func(part string) bool { return slices.Contains(unavailable, part) }, 1)[0]
 	env.submitChain(chain)
 	time.Sleep(unavailableFor / 2)
-	unavailable = append(unavailable, owner.JobPart(service, env.longRunningJobID()))
+	unavailable = append(unavailable, owner.JobPart(env.longRunningJobID()))
 	env.site.Store.SetUnavailableParts(unavailable...)
 	restart := kill(env)
 	time.Sleep(unavailableFor / 3)
@@ -214,7 +214,7 @@
 func jobIDsWhere(match func(part string) bool, n int) []string {
 	var ids []string
 	for i := 0xc000; len(ids) < n; i++ {
-		if id := fmt.Sprintf("%016x", i); match(owner.JobPart(service, id)) {
+		if id := fmt.Sprintf("%016x", i); match(owner.JobPart(id)) {
 			ids = append(ids, id)
 		}
 	}
--- a/matrix/site/removal_test.go
+++ b/matrix/site/removal_test.go
@@ -52,7 +52,7 @@
 	time.Sleep(removedWithin)
 	env.checkStatuses(ids, http.StatusGone)
 	for _, id := range ids {
-		part := owner.JobPart(service, id)
+		part := owner.JobPart(id)
 		if env.site.Store.Version(owner.TablePins, part, id) != 0 {
 			t.Errorf("job %s still has a pin", id)
 		}
@@ -61,7 +61,7 @@
 			if env.site.Store.Version(owner.TableProgress, owner.ProgressPart(shard), id) != 0 {
 				t.Errorf("the progress of job %s is still in shard %s", id, shard)
 			}
-			if env.site.Store.Version(owner.TableJobs(shard), part, id) != 0 {
+			if env.site.Store.Version(owner.TableJobs(shard), part, owner.JobRow(shard, id).Key) != 0 {
 				t.Errorf("job %s is still in shard %s", id, shard)
 			}
 		}
--- a/matrix/site/shards_test.go
+++ b/matrix/site/shards_test.go
@@ -92,7 +92,7 @@
 // the owners of both shards.
 func (env *testEnv) sendLateAcceptance(ids []string) {
 	for _, id := range ids {
-		version := env.site.Store.Version(owner.TablePins, owner.JobPart(service, id), id)
+		version := env.site.Store.Version(owner.TablePins, owner.JobPart(id), id)
 		for shard := range 2 {
 			body, err := json.Marshal(struct {
 				Job     cluster.Job `json:"job"`
