scheduler: a takeover waits until each worker has listed all of its ends

A worker lists at most 500 ends at a time, and the first list counted as the whole one for the takeover.

A worker counts as known once it has sent a list that isn't full; it sends the next one once the last is confirmed. The same holds for starts in doubt after a worker's restart.

--- a/internal/scheduler/endlist_test.go
+++ b/internal/scheduler/endlist_test.go
@@ -16,7 +16,6 @@
 // whose part of the store is unavailable keeps all later ends of the worker from being
 // confirmed, so that 500 gather within a minute.
 func TestFullEndListDoesNotMeanRunIsLost(t *testing.T) {
-	const listed = 500
 	r := newRig(t, 1)
 	r.upsertWorkers()
 	r.shard.AddJob(r.now, batch("j", tasks(1, 500)), nil, false)
@@ -25,7 +24,7 @@
 		t.Fatal("the task does not run")
 	}
 	var ends []cluster.RunEnd
-	for n := range int64(listed) {
+	for n := range int64(listedEnds) {
 		ends = append(ends, cluster.RunEnd{N: n + 1, Task: cluster.TaskID{Job: "old", Index: int(n)}, Run: 1, Outcome: cluster.OutcomeDone})
 	}
 	starts := 0
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -145,12 +145,23 @@
 
 // resolveInDoubt drops the runs in doubt of a worker once its present incarnation has
 // answered an order of its own generation: its report lists those that it accepted, which
-// are adopted from there, and it refuses the others from now on.
-func (s *Shard) resolveInDoubt(now time.Time, id string) {
-	for _, r := range s.inDoubt[id] {
-		s.dropInDoubt(now, r, "another incarnation has answered")
+// are adopted from there, and it refuses the others from now on. Those that a report with a full
+// list of ends doesn't name may have ended, and stay in doubt.
+func (s *Shard) resolveInDoubt(now time.Time, w *worker, report reportedRuns) {
+	id := w.info.ID
+	if len(s.inDoubt[id]) == 0 {
+		return
+	}
+	s.inDoubt[id] = slices.DeleteFunc(s.inDoubt[id], func(r *run) bool {
+		resolved := report.complete || report.runs[r.key()]
+		if resolved {
+			s.dropInDoubt(now, r, "another incarnation has answered")
+		}
+		return resolved
+	})
+	if len(s.inDoubt[id]) == 0 {
+		delete(s.inDoubt, id)
 	}
-	delete(s.inDoubt, id)
 }
 
 // inDoubtStartReplied takes a late reply to a start that was sent to an incarnation that
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -12,7 +12,8 @@
 )
 
 // maxListedEnds is how many ends a worker lists in one report. After a full list there
-// may be more, so that a run which is missing from it may have ended.
+// may be more, so that a run which is missing from it may have ended. The next ones are listed
+// once these are confirmed.
 const maxListedEnds = 500
 
 // Observe processes a worker's report, the answer to the hold with that number. Reports of
@@ -30,15 +31,46 @@
 	}
 	first := !w.answered
 	w.answered, w.answeredSinceLoad = true, true
+	if first && w.generation > 1 && w.started != 0 {
+		w.inDoubtLeaseEnd = now.Add(s.params.MaxLease + leaseMargin)
+	}
+	reported := runsOf(report)
+	if !w.endsKnown {
+		s.resolveInDoubt(now, w, reported)
+		w.endsKnown = reported.complete
+	}
+	s.observeRuns(now, w, report)
+	if reported.complete {
+		s.dropUnlisted(now, w, seq, reported.runs)
+	}
+	s.recomputeUsed(w)
 	if first {
-		s.resolveInDoubt(now, id)
-		if w.generation > 1 && w.started != 0 {
-			w.inDoubtLeaseEnd = now.Add(s.params.MaxLease + leaseMargin)
-		}
+		s.log.Info("worker taken over", events.WorkerTakenOver, zap.String("worker", id), zap.Int64("epoch", s.params.Epoch), zap.Int("runs", len(w.runs)))
+	}
+}
+
+// reportedRuns are the runs that a report names.
+type reportedRuns struct {
+	runs map[runKey]bool
+	// complete is set if the report names all runs that run or whose ends are unconfirmed.
+	complete bool
+}
+
+// runsOf returns the runs that a report names.
+func runsOf(report cluster.Report) reportedRuns {
+	r := reportedRuns{make(map[runKey]bool, len(report.Running)+len(report.Ended)), len(report.Ended) < maxListedEnds}
+	for _, e := range report.Ended {
+		r.runs[runKey{e.Task, e.Run}] = true
+	}
+	for _, e := range report.Running {
+		r.runs[runKey{e.Task, e.Run}] = true
 	}
-	listed := make(map[runKey]bool, len(report.Running)+len(report.Ended))
+	return r
+}
+
+// observeRuns processes the ends that are new in a report, and then all that runs.
+func (s *Shard) observeRuns(now time.Time, w *worker, report cluster.Report) {
 	for _, e := range report.Ended {
-		listed[runKey{e.Task, e.Run}] = true
 		if e.N > w.lastEnd {
 			w.lastEnd = e.N
 			s.receiveEnd(now, w, e)
@@ -46,16 +78,8 @@
 	}
 	clear(w.unknownRuns)
 	for _, e := range report.Running {
-		listed[runKey{e.Task, e.Run}] = true
 		s.observeRun(now, w, e)
 	}
-	if len(report.Ended) < maxListedEnds {
-		s.dropUnlisted(now, w, seq, listed)
-	}
-	s.recomputeUsed(w)
-	if first {
-		s.log.Info("worker taken over", events.WorkerTakenOver, zap.String("worker", id), zap.Int64("epoch", s.params.Epoch), zap.Int("runs", len(w.runs)))
-	}
 }
 
 // resolveIncarnation reports whether a worker's answer is from the known incarnation, by
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -39,11 +39,16 @@
 	confirmedEnd int64
 	lastEnd      int64
 	silent       bool
+	// started is when its incarnation started; 0: it doesn't tell.
+	started int64
 }
 
 // unlimitedBytes exceeds the size of every batch in the tests.
 const unlimitedBytes = 1 << 20
 
+// listedEnds is how many ends a worker lists in one report.
+const listedEnds = 500
+
 const testLease = 8 * time.Second
 
 func newRig(t *testing.T, workers int) *rig {
@@ -114,7 +119,7 @@
 		}
 		f.ended = slices.DeleteFunc(f.ended, func(e cluster.RunEnd) bool { return e.N <= f.confirmedEnd })
 		r.shard.Observe(r.now, id, seq, cluster.Report{
-			ClockMS: r.now.UnixMilli(), Running: slices.Clone(f.running), Ended: slices.Clone(f.ended),
+			ClockMS: r.now.UnixMilli(), Running: slices.Clone(f.running), Ended: slices.Clone(f.ended[:min(len(f.ended), listedEnds)]), Started: f.started,
 		})
 	}
 }
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -13,8 +13,9 @@
 )
 
 // takeover is what a new owner does not know yet. Tasks of the jobs that it has loaded
-// may run, or have ended, on any worker that has not answered. They wait until every
-// worker has answered or can't be running them any more.
+// may run, or have ended, on any worker that has not answered, or has more ends than it lists
+// at a time. They wait until every worker has listed all ends or can't be running them any
+// more.
 type takeover struct {
 	// open is set until everything is known, or the leases that earlier owners granted have expired.
 	open bool
@@ -30,7 +31,7 @@
 	expected       map[string]bool
 	// loggedAt is when the log last told what the takeover waits for.
 	loggedAt time.Time
-	// complete is set once every worker has answered, even if the takeover ended before:
+	// complete is set once every worker has listed all ends, even if the takeover ended before:
 	// then all is known that an earlier owner started. Until then a worker may still
 	// report more.
 	complete bool
@@ -56,7 +57,7 @@
 // updateTakeover ends the takeover once nothing is uncertain.
 func (s *Shard) updateTakeover(now time.Time) {
 	if !s.takeover.open {
-		// A takeover that ended by time is complete once the last worker has answered.
+		// A takeover that ended by time is complete once the last worker has listed all.
 		s.takeover.complete = s.takeover.complete || s.allKnown()
 		return
 	}
@@ -80,7 +81,8 @@
 
 // TakeoverWait is what a takeover that is not complete waits for, and what it holds back.
 type TakeoverWait struct {
-	// Workers is how many workers haven't answered, and Example names one of them.
+	// Workers is how many workers haven't listed all of their runs and ends, and Example names one
+	// of them.
 	Workers int
 	Example string
 	// Tasks is how many tasks wait since they may run on these workers.
@@ -92,7 +94,7 @@
 	if !s.takeover.open {
 		return wait
 	}
-	for id := range s.unansweredWorkers() {
+	for id := range s.unlistedWorkers() {
 		wait.Workers++
 		wait.Example = id
 	}
@@ -174,23 +176,26 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(s.workerList, func(w *worker) bool { return !w.answeredSinceLoad && !s.leaseExpired(now, w) })
+	// A worker that answers lists the rest of its ends, whatever becomes of its lease.
+	return slices.ContainsFunc(s.workerList, func(w *worker) bool {
+		return !w.endsKnown && (w.responsive() || !s.leaseExpired(now, w))
+	})
 }
 
-// allKnown reports whether the workers alive are known, and all have answered.
-func (s *Shard) allKnown() bool { return s.takeover.machinesListed && s.allAnswered() }
+// allKnown reports whether the workers alive are known, and all have listed their runs and ends.
+func (s *Shard) allKnown() bool { return s.takeover.machinesListed && s.allListed() }
 
-// allAnswered reports whether every worker that is known or expected has answered.
-func (s *Shard) allAnswered() bool {
-	for range s.unansweredWorkers() {
+// allListed reports whether every worker that is known or expected has listed its runs and ends.
+func (s *Shard) allListed() bool {
+	for range s.unlistedWorkers() {
 		return false
 	}
 	return true
 }
 
-// unansweredWorkers iterates over the IDs of the workers that are known or expected, and have not
-// answered since the shard was loaded.
-func (s *Shard) unansweredWorkers() iter.Seq[string] {
+// unlistedWorkers iterates over the IDs of the workers that are known or expected, and have not
+// listed all of their runs and ends since the shard was loaded.
+func (s *Shard) unlistedWorkers() iter.Seq[string] {
 	return func(yield func(id string) bool) {
 		for id := range s.takeover.expected {
 			if s.workers[id] == nil && !yield(id) {
@@ -198,7 +203,7 @@
 			}
 		}
 		for _, w := range s.workerList {
-			if !w.answeredSinceLoad && !yield(w.info.ID) {
+			if !w.endsKnown && !yield(w.info.ID) {
 				return
 			}
 		}
--- a/internal/scheduler/unread.go
+++ b/internal/scheduler/unread.go
@@ -27,7 +27,7 @@
 func (s *Shard) JobsRead(now time.Time) {
 	s.takeover.open, s.takeover.complete, s.takeover.jobsLoadedAt = true, false, now
 	for _, w := range s.workerList {
-		w.answeredSinceLoad = false
+		w.answeredSinceLoad, w.endsKnown = false, false
 		ends := w.unreadEnds
 		w.unreadEnds = nil
 		for _, e := range ends {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -36,8 +36,10 @@
 	// answered is set once the worker has accepted this owner's fence; only then is all
 	// that runs there known.
 	answered bool
-	// answeredSinceLoad is set once the worker has answered since jobs were last loaded.
+	// answeredSinceLoad is set once the worker has answered since jobs were last loaded, so that
+	// all that runs there is known, and endsKnown once it has listed all ends since then, too.
 	answeredSinceLoad bool
+	endsKnown         bool
 	// silent is set while the last hold has failed.
 	silent      bool
 	silentSince time.Time
