scheduler: a job leaves a shard that can't run it after any number of moves

Jobs that needed a label stayed pending for good beside a shard that could run them: while that shard was full they moved to the other one, which had no worker with the label, and back, and after eight moves they moved no more, wherever they were.

The limit of eight holds for moves for want of room only. A job that its shard can't run moves on, at once through all shards twice and then after pauses of 0.5 to 32 s.

TestUnfitJobIsStuckAfterManyMoves failed before and passes.

--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -36,8 +36,12 @@
 	moveGangDelay = 4 * time.Second
 	// moveMinLoad is the load from which jobs move away for lack of room.
 	moveMinLoad = 1.0
-	// maxMoves is how often a job may move.
+	// maxMoves is how often a job may move, unless its shard can never run it.
 	maxMoves = 8
+	// unfitMoveDelay is the pause before each further move of a job that its shards can't run,
+	// and doubles up to maxUnfitMoveDelay: such a job may fit nowhere.
+	unfitMoveDelay    = 500 * time.Millisecond
+	maxUnfitMoveDelay = 32 * time.Second
 	// jointDelay is how long a gang that fits its shard only while little else runs there
 	// waits before all shards run it together.
 	jointDelay = 1500 * time.Millisecond
@@ -94,6 +98,12 @@
 		unfit := s.unfitStep(j)
 		joint := s.shouldBeJoint(now, j, unfit)
 		spread := s.params.Shards > 1 && !joint && unfit == nil && j.gangWaits(now, spreadDelay)
+		if unfit != nil && !joint && now.Sub(j.offeredAt) < s.unfitDelay(j.spec.Moves) {
+			continue
+		}
+		if unfit == nil && j.spec.Moves >= maxMoves {
+			continue
+		}
 		if unfit != nil || joint || spread || (!j.begun && s.load >= moveMinLoad && j.waitsTooLong(now)) {
 			list = append(list, moveCandidate{j, unfit != nil, joint, spread})
 		}
@@ -120,10 +130,10 @@
 }
 
 // mayMove reports whether the job is not split over shards, nothing of it may be running,
-// and it has moves left. It does not move while its progress is being written, since that
+// and no other write of it is under way. It does not move while its progress is being written, since that
 // write would replace the mark.
 func (s *Shard) mayMove(j *job) bool {
-	if j.moving || s.dirty[j.spec.ID] != nil || !j.spec.Share.Whole() || j.spec.Moves >= maxMoves || j.mayBeRunning() {
+	if j.moving || s.dirty[j.spec.ID] != nil || !j.spec.Share.Whole() || j.mayBeRunning() {
 		return false
 	}
 	return !j.inherited || s.takeover.complete
@@ -142,6 +152,16 @@
 	return false
 }
 
+// unfitDelay returns how long a job that this shard can't run stays before it moves on, after a
+// number of moves. The first ones, which take it through all shards twice, are not delayed.
+func (s *Shard) unfitDelay(moves int) time.Duration {
+	further := moves - max(maxMoves, 2*s.params.Shards)
+	if further < 0 {
+		return 0
+	}
+	return min(unfitMoveDelay<<min(further, 10), maxUnfitMoveDelay)
+}
+
 // movedJob is what is remembered of a job that moved to another shard.
 type movedJob struct {
 	// moves is the job's number of moves when it left.
--- a/internal/scheduler/move_test.go
+++ b/internal/scheduler/move_test.go
@@ -161,3 +161,25 @@
 		t.Errorf("%d of %d jobs were offered to other shards: %v", len(offered), jobs, offered)
 	}
 }
+
+// TestUnfitJobIsStuckAfterManyMoves guards against an accepted job that stays for good in a shard
+// that can't run it: it had used up its moves on its way between a full shard and another one.
+func TestUnfitJobIsStuckAfterManyMoves(t *testing.T) {
+	r := newRig(t, 2)
+	r.upsertWorkers()
+	r.runFor(time.Second)
+	for moves, within := range map[int]time.Duration{0: 0, 7: 0, 8: time.Second, 9: 2 * time.Second, 40: time.Minute} {
+		job := unplaceableJob(fmt.Sprintf("j%d", moves))
+		job.Moves = moves
+		r.shard.AddJob(r.now, job, nil, false)
+		if got := r.shard.BeginMoves(r.now, 1); (len(got) == 1) != (within == 0) {
+			t.Errorf("after %d moves %d jobs move at once", moves, len(got))
+		}
+		r.shard.CancelMove(job.ID)
+		r.now = r.now.Add(within)
+		if got := r.shard.BeginMoves(r.now, 1); len(got) != 1 || !got[0].Unfit {
+			t.Errorf("after %d moves and %v the moves are %+v, want the job that can't run here", moves, within, got)
+		}
+		r.shard.EndJob(r.now, job.ID, cluster.StateCancelled)
+	}
+}
