owner, scheduler: a job that came back isn't taken for one that never moved

It had come back when its owner looked the outcome up; the pin named the owner's shard, as if the job had never left. The owner kept the old number of moves, and the other shard ignored its next move as an old row.

The pin now has the number of moves, which only rises, and tells the two apart. A row of a later move replaces the job that is still taken for moving, also while an answer is only slow, and the end of an earlier move changes nothing of a job that came back.

TestJobThatCameBackIsAdded failed before.

--- a/internal/cell/pins.go
+++ b/internal/cell/pins.go
@@ -126,7 +126,7 @@
 
 // pinOf returns the pin of a job, given as its parts.
 func pinOf(parts []cluster.Job) owner.Pin {
-	return owner.Pin{Shards: shardsOf(parts), Team: parts[0].Team}
+	return owner.Pin{Shards: shardsOf(parts), Team: parts[0].Team, Moves: parts[0].Moves}
 }
 
 // shardsOf returns the shards of a job's parts.
--- a/internal/owner/applyloaded.go
+++ b/internal/owner/applyloaded.go
@@ -94,7 +94,7 @@
 	}
 	o.shard.AddJob(now, job, p, true)
 	if p != nil && p.Moving {
-		o.group.Go(func() error { o.resolveMarkedJob(o.ctx, job.ID); return nil })
+		o.group.Go(func() error { o.resolveMarkedJob(o.ctx, &job); return nil })
 	}
 	return true
 }
--- a/internal/owner/feed.go
+++ b/internal/owner/feed.go
@@ -53,7 +53,7 @@
 			s.EndJob(now, id, endState(r))
 			continue
 		}
-		if s.HasJob(id) {
+		if s.HasJob(id) && !s.IsMoving(id) {
 			continue
 		}
 		job, ok := o.decodeJob(r)
--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -65,7 +65,7 @@
 		for _, m := range moves {
 			to, ok := o.destination(&m, load)
 			if !ok {
-				o.keepJob(m.Job.ID)
+				o.keepJob(&m.Job)
 				continue
 			}
 			wg.Go(func() { o.moveJob(ctx, m, to) })
@@ -95,23 +95,25 @@
 }
 
 // keepJob lets a job start here because no better shard was found.
-func (o *Owner) keepJob(id string) {
-	o.updateShard(func(s *scheduler.Shard, _ time.Time) { s.CancelMove(id) })
+func (o *Owner) keepJob(job *cluster.Job) {
+	o.updateShard(func(s *scheduler.Shard, _ time.Time) { s.CancelMove(job.ID, job.Moves) })
 }
 
 // keepMarkedJob lets a job start here that may have been marked as moving, and replaces the
-// mark.
-func (o *Owner) keepMarkedJob(id string) {
+// mark. moves is how often the job had moved before.
+func (o *Owner) keepMarkedJob(id string, moves int) {
 	o.updateShard(func(s *scheduler.Shard, _ time.Time) {
-		s.CancelMove(id)
-		s.MarkDirty(id)
+		if s.CancelMove(id, moves) {
+			s.MarkDirty(id)
+		}
 	})
 }
 
-// forgetMovedJob drops a job that has moved to another shard, and deletes its mark.
-func (o *Owner) forgetMovedJob(id string) {
+// forgetMovedJob drops a job that has moved to another shard, and deletes its mark. moves is how
+// often it had moved before. If it has come back, the feed shows its row.
+func (o *Owner) forgetMovedJob(id string, moves int) {
 	mark := ProgressRow(o.cfg.Shard, id)
-	o.updateShard(func(s *scheduler.Shard, now time.Time) { mark.Version = s.CompleteMove(now, id) })
+	o.updateShard(func(s *scheduler.Shard, now time.Time) { mark.Version = s.CompleteMove(now, id, moves) })
 	if mark.Version > 0 {
 		o.deleteQueue.add(mark)
 	}
@@ -121,24 +123,24 @@
 // job has to stay. It reads the pin once and doesn't retry: the next moves wait for it, and
 // nothing of the job starts here meanwhile.
 func (o *Owner) moveJob(ctx context.Context, m scheduler.Move, to cluster.ShardID) {
-	pin, here, err := o.readPinOnce(ctx, m.Job.ID)
+	pin, here, err := o.readPinOnce(ctx, &m.Job)
 	if !here {
 		if ctx.Err() == nil {
 			o.Log.Warn("moving job failed", events.JobMoved, zap.String("job", m.Job.ID),
-				zap.String("cause", "its pin names another shard, or can't be read"), zap.Error(err))
-			o.keepJob(m.Job.ID)
+				zap.String("cause", "its pin names another shard or a later move, or can't be read"), zap.Error(err))
+			o.keepJob(&m.Job)
 		}
 		return
 	}
 	if !o.writeMark(ctx, m) {
-		o.keepMarkedJob(m.Job.ID)
+		o.keepMarkedJob(m.Job.ID, m.Job.Moves)
 		return
 	}
 	parts := o.movedParts(m, to)
 	moved, err := o.commitMove(ctx, parts, pin)
 	if err != nil && tables.IsUnknown(err) {
 		o.group.Go(func() error {
-			o.finishMove(ctx, parts, m, !o.resolveMove(ctx, m.Job.ID), err)
+			o.finishMove(ctx, parts, m, !o.resolveMove(ctx, &m.Job), err)
 			return nil
 		})
 		return
@@ -168,12 +170,12 @@
 		zap.Int("shards", len(parts)), zap.Bool("moved", moved), zap.Bool("unfit", m.Unfit), zap.Int("moves", job.Moves), zap.Error(err))
 	switch {
 	case !moved:
-		o.keepMarkedJob(job.ID)
+		o.keepMarkedJob(job.ID, m.Job.Moves)
 		return
 	case m.Joint:
 		o.updateShard(func(s *scheduler.Shard, _ time.Time) { s.SetJoint(job) })
 	default:
-		o.forgetMovedJob(job.ID)
+		o.forgetMovedJob(job.ID, m.Job.Moves)
 	}
 	o.Shards.JobMoved(parts)
 }
@@ -234,10 +236,10 @@
 }
 
 // readPin reads a job's pin and retries until that succeeds; found is false if the pin doesn't
-// name this shard.
-func (o *Owner) readPin(ctx context.Context, id string) (pin tables.Row, found bool) {
+// name this shard, or does so after more moves.
+func (o *Owner) readPin(ctx context.Context, job *cluster.Job) (pin tables.Row, found bool) {
 	for ctx.Err() == nil {
-		pin, found, err := o.readPinOnce(ctx, id)
+		pin, found, err := o.readPinOnce(ctx, job)
 		if err == nil {
 			return pin, found
 		}
@@ -247,31 +249,32 @@
 }
 
 // readPinOnce is readPin without retries.
-func (o *Owner) readPinOnce(ctx context.Context, id string) (pin tables.Row, found bool, err error) {
-	row, ok, err := tables.Get(ctx, o.Tables, TablePins, JobPart(id), id)
-	return row, err == nil && ok && o.isPinnedHere(row), err
+func (o *Owner) readPinOnce(ctx context.Context, job *cluster.Job) (pin tables.Row, found bool, err error) {
+	row, ok, err := tables.Get(ctx, o.Tables, TablePins, JobPart(job.ID), job.ID)
+	return row, err == nil && ok && o.isPinnedHere(row, job.Moves), err
 }
 
-// isPinnedHere reports whether a job's pin names only this shard. An unreadable pin counts as
-// such, since the job's row is in this shard, and is replaced.
-func (o *Owner) isPinnedHere(row tables.Row) bool {
+// isPinnedHere reports whether a job's pin names only this shard, after the given number of
+// moves. An unreadable pin counts as such, since the job's row is in this shard, and is replaced.
+func (o *Owner) isPinnedHere(row tables.Row, moves int) bool {
 	pin, err := ParsePin(row)
 	if err != nil {
 		o.Log.Warn("unreadable pin is replaced", events.RowSkipped, zap.String("job", row.Key), zap.Error(err))
 		return true
 	}
-	return len(pin.Shards) == 1 && pin.Shards[0] == o.cfg.Shard
+	return len(pin.Shards) == 1 && pin.Shards[0] == o.cfg.Shard && pin.Moves == moves
 }
 
 // resolveMove reports whether a marked job has stayed in this shard. If so, its pin has got a
-// new version, so that a pending move can't take effect any more.
-func (o *Owner) resolveMove(ctx context.Context, id string) bool {
+// new version, so that a pending move can't take effect any more. A pin that names this shard
+// after more moves shows that the job has left and come back.
+func (o *Owner) resolveMove(ctx context.Context, job *cluster.Job) bool {
 	for ctx.Err() == nil {
-		seen, here := o.readPin(ctx, id)
+		seen, here := o.readPin(ctx, job)
 		if !here {
 			return false
 		}
-		row := newPinRow(id, Pin{[]cluster.ShardID{o.cfg.Shard}, o.teamOf(id, seen)})
+		row := newPinRow(job.ID, Pin{[]cluster.ShardID{o.cfg.Shard}, o.teamOf(job.ID, seen), job.Moves})
 		res, err := o.Tables.Commit(ctx, tables.Txn{If: []tables.Row{seen}, Put: []tables.Row{row}})
 		if err == nil && res.Committed {
 			return true
@@ -293,24 +296,24 @@
 }
 
 // resolveMarkedJob finds out where a job is that an earlier owner marked as moving.
-func (o *Owner) resolveMarkedJob(ctx context.Context, id string) {
-	stayed := o.resolveMove(ctx, id)
+func (o *Owner) resolveMarkedJob(ctx context.Context, job *cluster.Job) {
+	id, stayed := job.ID, o.resolveMove(ctx, job)
 	if ctx.Err() != nil {
 		return
 	}
 	o.Log.Info("move resolved", events.JobMoved, zap.String("job", id), zap.Stringer("from", o.cfg.Shard), zap.Bool("moved", !stayed))
 	if stayed {
-		o.keepMarkedJob(id)
+		o.keepMarkedJob(id, job.Moves)
 		return
 	}
-	o.forgetMovedJob(id)
-	o.reloadJointJob(ctx, id)
+	o.forgetMovedJob(id, job.Moves)
+	o.reloadMovedJob(ctx, id)
 }
 
-// reloadJointJob adds a job again that has left this shard as a job of one shard, but only to
-// be run by all shards together: the feed may have shown its new row while the old job was
+// reloadMovedJob adds a job again that has left this shard, but has come back since, or left only
+// to be run by all shards together: the feed may have shown its new row while the old job was
 // still known here.
-func (o *Owner) reloadJointJob(ctx context.Context, id string) {
+func (o *Owner) reloadMovedJob(ctx context.Context, id string) {
 	for ctx.Err() == nil {
 		key := JobRow(o.cfg.Shard, id)
 		row, found, err := tables.Get(ctx, o.Tables, key.Table, key.Part, key.Key)
@@ -322,7 +325,7 @@
 			return
 		}
 		if job, ok := o.decodeJob(row); ok {
-			o.updateShard(func(s *scheduler.Shard, now time.Time) { s.AddJob(now, job, nil, true) })
+			o.updateShard(func(s *scheduler.Shard, now time.Time) { s.AddJob(now, job, nil, false) })
 		}
 		return
 	}
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -86,6 +86,8 @@
 	Service string `json:"service"`
 	// Shards has one index for each part of the job; the first one leads the job.
 	Shards []int `json:"shards"`
+	// Moves is how often the job had moved when the pin last changed its shards.
+	Moves int `json:"moves,omitempty"`
 	// Team is the team to which the job belongs; empty if it came without a token.
 	Team string `json:"team,omitempty"`
 }
@@ -95,6 +97,9 @@
 	// Shards has one shard for each part of the job; the first one leads the job.
 	Shards []cluster.ShardID
 	Team   string
+	// Moves is how often the job has moved. It only rises, so that it tells a job that never left
+	// a shard from one that has come back.
+	Moves int
 }
 
 // AcceptJobTxn returns the transaction that accepts a job, given as its parts. It does not
@@ -113,13 +118,13 @@
 		row.Value = value
 		txn.Put = append(txn.Put, row)
 	}
-	txn.Put = append(txn.Put, newPinRow(job.ID, Pin{shards, job.Team}))
+	txn.Put = append(txn.Put, newPinRow(job.ID, Pin{shards, job.Team, job.Moves}))
 	return txn, nil
 }
 
 // newPinRow returns the pin that says which shards have the parts of a job.
 func newPinRow(id string, pin Pin) tables.Row {
-	p := pinValue{Service: pin.Shards[0].Service, Team: pin.Team}
+	p := pinValue{Service: pin.Shards[0].Service, Team: pin.Team, Moves: pin.Moves}
 	for _, s := range pin.Shards {
 		p.Shards = append(p.Shards, s.Index)
 	}
@@ -142,7 +147,7 @@
 	if err != nil {
 		return Pin{}, &Error{"parse pin of " + row.Key, KindLoad, err}
 	}
-	pin := Pin{Shards: make([]cluster.ShardID, len(p.Shards)), Team: p.Team}
+	pin := Pin{Shards: make([]cluster.ShardID, len(p.Shards)), Team: p.Team, Moves: p.Moves}
 	for i, index := range p.Shards {
 		pin.Shards[i] = cluster.ShardID{Service: p.Service, Index: index}
 	}
--- a/internal/scheduler/blocked_test.go
+++ b/internal/scheduler/blocked_test.go
@@ -485,7 +485,7 @@
 	add("stayed")
 	r.runFor(time.Second)
 	r.shard.BeginMoves(r.now, perRound)
-	r.shard.CancelMove("stayed")
+	r.shard.CancelMove("stayed", 0)
 	offered := 0
 	for i := range 50 {
 		for k := range perRound {
@@ -495,10 +495,10 @@
 		for _, m := range r.shard.BeginMoves(r.now, perRound) {
 			if m.Job.ID == "stayed" {
 				offered++
-				r.shard.CancelMove("stayed")
+				r.shard.CancelMove("stayed", 0)
 				continue
 			}
-			r.shard.CompleteMove(r.now, m.Job.ID)
+			r.shard.CompleteMove(r.now, m.Job.ID, m.Job.Moves)
 		}
 	}
 	if offered == 0 {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -174,13 +174,18 @@
 	return latest
 }
 
-// AddJob adds an accepted job. progress is what an earlier owner persisted, or nil. Tasks
+// AddJob adds an accepted job. One that is known stays as it is, unless the row shows that it has
+// moved away and come back. progress is what an earlier owner persisted, or nil. Tasks
 // of an uncertain job may already be running somewhere. So may, while the takeover is
 // open, those of a job that was accepted for an earlier owner, which may not have known
 // yet that it had been replaced.
 func (s *Shard) AddJob(now time.Time, spec cluster.Job, progress *Progress, uncertain bool) {
-	if s.jobs[spec.ID] != nil {
-		return
+	if known := s.jobs[spec.ID]; known != nil {
+		if !known.hasComeBack(&spec) {
+			return
+		}
+		s.log.Info("job has moved away and come back", events.JobMoved, zap.String("job", spec.ID), zap.Int("from_moves", known.spec.Moves), zap.Int("moves", spec.Moves))
+		s.CompleteMove(now, spec.ID, known.spec.Moves)
 	}
 	if away, ok := s.movedAway[spec.ID]; ok && spec.Moves <= away.moves {
 		return
--- a/internal/scheduler/jointlead.go
+++ b/internal/scheduler/jointlead.go
@@ -248,7 +248,7 @@
 // this shard leads the job.
 func (s *Shard) SetJoint(spec cluster.Job) {
 	j := s.jobs[spec.ID]
-	if j == nil || !j.moving {
+	if j == nil || !j.moving || j.spec.Moves >= spec.Moves {
 		return
 	}
 	j.spec.Share, j.spec.Moves, j.moving = spec.Share, spec.Moves, false
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -171,10 +171,11 @@
 
 // CompleteMove forgets a job that belongs to another shard now, and returns the version
 // of its progress row, or 0. Neither the job's row, which the feed may still deliver, nor
-// its acceptance by a slow node brings it back.
-func (s *Shard) CompleteMove(now time.Time, id string) (version int64) {
-	j := s.jobs[id]
-	if j == nil || !j.moving {
+// its acceptance by a slow node brings it back. moves is how often the job had moved before:
+// it may have come back already.
+func (s *Shard) CompleteMove(now time.Time, id string, moves int) (version int64) {
+	j := s.movingJob(id, moves)
+	if j == nil {
 		return 0
 	}
 	s.movedAway[id] = movedJob{j.spec.Moves, now}
@@ -184,11 +185,30 @@
 	return j.version
 }
 
-// CancelMove lets a job that has not moved start here.
-func (s *Shard) CancelMove(id string) {
-	if j := s.jobs[id]; j != nil {
-		j.moving = false
+// CancelMove lets a job that has not moved start here, and reports whether it is still here.
+// moves is as for CompleteMove.
+func (s *Shard) CancelMove(id string, moves int) bool {
+	j := s.movingJob(id, moves)
+	if j == nil {
+		return false
+	}
+	j.moving = false
+	return true
+}
+
+// movingJob returns the job that may be on its way to another shard after the given number of
+// moves, or nil.
+func (s *Shard) movingJob(id string, moves int) *job {
+	if j := s.jobs[id]; j != nil && j.moving && j.spec.Moves == moves {
+		return j
 	}
+	return nil
+}
+
+// hasComeBack reports whether a job's row shows that the known job has moved away and come back:
+// rows are written in the order of their moves.
+func (j *job) hasComeBack(spec *cluster.Job) bool {
+	return j.moving && spec.Share.Whole() && spec.Moves > j.spec.Moves
 }
 
 // waitsTooLong reports whether a step of the job has waited for room for so long that the
--- a/internal/scheduler/move_test.go
+++ b/internal/scheduler/move_test.go
@@ -30,7 +30,7 @@
 	if len(moves) != 1 || !moves[0].Unfit {
 		t.Fatalf("moves are %+v, want the job that can't run here", moves)
 	}
-	r.shard.CompleteMove(r.now, "a")
+	r.shard.CompleteMove(r.now, "a", 0)
 	r.shard.AddJob(r.now, job, nil, false)
 	if r.shard.HasJob("a") {
 		t.Error("the shard takes the job back from an old message")
@@ -71,7 +71,7 @@
 	if r.running()[waits] != 0 {
 		t.Error("a task starts while its job may be moving")
 	}
-	r.shard.CancelMove("waits")
+	r.shard.CancelMove("waits", 0)
 	r.runFor(time.Second)
 	if r.running()[waits] != 1 {
 		t.Errorf("%v runs, want the task of the job that stays", r.running())
@@ -154,7 +154,7 @@
 		r.runFor(200 * time.Millisecond)
 		for _, m := range r.shard.BeginMoves(r.now, atOnce) {
 			offered[m.Job.ID] = true
-			r.shard.CancelMove(m.Job.ID)
+			r.shard.CancelMove(m.Job.ID, m.Job.Moves)
 		}
 	}
 	if len(offered) != jobs {
@@ -175,7 +175,7 @@
 		if got := r.shard.BeginMoves(r.now, 1); (len(got) == 1) != (within == 0) {
 			t.Errorf("after %d moves %d jobs move at once", moves, len(got))
 		}
-		r.shard.CancelMove(job.ID)
+		r.shard.CancelMove(job.ID, moves)
 		r.now = r.now.Add(within)
 		if got := r.shard.BeginMoves(r.now, 1); len(got) != 1 || !got[0].Unfit {
 			t.Errorf("after %d moves and %v the moves are %+v, want the job that can't run here", moves, within, got)
@@ -183,3 +183,36 @@
 		r.shard.EndJob(r.now, job.ID, cluster.StateCancelled)
 	}
 }
+
+// TestJobThatCameBackIsAdded checks that a job's row of a later move replaces the job that is still
+// moving away, and that the end of the earlier move changes nothing any more.
+func TestJobThatCameBackIsAdded(t *testing.T) {
+	r := newRig(t, 2)
+	r.upsertWorkers()
+	r.runFor(time.Second)
+	job := unplaceableJob("a")
+	r.shard.AddJob(r.now, job, nil, false)
+	if got := r.shard.BeginMoves(r.now, 1); len(got) != 1 {
+		t.Fatalf("%d jobs move, want 1", len(got))
+	}
+	r.shard.AddJob(r.now, job, nil, false)
+	if !r.shard.IsMoving("a") {
+		t.Error("an old row ends the move")
+	}
+	back := job
+	back.Moves = 2
+	r.shard.AddJob(r.now, back, nil, false)
+	if r.shard.IsMoving("a") {
+		t.Error("the job that came back is still taken for moving")
+	}
+	r.shard.CompleteMove(r.now, "a", 0)
+	if !r.shard.HasJob("a") {
+		t.Error("the end of the earlier move removes the job that came back")
+	}
+	if got := r.shard.BeginMoves(r.now, 1); len(got) != 1 || got[0].Job.Moves != 2 {
+		t.Errorf("the moves are %+v, want the job after two moves", got)
+	}
+	if r.shard.CancelMove("a", 0); !r.shard.IsMoving("a") {
+		t.Error("the end of the earlier move ends the next one")
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -331,3 +331,6 @@
 
 // HasJob reports whether the job is known.
 func (s *Shard) HasJob(id string) bool { return s.jobs[id] != nil }
+
+// IsMoving reports whether the job may be on its way to another shard.
+func (s *Shard) IsMoving(id string) bool { return s.jobs[id] != nil && s.jobs[id].moving }
--- a/internal/scheduler/widegang_test.go
+++ b/internal/scheduler/widegang_test.go
@@ -221,7 +221,7 @@
 		if moves := r.shard.BeginMoves(r.now, 1); len(moves) == 1 && moves[0].Unfit {
 			return
 		}
-		r.shard.CancelMove("j")
+		r.shard.CancelMove("j", 0)
 	}
 	t.Errorf("a gang of %d, whose shard has approved room for %d, is still there after %s", members, workers-longRunning, movesWithin)
 }
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -22,6 +22,8 @@
 	resetParts []string
 	// busyParts are the parts whose calls are answered with 503.
 	busyParts []string
+	// moveFault, if not nil, decides the fault of each write that moves a row to another table.
+	moveFault func(m RowMove) WriteFault
 	// partCalls counts the reads and writes of each part.
 	partCalls map[string]int
 	// changed is closed and replaced with each change.
--- a/standin/site/storefaults.go
+++ b/standin/site/storefaults.go
@@ -62,6 +62,42 @@
 	s.busyParts = parts
 }
 
+// RowMove is a write that removes a row from one table and writes one with its key to another.
+type RowMove struct{ Key, From, To string }
+
+// WriteFault is the fault of one write.
+type WriteFault struct {
+	// LoseAnswer: the write takes effect and gets no answer. With LateBy it takes effect only
+	// after that time, if its conditions hold then.
+	LoseAnswer bool
+	LateBy     time.Duration
+	// AnswerDelay is the time between the write's effect and its answer.
+	AnswerDelay time.Duration
+}
+
+// SetMoveFault sets a function that decides the fault of each write that moves a row. It is
+// independent of the other faults, and must not call the store.
+func (s *Store) SetMoveFault(f func(m RowMove) WriteFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moveFault = f
+}
+
+// faultOf returns the fault of a write that moves a row. The caller holds mu.
+func (s *Store) faultOf(txn storeTxn) WriteFault {
+	if s.moveFault == nil {
+		return WriteFault{}
+	}
+	for _, from := range txn.Remove {
+		for _, to := range txn.Put {
+			if to.Key == from.Key && to.Table != from.Table {
+				return s.moveFault(RowMove{from.Key, from.Table, to.Table})
+			}
+		}
+	}
+	return WriteFault{}
+}
+
 // failsPart counts a call of a part, and reports whether the part is unavailable. Such a call is
 // over when failsPart returns, or ends with a reset of its connection.
 func (s *Store) failsPart(w http.ResponseWriter, r *http.Request, part string) bool {
--- a/standin/site/storetxn.go
+++ b/standin/site/storetxn.go
@@ -29,20 +29,25 @@
 		return
 	}
 	s.waitForPart(r, &txn)
-	res, status, answered := s.commit(txn)
+	s.mu.Lock()
+	fault := s.faultOf(txn)
+	res, status, answered := s.commit(txn, fault)
+	s.mu.Unlock()
 	if !answered {
 		leaveUnanswered(r)
 		return
 	}
-	sleep(r, s.answerDelay())
+	sleep(r, max(s.answerDelay(), fault.AnswerDelay))
 	writeJSON(w, status, res)
 }
 
 // commit applies a transaction, now or late, and returns its result. Answered is false if a
-// simulated fault keeps the answer from the caller.
-func (s *Store) commit(txn storeTxn) (res storeRows, status int, answered bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// simulated fault keeps the answer from the caller, who holds mu.
+func (s *Store) commit(txn storeTxn, fault WriteFault) (res storeRows, status int, answered bool) {
+	if fault.LateBy > 0 {
+		go s.commitLate(txn, fault.LateBy)
+		return storeRows{}, 0, false
+	}
 	if s.faults.Late > 0 {
 		s.faults.Late--
 		go s.commitLate(txn, s.faults.LateBy)
@@ -59,7 +64,7 @@
 		s.faults.LoseReplies--
 		return res, status, false
 	}
-	return res, status, true
+	return res, status, !fault.LoseAnswer
 }
 
 // commitLate applies a transaction after a delay, if its conditions hold then.
