cluster: refuse jobs whose numbers overflow

A job of four tasks with a RepeatCount of 2^62 was accepted, since its number of tasks overflows to 0, and each owner that loaded it built repeats without end. Times of repeats and sums of amounts overflowed, too, and absurd estimates, stretches and targets made a job due in the past, before all others.

Counts, amounts and times have bounds by which no sum over a job exceeds 64 bits; a job beyond them is refused by name.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -91,7 +91,8 @@
 
 // Duration returns how long a call about n workers takes.
 func (a AdviceCost) Duration(n int) time.Duration {
-	return time.Duration((a.BaseMS + a.PerWorkerMS*float64(n)) * float64(time.Millisecond))
+	ms := a.BaseMS + a.PerWorkerMS*float64(n)
+	return time.Duration(max(0, min(ms, float64(MaxEstimate.Milliseconds()))) * float64(time.Millisecond))
 }
 
 // Service is a pool of workers.
@@ -239,9 +240,6 @@
 	if len(j.Steps) == 0 {
 		return invalid("steps", "there is none")
 	}
-	if j.Repeats < 0 || j.IntervalMS < 0 {
-		return invalid("repeats", "repeats and interval must not be negative")
-	}
 	total := 0
 	for i := range j.Steps {
 		if err := j.Steps[i].validate(i); err != nil {
@@ -249,10 +247,7 @@
 		}
 		total += j.Steps[i].Count
 	}
-	if total*max(1, j.Repeats) > MaxTasks {
-		return invalid("steps", "more than "+strconv.Itoa(MaxTasks)+" tasks")
-	}
-	return nil
+	return j.validateTimes(total)
 }
 
 func (s *Step) validate(i int) error {
@@ -260,8 +255,11 @@
 	if s.Count <= 0 || s.Count > MaxTasks {
 		return invalid(field+".count", "must be from 1 to "+strconv.Itoa(MaxTasks))
 	}
-	if s.Need.CPUMilli < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
-		return invalid(field+".need", "must not be negative")
+	if !ValidAmount(s.Need) {
+		return invalid(field+".need", "each amount must be from 0 to "+strconv.Itoa(MaxAmount))
+	}
+	if s.EstimateMS < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 || s.LatencyTargetMS < 0 {
+		return invalid(field, "estimates, targets and limits must not be negative")
 	}
 	for _, k := range s.After {
 		if k < 0 || k >= i {
--- a/internal/scheduler/estimate.go
+++ b/internal/scheduler/estimate.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"time"
+
+	"switchbank.example/switchbank/internal/cluster"
 )
 
 // ratio is a running mean of the ratio of run times to estimates, and of its deviation.
@@ -78,15 +80,13 @@
 func (s *Shard) expectedTime(st *step) time.Duration {
 	d := st.estimate()
 	if r := s.learnedRatio(st); r != nil && st.spec.Image != "" {
-		d = time.Duration(float64(d) * r.mean)
+		d = scaledTime(d, r.mean)
 	}
-	return max(d, minExpectedTime)
+	return min(max(d, minExpectedTime), cluster.MaxEstimate)
 }
 
 // estimate returns how long a task of the step takes by its specification.
-func (st *step) estimate() time.Duration {
-	return time.Duration(st.spec.EstimateMS) * time.Millisecond
-}
+func (st *step) estimate() time.Duration { return st.spec.Estimate() }
 
 // learnedTime returns how long a task of the step takes according to earlier ones of its
 // kind; ok is false while that is not known, or differs too much.
@@ -95,7 +95,12 @@
 	if r == nil || st.spec.EstimateMS <= 0 || r.deviation > maxDeviation {
 		return 0, false
 	}
-	return max(time.Duration(r.mean*float64(st.estimate())), minExpectedTime), true
+	return max(scaledTime(st.estimate(), r.mean), minExpectedTime), true
+}
+
+// scaledTime returns a multiple of a time, cluster.MaxEstimate at most.
+func scaledTime(d time.Duration, factor float64) time.Duration {
+	return time.Duration(min(float64(d)*factor, float64(cluster.MaxEstimate)))
 }
 
 // remainingTime returns how long a run still needs, by its own speed once it has made
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -141,8 +141,7 @@
 	if ms := now.UnixMilli() - j.AcceptedMS; ms > 0 {
 		age = min(time.Duration(ms)*time.Millisecond, maxCountedAge)
 	}
-	criticalPath := time.Duration(criticalPathMS(j.Steps)) * time.Millisecond
-	allowed := time.Duration(float64(criticalPath)*max(1, j.Policy.Stretch)) + time.Duration(j.Policy.TargetMS)*time.Millisecond
+	allowed := allowedTime(j)
 	priority := j.Policy.Priority
 	if slices.ContainsFunc(j.Steps, func(s cluster.Step) bool { return s.LongRunning }) {
 		priority = longRunningPriority
@@ -150,6 +149,15 @@
 	return Rank{Priority: priority, Due: now.Add(allowed - age), Accepted: now.Add(-age)}
 }
 
+// maxAllowedTime bounds the time after which a job is due.
+const maxAllowedTime = 10 * 365 * 24 * time.Hour
+
+// allowedTime returns how long a job may take by its queue's policy.
+func allowedTime(j *cluster.Job) time.Duration {
+	ms := float64(criticalPathMS(j.Steps))*max(1, j.Policy.Stretch) + float64(j.Policy.TargetMS)
+	return time.Duration(min(ms, float64(maxAllowedTime.Milliseconds()))) * time.Millisecond
+}
+
 // maxCountedAge bounds the time since acceptance that is taken into account: the
 // accepting node may be another one, whose clock may be wrong.
 const maxCountedAge = time.Hour
@@ -168,7 +176,7 @@
 		for _, k := range steps[i].After {
 			start = max(start, ends[k])
 		}
-		ends[i] = start + steps[i].EstimateMS
+		ends[i] = start + steps[i].Estimate().Milliseconds()
 		latest = max(latest, ends[i])
 	}
 	return latest
