--- a/matrix/site/entries_test.go
+++ b/matrix/site/entries_test.go
@@ -24,7 +24,7 @@
 // corruptEntries returns one way of corrupting an entry of each kind, and a valid entry that names
 // a service without a configuration.
 func corruptEntries() []site.CorruptEntry {
-	names := []string{"bytes that can't be read", "an unknown state", "without Capacity", "a text for the labels", "no port"}
+	names := []string{"bytes that can't be read", "an unknown state", "without Capacity", "a text for the labels", "no port", "absurdly many processors", "deep nesting in an unknown field"}
 	list := slices.DeleteFunc(site.CorruptEntries(), func(s site.CorruptEntry) bool { return !slices.Contains(names, s.Name) })
 	return append(list, site.UnknownServiceEntry())
 }
--- a/standin/site/corrupt.go
+++ b/standin/site/corrupt.go
@@ -4,7 +4,9 @@
 
 import (
 	"encoding/json"
+	"math"
 	"math/rand/v2"
+	"strings"
 )
 
 // CorruptEntry is an entry of the directory that another program has corrupted: nodes must
@@ -20,6 +22,9 @@
 	raw string
 }
 
+// deepNesting is a depth of brackets that no entry has, at about half of the longest row.
+const deepNesting = 30_000
+
 // CorruptEntries returns an entry for each way in which one can be corrupt.
 func CorruptEntries() []CorruptEntry {
 	list := []CorruptEntry{
@@ -36,18 +41,29 @@
 		{Name: "a port that is out of range", Field: "Address", value: "10.0.0.1:70000"},
 		{Name: "no host", Field: "Address", value: ":80"},
 		{Name: "an address with blanks", Field: "Address", value: "some where:80"},
+		{Name: "a negative port", Field: "Address", value: "10.0.0.1:-1"},
+		{Name: "a port of 20 digits", Field: "Address", value: "10.0.0.1:10000000000000000000"},
 		{Name: "a list for the address", Field: "Address", value: []string{"10.0.0.1:80"}},
 		{Name: "an empty data centre", Field: "Zone", value: ""},
 		{Name: "a text for the capacity", Field: "Capacity", value: "large"},
 		{Name: "no processors", Field: "Capacity", value: map[string]any{"Cpu": 0, "MemMb": 1000}},
 		{Name: "negative memory", Field: "Capacity", value: map[string]any{"Cpu": 1000, "MemMb": -1}},
 		{Name: "negative accelerators", Field: "Capacity", value: map[string]any{"Cpu": 1000, "MemMb": 1000, "Gpu": -1}},
+		{Name: "absurdly many processors", Field: "Capacity", value: map[string]any{"Cpu": int64(100_000_000_000), "MemMb": 1000}},
+		{Name: "as many processors as a number can tell", Field: "Capacity", value: map[string]any{"Cpu": int64(math.MaxInt64), "MemMb": int64(math.MaxInt64)}},
+		{Name: "processors beyond 64 bits", Field: "Capacity", value: json.RawMessage(`{"Cpu":99999999999999999999,"MemMb":1000}`)},
+		{Name: "an exponent for the memory", Field: "Capacity", value: json.RawMessage(`{"Cpu":1000,"MemMb":1e30}`)},
 		{Name: "a text for the processors", Field: "Capacity", value: map[string]any{"Cpu": "1000", "MemMb": 1000}},
 		{Name: "a text for the labels", Field: "Labels", value: "r1-1"},
 		{Name: "numbers for the labels", Field: "Labels", value: []int{1, 2}},
 		{Name: "no labels in the list", Field: "Labels", value: []string{}},
 		{Name: "a text for the slots", Field: "Slots", value: "8"},
 		{Name: "a text for the clock", Field: "ClockMs", value: "now"},
+		{Name: "a clock that is out of range", Field: "ClockMs", value: int64(math.MaxInt64)},
+		{Name: "a remaining time that is out of range", Field: "RemainingMs", value: int64(math.MaxInt64)},
+		{Name: "deeply nested brackets", raw: strings.Repeat("[", deepNesting) + strings.Repeat("]", deepNesting)},
+		{Name: "brackets that aren't closed", raw: strings.Repeat(`{"a":[`, deepNesting/2)},
+		{Name: "deep nesting in an unknown field", raw: `{"Upstream":"billing","Unknown":` + strings.Repeat("[", deepNesting) + strings.Repeat("]", deepNesting) + "}"},
 	}
 	for _, field := range []string{"Upstream", "Address", "Zone", "Version", "Slots", "State", "ColdRemainingMs", "Seq", "Capacity", "Labels"} {
 		list = append(list, CorruptEntry{Name: "without " + field, Field: field})
