scheduler: a task with few starts left waits for a sound worker

Its last starts were on a worker that fails all new runs within 50 ms, which tells nothing about the task. Such a worker has no failures counted after its quarantine, and so was the first choice.

After its third crash a task waits for up to 2 s for a worker that is not on probation, has failed nothing since its last success, and is not the one on which it failed last.

--- a/internal/scheduler/isolate.go
+++ b/internal/scheduler/isolate.go
@@ -33,6 +33,9 @@
 	// if no worker has crashed meanwhile and it has had no more crashes than that: few workers
 	// may be suitable for it, and other suspects run on these.
 	maxIsolationWait = 4 * time.Second
+	// maxSoundWait is how long a task that has few starts left waits for a worker that has not
+	// failed any run since its last success.
+	maxSoundWait = 2 * time.Second
 	// longUptime is the uptime from which workers are equally good for an isolated run: a
 	// crash of one that crashes by itself every few seconds says nothing.
 	longUptime = 30 * time.Second
@@ -169,10 +172,14 @@
 // which would be lost.
 func (s *Shard) bestIsolatedWorker(now time.Time, t *task) *worker {
 	var best *worker
+	waitsForSound := t.waitsForSoundWorker(now)
 	for _, w := range s.workerList {
 		if !s.usableAfterWait(now, w, t.step) || len(w.isolated) > 0 || w.hasSuspectBeside(now, t) {
 			continue
 		}
+		if waitsForSound && !w.isSoundFor(now, t) {
+			continue
+		}
 		if _, fits := s.roomAfter(now, w, t.step, 0); fits && (best == nil || w.compareForIsolation(now, best) < 0) {
 			best = w
 		}
@@ -180,6 +187,18 @@
 	return best
 }
 
+// waitsForSoundWorker reports whether a task that has few starts left waits for a worker on which
+// its run is likely to show whether the task is the cause: a run that fails before tells nothing.
+func (t *task) waitsForSoundWorker(now time.Time) bool {
+	return len(t.crashes.Runs) >= manyCrashes && (t.waitingSince.IsZero() || now.Sub(t.waitingSince) < maxSoundWait)
+}
+
+// isSoundFor reports whether nothing speaks against a worker, and the task has not just failed there.
+func (w *worker) isSoundFor(now time.Time, t *task) bool {
+	justFailed := w.info.ID == t.avoidWorker && now.Sub(t.avoidSince) < avoidBeforeLastAttempt
+	return !justFailed && !w.health.probing && w.health.sinceNewSuccess.failures() == 0
+}
+
 // compareForIsolation orders workers by how good they are for an isolated run. A failure
 // before the crash would tell nothing.
 func (w *worker) compareForIsolation(now time.Time, o *worker) int {
