scheduler: a crash under a run of a failed job isn't spontaneous

Two tasks of one job crash two workers at the same moment, the first crash fails the job, and the second one, whose run doesn't count any more, was taken for spontaneous. A few of these make a burst, in which crashes say nothing.

A crash without runs that count is spontaneous only if there was none of a job that has ended without it.

TestCrashOfFailedJobIsNotSpontaneous failed before and passes.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -199,6 +199,22 @@
 		s.addCrash(now, r.task, crashes[i])
 	}
 	s.noteCrash(now, w, runs)
+	if len(runs) == 0 && !w.endedRunsBeforeCrash(at, maxAge) {
+		s.spontaneousCrashes = append(s.spontaneousCrashes, now)
+	}
+}
+
+// endedRunsBeforeCrash reports whether a run up to an age that may have caused the crash of its
+// worker belongs to a job that has ended without it, as one that fails by another of its tasks does.
+// Such a crash is not known to be spontaneous: no later run can clear its task.
+func (w *worker) endedRunsBeforeCrash(at time.Time, maxAge time.Duration) bool {
+	for _, r := range w.runs {
+		age := at.Sub(r.startedAt)
+		if !r.task.done && r.task.step.job.state.Finished() && age >= 0 && age <= maxAge {
+			return true
+		}
+	}
+	return false
 }
 
 // runsBeforeCrash returns the runs up to an age that may have caused the crash of their
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -335,3 +335,29 @@
 		t.Errorf("%s after the crashes %d of %d tasks run", runsAgain, n, count)
 	}
 }
+
+// TestCrashOfFailedJobIsNotSpontaneous guards against tasks that crash workers without limit: where
+// two tasks of a job crash two workers at once, the first crash fails the job, and the second one
+// counted as spontaneous. A few of these made a burst, in which a crash says nothing about the task
+// under which it happens.
+func TestCrashOfFailedJobIsNotSpontaneous(t *testing.T) {
+	const jobs = 8
+	r := newCrashRig(t, 48)
+	for i := range jobs {
+		id := fmt.Sprintf("bad%d", i)
+		r.crashing[id] = true
+		r.add(batch(id, tasks(2, 500)))
+	}
+	for i := 0; i < 400 && r.shard.Counts().CrashingJobs < jobs; i++ {
+		r.step()
+	}
+	r.crashing["late"] = true
+	r.add(batch("late", tasks(2, 500)))
+	r.runSteps(20 * time.Second)
+	for i := range jobs {
+		r.checkState(fmt.Sprintf("bad%d", i), cluster.StateFailed)
+		r.checkStarts(fmt.Sprintf("bad%d", i), maxStarts)
+	}
+	r.checkState("late", cluster.StateFailed)
+	r.checkStarts("late", maxStarts)
+}
--- a/internal/scheduler/crashrate.go
+++ b/internal/scheduler/crashrate.go
@@ -27,14 +27,13 @@
 	suspects map[*task]bool
 }
 
-// noteCrash notes a crash under some runs for the rate of spontaneous crashes.
+// noteCrash notes a crash, and the runs under which it happened, until these are cleared.
 func (s *Shard) noteCrash(now time.Time, w *worker, runs []*run) {
 	s.lastCrashAt = now
 	if len(w.isolated) > 0 {
 		s.isolatedCrashes = append(s.isolatedCrashes, now)
 	}
 	if len(runs) == 0 {
-		s.spontaneousCrashes = append(s.spontaneousCrashes, now)
 		return
 	}
 	c := suspectCrash{now, min(w.uptime(now), crashRateWindow), make(map[*task]bool, len(runs))}
