--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -112,6 +112,7 @@
 	DataCentresEvacuated  = zap.String(Field, "SB1644")
 	TakeoverWaits         = zap.String(Field, "SB1645")
 	StepAlwaysFails       = zap.String(Field, "SB1646")
+	JobStalls             = zap.String(Field, "SB1647")
 )
 
 // The events of nodes on a platform.
--- a/internal/scheduler/waitlog.go
+++ b/internal/scheduler/waitlog.go
@@ -118,18 +118,30 @@
 // logWaitingTask logs a waiting task with the number of workers for each obstacle.
 func (s *Shard) logWaitingTask(now time.Time, t *task, waited time.Duration) {
 	st := t.step
-	var counts [obstacleCount]int
+	fields := []zap.Field{events.TaskWaiting, zap.Stringer("task", t.id), zap.Duration("waited", waited), zap.Int("workers", len(s.workerList)),
+		zap.Bool("asking", st.advice.openCalls > 0), zap.Int64("cpu_milli", st.spec.Need.CPUMilli), zap.Int64("memory_mb", st.spec.Need.MemoryMB)}
+	s.log.Warn("task waits", append(fields, s.countObstacles(now, st).fields()...)...)
+}
+
+// obstacleCounts is the number of workers for each obstacle.
+type obstacleCounts [obstacleCount]int
+
+// countObstacles returns for how many workers each obstacle is what keeps a task of a step from them.
+func (s *Shard) countObstacles(now time.Time, st *step) (counts obstacleCounts) {
 	for _, w := range s.workerList {
 		counts[s.obstacleTo(now, w, st)]++
 	}
-	fields := []zap.Field{events.TaskWaiting, zap.Stringer("task", t.id), zap.Duration("waited", waited), zap.Int("workers", len(s.workerList)),
-		zap.Bool("asking", st.advice.openCalls > 0), zap.Int64("cpu_milli", st.spec.Need.CPUMilli), zap.Int64("memory_mb", st.spec.Need.MemoryMB)}
-	for i, n := range counts {
+	return counts
+}
+
+// fields returns the counts above 0 for the log.
+func (c obstacleCounts) fields() (fields []zap.Field) {
+	for i, n := range c {
 		if n > 0 {
 			fields = append(fields, zap.Int(obstacleNames[i], n))
 		}
 	}
-	s.log.Warn("task waits", fields...)
+	return fields
 }
 
 // QuarantinedWorkers returns how many workers are quarantined, or on probation after it
