scheduler: report jobs of which nothing runs, and what keeps them from starting

The logs told why long-running tasks wait (SB1633) and that a team is at its limit (SB1642), but not which jobs have nothing running, for how long, and whether that is for the team's limit, a gang that holds back its team, a takeover, a move, a delay or the workers. SB1647 tells it for each job after 2 s, 4 s and so on, unless it waits only for room, and switchbank_jobs_stalled counts such jobs. No decision changes.

--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -8,6 +8,7 @@
 
 	"switchbank.example/switchbank/internal/cluster"
 	"switchbank.example/switchbank/internal/conns"
+	"switchbank.example/switchbank/internal/owner"
 	"switchbank.example/switchbank/internal/scheduler"
 )
 
@@ -46,7 +47,8 @@
 	gauge("switchbank_runs_crashed", func(c scheduler.Counts) int64 { return c.CrashedRuns })
 	gauge("switchbank_runs_above_limit", func(c scheduler.Counts) int64 { return c.AboveLimit })
 	gauge("switchbank_jobs_crashing", func(c scheduler.Counts) int64 { return c.CrashingJobs })
-	n.metrics.NewGauge("switchbank_workers_aside", n.quarantinedWorkers)
+	n.metrics.NewGauge("switchbank_workers_aside", func() float64 { return n.sumOverOwned((*owner.Owner).QuarantinedWorkers) })
+	n.metrics.NewGauge("switchbank_jobs_stalled", func() float64 { return n.sumOverOwned((*owner.Owner).StalledJobs) })
 	gauge("switchbank_workers_set_aside", func(c scheduler.Counts) int64 { return c.Quarantines })
 }
 
@@ -98,13 +100,13 @@
 	return sum
 }
 
-// quarantinedWorkers returns how many workers of the shards that run here are quarantined.
-func (n *Node) quarantinedWorkers() float64 {
+// sumOverOwned returns the sum of a count over the shards that run here.
+func (n *Node) sumOverOwned(count func(*owner.Owner) int) float64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	sum := 0
 	for _, o := range n.owned {
-		sum += o.QuarantinedWorkers()
+		sum += count(o)
 	}
 	return float64(sum)
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -321,6 +321,13 @@
 	return o.shard.TakeoverWait()
 }
 
+// StalledJobs returns how many jobs of the shard have stalled.
+func (o *Owner) StalledJobs() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.shard.StalledJobs()
+}
+
 // QuarantinedWorkers returns how many workers of the shard are quarantined, or on probation after
 // it.
 func (o *Owner) QuarantinedWorkers() int {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -50,6 +50,11 @@
 	tasksLeft int
 	// forecast is the forecast that was made when the job was accepted; nil: there is none.
 	forecast *forecast.Pending
+	// stalledSince is since when nothing of the job runs although a step's turn has come; zero:
+	// something runs, or nothing should. nextStallLog is the stall after which the log reports it
+	// next.
+	stalledSince time.Time
+	nextStallLog time.Duration
 }
 
 // repeat is one execution of all steps of a job.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -177,6 +177,10 @@
 	directoryReadAt, directoryReadSince time.Time
 	// scannedAt is when all workers and runs were last scanned.
 	scannedAt time.Time
+	// stallsCheckedAt is when the jobs were last checked for stalls, and stalledJobs how many had
+	// stalled for firstStallLog then.
+	stallsCheckedAt time.Time
+	stalledJobs     int
 	// startsLeft is how many more runs are started before the next round ends.
 	startsLeft int
 	// round counts the rounds of decisions.
@@ -287,6 +291,7 @@
 	s.updateForecast(now)
 	s.updateSlowness()
 	s.logWaitingTasks(now)
+	s.checkStalls(now)
 	s.logTakeover(now)
 }
 
--- a/internal/scheduler/stalls.go
+++ b/internal/scheduler/stalls.go
@@ -11,8 +11,8 @@
 	"switchbank.example/switchbank/internal/events"
 )
 
-// This file reports jobs of which nothing runs although the turn of a task has come and workers
-// have room for it.
+// This file finds jobs of which nothing runs although the turn of a task has come, and reports those
+// that wait beside room with what keeps them from starting.
 
 const (
 	// stallCheckInterval is how often jobs are checked for a stall.
@@ -86,12 +86,16 @@
 	return nil
 }
 
-// logStalls reports jobs that have stalled beside room.
-func (s *Shard) logStalls(now time.Time) {
+// StalledJobs returns how many jobs have had nothing running for firstStallLog although the turn of a
+// task has come, whether there is room for it or not.
+func (s *Shard) StalledJobs() int { return s.stalledJobs }
+
+// checkStalls notes which jobs have stalled, and reports those that have stalled beside room.
+func (s *Shard) checkStalls(now time.Time) {
 	if now.Sub(s.stallsCheckedAt) < stallCheckInterval {
 		return
 	}
-	s.stallsCheckedAt = now
+	s.stallsCheckedAt, s.stalledJobs = now, 0
 	logs := 0
 	for _, j := range s.active {
 		st := j.waitingStep(now)
@@ -102,7 +106,12 @@
 		if j.stalledSince.IsZero() {
 			j.stalledSince = now
 		}
-		if stalled := now.Sub(j.stalledSince); stalled >= max(firstStallLog, j.nextStallLog) && logs < maxStallLogs {
+		stalled := now.Sub(j.stalledSince)
+		if stalled < firstStallLog {
+			continue
+		}
+		s.stalledJobs++
+		if stalled >= j.nextStallLog && logs < maxStallLogs {
 			logs++
 			j.nextStallLog = 2 * stalled
 			s.logStall(now, st, stalled)
@@ -110,7 +119,7 @@
 	}
 }
 
-// logStall reports a stall unless no worker has room for the step.
+// logStall reports a stall, unless the step waits only for room on workers.
 func (s *Shard) logStall(now time.Time, st *step, stalled time.Duration) {
 	obstacles := s.countObstacles(now, st)
 	cause := s.stallCause(now, st)
