scheduler: tests of jobs that stand still at their team's limit (known red)

limitSim drives the shards of a service in virtual time, in which one team has a limit and the shards exchange parts of it as owners do. Its check is the rule that was broken: nothing of a job runs for 3 s, although the limit less what the team runs has room for it twice over.

--- /dev/null
+++ b/internal/scheduler/limitstall_test.go
@@ -0,0 +1,165 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler_test
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/resource"
+)
+
+const (
+	// searchedLimit is the limit of the team in the searches, in thousandths of a core.
+	searchedLimit = 100_000
+	// limitSeeds is the number of seeds of a search for stalls at a limit by default, and
+	// fullLimitSeeds that with MODEL=full.
+	limitSeeds     = defaultSeeds / 8
+	fullLimitSeeds = 400
+)
+
+// oneCore returns a step of tasks of one core.
+func oneCore(n int) cluster.Step {
+	return cluster.Step{Count: n, Need: resource.Amount{CPUMilli: 1000, MemoryMB: 100}}
+}
+
+// oneCoreGang returns a gang of members of one core.
+func oneCoreGang(n int) cluster.Step {
+	st := oneCore(n)
+	st.Gang = true
+	return st
+}
+
+// TestGangAboveLimitStallsTeam guards against jobs that a gang of their team holds back for good: the
+// limit was lowered below what the gang needs.
+func TestGangAboveLimitStallsTeam(t *testing.T) {
+	s := newLimitSim(t, 0, 1, 6000, zap.NewNop())
+	s.add(0, 2, 3*time.Second, nil, oneCore(2))
+	s.run(500 * time.Millisecond)
+	s.add(0, 2, time.Second, nil, oneCoreGang(5))
+	s.run(1500 * time.Millisecond)
+	s.setLimit(4000)
+	s.run(2 * time.Second)
+	s.add(0, 2, time.Second, nil, oneCore(1))
+	s.run(5 * time.Second)
+	s.checkNoStalls()
+}
+
+// TestGangBesideLongRunningTasksStallsTeam guards against jobs that a gang of their team holds back
+// for good: long-running tasks leave less of the limit than the gang needs.
+func TestGangBesideLongRunningTasksStallsTeam(t *testing.T) {
+	s := newLimitSim(t, 0, 1, 6000, zap.NewNop())
+	lasting := oneCore(3)
+	lasting.LongRunning = true
+	s.add(0, 1, time.Second, nil, lasting)
+	s.run(500 * time.Millisecond)
+	s.add(0, 2, time.Second, nil, oneCoreGang(4))
+	s.run(3 * time.Second)
+	for range 3 {
+		s.add(0, 2, time.Second, nil, oneCore(1))
+		s.run(4 * time.Second)
+	}
+	s.checkNoStalls()
+}
+
+// TestGangBesideLongTasksStallsTeam guards against jobs that a gang of their team holds back for as
+// long as the gang waits for long tasks.
+func TestGangBesideLongTasksStallsTeam(t *testing.T) {
+	for name, shard := range map[string]int{"in the gang's shard": 0, "in another shard": 1} {
+		t.Run(name, func(t *testing.T) {
+			s := newLimitSim(t, 0, 2, 20_000, zap.NewNop())
+			s.add(0, 2, 12*time.Second, nil, oneCore(12))
+			s.run(time.Second)
+			s.add(0, 2, time.Second, nil, oneCoreGang(10))
+			s.run(3 * time.Second)
+			s.add(shard, 2, time.Second, nil, oneCore(2))
+			s.run(6 * time.Second)
+			s.checkNoStalls()
+		})
+	}
+}
+
+// TestGangStarvesBesideStalledJobs guards against a gang that never gets its team's limit since less
+// urgent jobs, which are held back no longer than three seconds, keep coming.
+func TestGangStarvesBesideStalledJobs(t *testing.T) {
+	const jobs, interval = 30, time.Second
+	s := newLimitSim(t, 0, 2, 20_000, zap.NewNop())
+	s.add(0, 2, 4*time.Second, nil, oneCore(20))
+	s.run(time.Second)
+	gang := s.add(0, 2, time.Second, nil, oneCoreGang(12))
+	for i := range jobs {
+		s.add(i%2, 2, 4*time.Second, nil, oneCore(5))
+		s.run(interval)
+	}
+	if !gang.ended {
+		t.Errorf("a gang that needs %d of a limit of %d has not run for %v", gang.need(), s.limit, jobs*interval)
+	}
+	s.checkNoStalls()
+}
+
+// TestPartOfLimitGoesToLessUrgentJob guards against a shard that gives a part of a team's limit away
+// while its own more urgent tasks wait for advice before they can use it.
+func TestPartOfLimitGoesToLessUrgentJob(t *testing.T) {
+	const tasks = 16
+	s := newLimitSim(t, 0, 2, 20_000, zap.NewNop())
+	first := s.add(0, 2, 2*time.Second, slowAdvice, oneCore(tasks))
+	s.run(300 * time.Millisecond)
+	s.add(1, 2, 8*time.Second, nil, oneCore(tasks))
+	s.run(2 * time.Second)
+	if n := s.runningOf(first) + len(first.done); n < tasks {
+		t.Errorf("%d of %d tasks have started beside a limit that holds them, since a less urgent job of another shard got the rest", n, tasks)
+	}
+}
+
+// searchLimitStalls plays random jobs of one team at its limit, and returns the stalls.
+func searchLimitStalls(t *testing.T, seed uint64, shards int, log *zap.Logger) []string {
+	const submitTime, settleTime = 30 * time.Second, 20 * time.Second
+	s := newLimitSim(t, seed, shards, searchedLimit, log)
+	interval := s.randomDuration(300*time.Millisecond, 1500*time.Millisecond)
+	for range int(submitTime / interval) {
+		s.submitRandomly()
+		s.run(interval)
+	}
+	s.run(settleTime)
+	return s.stalls
+}
+
+// runLimitSearch searches for stalls with a number of seeds, or with that of SEARCH_SEED, whose log it
+// prints.
+func runLimitSearch(t *testing.T, shards int) {
+	if value := os.Getenv("SEARCH_SEED"); value != "" {
+		seed, err := strconv.ParseUint(value, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, stall := range searchLimitStalls(t, seed, shards, zap.NewExample()) {
+			t.Error(stall)
+		}
+		return
+	}
+	seeds := limitSeeds
+	if os.Getenv("MODEL") == "full" {
+		seeds = fullLimitSeeds
+	}
+	failed := 0
+	for seed := range uint64(seeds) {
+		if stalls := searchLimitStalls(t, seed, shards, zap.NewNop()); len(stalls) > 0 {
+			failed++
+			t.Errorf("SEARCH_SEED=%d: %d stalls, the first: %s", seed, len(stalls), stalls[0])
+		}
+	}
+	t.Logf("%d of %d seeds failed", failed, seeds)
+}
+
+// TestSearchLimitStalls searches for jobs of a team at its limit of which nothing runs for three
+// seconds, although the limit has room for them twice over. MODEL=full runs 400 seeds.
+func TestSearchLimitStalls(t *testing.T) { runLimitSearch(t, 2) }
+
+// TestSearchLimitStallsInManyShards is TestSearchLimitStalls with five shards, whose parts of the
+// limit hold few tasks each.
+func TestSearchLimitStallsInManyShards(t *testing.T) { runLimitSearch(t, 5) }
