scheduler: a gang that waits for its team's limit lets others of the team start

Cause: once a gang had waited for its team's limit for 1 s, no less urgent step of the team started in any shard for as long as it waited. Nothing bounded that. Where the limit had fallen below what the gang needs, or long-running tasks kept a part of it, the others never started; beside long tasks they stood until these ended. Other shards gave all idle parts of the limit to the gang, which could not use them.

Now of a job of which nothing has run for 1 s, one task or a whole gang starts beside the hold, and other shards give for it before they do for gangs. A gang holds nothing back while the limit can't hold it beside the long-running tasks of its shard, and for 15 s at most before a pause of 15 s. This works since a hold is no longer ended by an event that may not come, but by time. Between nodes only values change: older nodes read the new requests rightly.

TestGangAboveLimitStallsTeam, TestGangBesideLongRunningTasksStallsTeam and TestGangBesideLongTasksStallsTeam failed before and pass. TestSearchLimitStallsInManyShards: 104 of 400, now 6. TestGangStarvesBesideStalledJobs passes before and after.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -21,7 +21,7 @@
 	s.round++
 	s.reservingSteps, s.gangReserved = 0, false
 	for _, t := range s.teamList {
-		t.blocked = resource.Amount{}
+		t.blocked, t.stalledNeed = resource.Amount{}, resource.Amount{}
 	}
 	for _, j := range s.active {
 		if j.moving || j.failing {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -113,7 +113,7 @@
 	w.used = w.used.Add(t.step.spec.Allocation())
 	s.runs[r.key()] = r
 	if team := t.step.job.team; team != nil {
-		team.used = team.used.Add(t.step.quotaUse())
+		team.addUse(t.step, 1)
 	}
 	if j := t.step.job; !j.begun {
 		j.begun = true
@@ -130,7 +130,7 @@
 	s.endIsolation(r)
 	delete(s.runs, r.key())
 	if team := r.task.step.job.team; team != nil {
-		team.used = team.used.Sub(r.task.step.quotaUse())
+		team.addUse(r.task.step, -1)
 	}
 	delete(r.worker.runs, r.key())
 	r.worker.used = r.worker.used.Sub(r.task.step.spec.Allocation())
--- a/internal/scheduler/teamlimit.go
+++ b/internal/scheduler/teamlimit.go
@@ -35,8 +35,8 @@
 	limit resource.Amount
 	// weight is the team's share relative to those of other teams.
 	weight float64
-	// used is what the team's runs occupy here.
-	used resource.Amount
+	// used is what the team's runs occupy here, and usedLongRunning what its long-running tasks do.
+	used, usedLongRunning resource.Amount
 	// unseen is what may be running of it on workers that have not answered this owner, as of
 	// round unseenRound. endedUnseen is what tasks need that an earlier owner may have started
 	// and whose jobs have ended without success.
@@ -45,6 +45,10 @@
 	// most urgent of their steps and firstNeed what that needs, as of this round.
 	blocked, firstNeed resource.Amount
 	firstUrgency       Urgency
+	// stalledNeed is what the most urgent gang among them needs whose job has stalled, and
+	// stalledUrgency its urgency; zero: there is none.
+	stalledNeed    resource.Amount
+	stalledUrgency Urgency
 	// blockedRound is the last round in which a task waited for the limit.
 	blockedRound int64
 	// heldFor is the step, here or in another shard, for which less urgent ones of the team are
@@ -74,12 +78,31 @@
 
 func (j *job) urgency() Urgency { return Urgency{j.rank.Priority, j.spec.AcceptedMS, j.spec.ID} }
 
+// urgencyOfStart returns the urgency of what starts first of a job: if it has stalled, that comes
+// before all steps of jobs that have not.
+func (j *job) urgencyOfStart(now time.Time) Urgency {
+	u := j.urgency()
+	if j.hasStalled(now) {
+		u.Priority += stalledPriority
+	}
+	return u
+}
+
 const (
 	// gangLimitPatience is how long a gang waits for its team's limit before less urgent steps of
 	// the team are held back, so that it gets room for all of its members at once, and holdTime
 	// how long that lasts unless it is asked for again.
 	gangLimitPatience = time.Second
 	holdTime          = 700 * time.Millisecond
+	// maxGangHold is how long less urgent steps are held back for a gang in one stretch. As long a
+	// pause follows: runs that don't end may take what it lacks.
+	maxGangHold = 15 * time.Second
+	// maxHeldBack is how long nothing of a job runs before one of its tasks starts although less
+	// urgent steps are held back: three seconds beside a limit that has room for it are too long.
+	maxHeldBack = time.Second
+	// stalledPriority is added to the priority of a job that has stalled, so that it comes before
+	// all others.
+	stalledPriority = -1000
 	// limitDrainTime is how long runs above a limit that was lowered may go on by themselves
 	// before some are stopped. A lower limit has to hold within 2 s, and a stop takes up to 1 s.
 	limitDrainTime = 500 * time.Millisecond
@@ -139,18 +162,50 @@
 		return 0
 	case t.limit == (resource.Amount{}):
 		return n
-	case now.Before(t.heldUntil) && t.heldFor.Before(st.job.urgency()):
+	}
+	if n = st.startsBesideHold(now, n); n == 0 {
 		return 0
 	}
 	return int(s.headroom(t).Count(st.quotaUse(), int64(n)))
 }
 
-// limitBlocks notes that n tasks of a step can't start for their team's limit.
+// startsBesideHold returns how many of n tasks of a step may start although less urgent steps of its
+// team may be held back for a gang. Of a job that has stalled one task may start, or a whole gang.
+func (st *step) startsBesideHold(now time.Time, n int) int {
+	t := st.job.team
+	isHeld := now.Before(t.heldUntil) && t.heldFor.Before(st.job.urgency())
+	switch {
+	case !isHeld:
+		return n
+	case !st.job.hasStalled(now):
+		return 0
+	case st.spec.Gang:
+		return n
+	}
+	return min(n, 1)
+}
+
+// hasStalled reports whether nothing of the job has run for so long that no gang of its team holds it
+// back any more.
+func (j *job) hasStalled(now time.Time) bool {
+	return !j.stalledSince.IsZero() && now.Sub(j.stalledSince) >= maxHeldBack && !j.mayBeRunning()
+}
+
+// limitBlocks notes that n tasks of a step can't start for their team's limit. For one task of a job
+// that has stalled, other shards give before they do for gangs that wait for the limit.
 func (s *Shard) limitBlocks(now time.Time, st *step, n int) {
 	t := st.job.team
 	need := st.quotaUse().Times(int64(n))
-	if u := st.job.urgency(); t.blocked == (resource.Amount{}) || u.Before(t.firstUrgency) {
-		t.firstUrgency, t.firstNeed = u, need
+	u, first := st.job.urgency(), need
+	switch {
+	case !st.job.hasStalled(now) || st.job.isJoint():
+	case st.spec.Gang:
+		t.noteStalledGang(st.job.urgencyOfStart(now), need)
+	default:
+		u, first = st.job.urgencyOfStart(now), st.quotaUse()
+	}
+	if t.blocked == (resource.Amount{}) || u.Before(t.firstUrgency) {
+		t.firstUrgency, t.firstNeed = u, first
 	}
 	t.blocked = t.blocked.Add(need)
 	if t.blockedRound < s.round-1 {
@@ -168,14 +223,30 @@
 		zap.Any("limit", t.limit), zap.Any("limit_here", s.limitHere(t)), zap.Any("used_here", t.used), zap.Any("unseen_here", t.unseen))
 }
 
+// noteStalledGang notes what a gang needs whose job has stalled.
+func (t *teamState) noteStalledGang(u Urgency, need resource.Amount) {
+	if t.stalledNeed == (resource.Amount{}) || u.Before(t.stalledUrgency) {
+		t.stalledUrgency, t.stalledNeed = u, need
+	}
+}
+
 // holdForGang holds back less urgent steps of the team once a gang has waited for its limit.
 func (s *Shard) holdForGang(now time.Time, st *step) {
 	if st.limitSince.IsZero() {
 		st.limitSince = now
 	}
-	if now.Sub(st.limitSince) >= gangLimitPatience {
-		st.job.team.hold(now, st.job.urgency())
+	t := st.job.team
+	waited := now.Sub(st.limitSince) - gangLimitPatience
+	if waited < 0 || waited%(2*maxGangHold) >= maxGangHold || !t.mayHold(st) {
+		return
 	}
+	t.hold(now, st.job.urgency())
+}
+
+// mayHold reports whether the limit can hold a gang once the team's other runs have ended, apart from
+// the long-running tasks.
+func (t *teamState) mayHold(st *step) bool {
+	return !st.quotaUse().Times(int64(len(st.tasks))).Add(t.usedLongRunning).Exceeds(t.limit)
 }
 
 // hold holds back steps of the team that are less urgent than u, unless others are held back for
@@ -302,3 +373,12 @@
 	}
 	return list
 }
+
+// addUse adds n runs of a step to what the team uses.
+func (t *teamState) addUse(st *step, n int64) {
+	use := st.quotaUse().Times(n)
+	t.used = t.used.Add(use)
+	if st.spec.LongRunning {
+		t.usedLongRunning = t.usedLongRunning.Add(use)
+	}
+}
--- a/internal/scheduler/teamparts.go
+++ b/internal/scheduler/teamparts.go
@@ -31,7 +31,8 @@
 }
 
 // TeamWant is what a shard asks others for: the part of a team's limit with which all tasks could
-// start there that wait for it, and the part for the most urgent step of these.
+// start there that wait for it, and the part for the most urgent step of these. A Part of 0 asks for
+// all of First, or nothing: with it a task or a gang of a job that has stalled could start at once.
 type TeamWant struct {
 	TeamPart
 	First   int64   `json:"first"`
@@ -57,6 +58,9 @@
 		if w.Part > 0 {
 			wants = append(wants, w)
 		}
+		if part := quota.PartFor(t.limit, t.stalledNeed.Sub(room)); part > 0 {
+			wants = append(wants, TeamWant{TeamPart: TeamPart{Team: t.name}, First: part, Urgency: t.stalledUrgency})
+		}
 	}
 	return wants
 }
@@ -76,6 +80,9 @@
 		}
 		yields := t.blocked == (resource.Amount{}) || s.isMoreUrgent(to, w.Urgency, t.firstUrgency)
 		part := min(t.askedPart(&w, yields), quota.PartWithin(t.limit, s.headroom(t)), s.ledger.Part(t.name))
+		if w.Part == 0 && part < w.First {
+			continue
+		}
 		if w.Hold && part < w.First && yields {
 			t.hold(now, w.Urgency)
 		}
@@ -101,7 +108,7 @@
 func (t *teamState) askedPart(w *TeamWant, yields bool) int64 {
 	switch {
 	case t.blocked == (resource.Amount{}):
-		return w.Part
+		return max(w.Part, w.First)
 	case yields:
 		return w.First
 	}
