scheduler: keep parts of a limit for tasks that wait for advice or a worker

Cause: a shard counted as idle what its own tasks need that may start within the limit and wait for advice, which takes over a second, or for a worker. It gave that part to any other shard, also for less urgent tasks, and did not ask for the rest that its waiting tasks lack. The other shard did the same. The class: a resource that waiting work was granted counts as free until it is used.

Now a shard keeps such a part for 2 s, unless for more urgent tasks, and asks for what is lacking beyond it. Of the gangs that have stalled the smallest is asked for, which finds room first.

--- a/internal/scheduler/gangplace.go
+++ b/internal/scheduler/gangplace.go
@@ -23,7 +23,7 @@
 	}
 	if s.startsWithinLimit(now, st, len(st.tasks)) < len(st.tasks) {
 		s.limitBlocks(now, st, len(st.tasks))
-		st.waitingSince = time.Time{}
+		st.waitingSince, st.pendingSince = time.Time{}, time.Time{}
 		return
 	}
 	st.limitSince = time.Time{}
@@ -35,10 +35,11 @@
 		places = s.gangPlacement(now, st)
 	}
 	if places == nil {
+		s.limitAllows(now, st, len(waiting))
 		s.handleUnplaced(now, st, len(waiting))
 		return
 	}
-	st.waitingSince = time.Time{}
+	st.waitingSince, st.pendingSince = time.Time{}, time.Time{}
 	s.startMembers(now, st.tasks, places, st.lastGangRun+1, st.checkpoint())
 }
 
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -90,6 +90,9 @@
 	waitingSince time.Time
 	// limitSince is since when a gang waits for its team's limit; zero: it does not.
 	limitSince time.Time
+	// pendingSince is since when tasks of the step may start within their team's limit and wait for
+	// advice or a worker; zero: none does.
+	pendingSince time.Time
 	// firstStart is when its first task started, and allStarted is set once all have.
 	firstStart time.Time
 	allStarted bool
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -21,7 +21,7 @@
 	s.round++
 	s.reservingSteps, s.gangReserved = 0, false
 	for _, t := range s.teamList {
-		t.blocked, t.stalledNeed = resource.Amount{}, resource.Amount{}
+		t.blocked, t.stalledNeed, t.pending = resource.Amount{}, resource.Amount{}, t.pending[:0]
 	}
 	for _, j := range s.active {
 		if j.moving || j.failing {
@@ -82,7 +82,7 @@
 	}
 	all := len(waiting)
 	if waiting = s.withinLimit(now, st, waiting); len(waiting) == 0 {
-		st.waitingSince = time.Time{}
+		st.waitingSince, st.pendingSince = time.Time{}, time.Time{}
 		return
 	}
 	// Tasks that wait for isolation need tickets, but no room yet.
@@ -100,6 +100,7 @@
 			placed++
 		}
 	}
+	s.limitAllows(now, st, len(waiting)-placed)
 	s.noteStarts(now, st, placed, all-placed)
 	if queued > 0 && st.needsTicket() {
 		s.awaitsAdvice(now, st, queued)
--- a/internal/scheduler/teamlimit.go
+++ b/internal/scheduler/teamlimit.go
@@ -45,10 +45,13 @@
 	// most urgent of their steps and firstNeed what that needs, as of this round.
 	blocked, firstNeed resource.Amount
 	firstUrgency       Urgency
-	// stalledNeed is what the most urgent gang among them needs whose job has stalled, and
+	// stalledNeed is what the smallest gang among them needs whose job has stalled, and
 	// stalledUrgency its urgency; zero: there is none.
 	stalledNeed    resource.Amount
 	stalledUrgency Urgency
+	// pending is what tasks need, as of this round, that may start within the limit and wait for
+	// advice or a worker.
+	pending []pendingUse
 	// blockedRound is the last round in which a task waited for the limit.
 	blockedRound int64
 	// heldFor is the step, here or in another shard, for which less urgent ones of the team are
@@ -97,6 +100,9 @@
 	// maxGangHold is how long less urgent steps are held back for a gang in one stretch. As long a
 	// pause follows: runs that don't end may take what it lacks.
 	maxGangHold = 15 * time.Second
+	// maxPending is how long a part of the limit is kept for tasks that wait for advice or a worker:
+	// advice takes over a second.
+	maxPending = 2 * time.Second
 	// maxHeldBack is how long nothing of a job runs before one of its tasks starts although less
 	// urgent steps are held back: three seconds beside a limit that has room for it are too long.
 	maxHeldBack = time.Second
@@ -223,13 +229,58 @@
 		zap.Any("limit", t.limit), zap.Any("limit_here", s.limitHere(t)), zap.Any("used_here", t.used), zap.Any("unseen_here", t.unseen))
 }
 
-// noteStalledGang notes what a gang needs whose job has stalled.
+// noteStalledGang notes what a gang needs whose job has stalled. The smallest one finds room first.
 func (t *teamState) noteStalledGang(u Urgency, need resource.Amount) {
-	if t.stalledNeed == (resource.Amount{}) || u.Before(t.stalledUrgency) {
+	if t.stalledNeed == (resource.Amount{}) || quota.PartFor(t.limit, need) < quota.PartFor(t.limit, t.stalledNeed) {
 		t.stalledUrgency, t.stalledNeed = u, need
 	}
 }
 
+// pendingUse is what tasks of a step need that wait for advice or a worker.
+type pendingUse struct {
+	urgency Urgency
+	use     resource.Amount
+}
+
+// limitAllows notes that n tasks of a step may start within their team's limit and wait for advice or
+// a worker. Other shards don't get the part that these need for maxPending, unless for more urgent
+// tasks.
+func (s *Shard) limitAllows(now time.Time, st *step, n int) {
+	t := st.job.team
+	if t == nil || t.limit == (resource.Amount{}) {
+		return
+	}
+	if n == 0 {
+		st.pendingSince = time.Time{}
+		return
+	}
+	if st.pendingSince.IsZero() {
+		st.pendingSince = now
+	}
+	if now.Sub(st.pendingSince) < maxPending {
+		t.pending = append(t.pending, pendingUse{st.job.urgencyOfStart(now), st.quotaUse().Times(int64(n))})
+	}
+}
+
+// pendingUse returns what all tasks need that wait for advice or a worker.
+func (t *teamState) pendingUse() (sum resource.Amount) {
+	for _, p := range t.pending {
+		sum = sum.Add(p.use)
+	}
+	return sum
+}
+
+// pendingBefore returns what tasks need that are more urgent than u, or as urgent, and wait for advice
+// or a worker.
+func (t *teamState) pendingBefore(u Urgency) (sum resource.Amount) {
+	for _, p := range t.pending {
+		if !u.Before(p.urgency) {
+			sum = sum.Add(p.use)
+		}
+	}
+	return sum
+}
+
 // holdForGang holds back less urgent steps of the team once a gang has waited for its limit.
 func (s *Shard) holdForGang(now time.Time, st *step) {
 	if st.limitSince.IsZero() {
--- a/internal/scheduler/teamparts.go
+++ b/internal/scheduler/teamparts.go
@@ -50,7 +50,7 @@
 		if t.blocked == (resource.Amount{}) {
 			continue
 		}
-		room := s.headroom(t).Max(resource.Amount{})
+		room := s.headroom(t).Sub(t.pendingUse()).Max(resource.Amount{})
 		w := TeamWant{
 			TeamPart: TeamPart{t.name, quota.PartFor(t.limit, t.blocked.Sub(room))}, First: quota.PartFor(t.limit, t.firstNeed.Sub(room)), Urgency: t.firstUrgency,
 			Hold: now.Before(t.heldUntil) && t.heldFor == t.firstUrgency,
@@ -79,7 +79,7 @@
 			continue
 		}
 		yields := t.blocked == (resource.Amount{}) || s.isMoreUrgent(to, w.Urgency, t.firstUrgency)
-		part := min(t.askedPart(&w, yields), quota.PartWithin(t.limit, s.headroom(t)), s.ledger.Part(t.name))
+		part := min(t.askedPart(&w, yields), quota.PartWithin(t.limit, s.headroom(t).Sub(t.pendingBefore(w.Urgency))), s.ledger.Part(t.name))
 		if w.Part == 0 && part < w.First {
 			continue
 		}
