--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -145,15 +145,8 @@
 	for _, id := range r.workerIDs() {
 		r.upsert(id, false)
 	}
-	for id, job := range r.jobs {
-		var progress *scheduler.Progress
-		if row, ok := r.rows[id]; ok {
-			var err error
-			if progress, err = scheduler.ParseProgress(row.Value, 1); err != nil {
-				r.t.Fatal(err)
-			}
-		}
-		r.shard.AddJob(r.now, job, progress, true)
+	for _, job := range r.jobs {
+		r.loadJob(job, r.rows)
 	}
 }
 
--- a/internal/scheduler/longendlist_test.go
+++ b/internal/scheduler/longendlist_test.go
@@ -42,15 +42,8 @@
 func (m *manyEnds) replaceOwner() {
 	m.takeOver()
 	m.upsertWorkers()
-	for id, j := range m.specs {
-		var p *scheduler.Progress
-		if rec, ok := m.rows[id]; ok {
-			var err error
-			if p, err = scheduler.ParseProgress(rec.Value, 1); err != nil {
-				m.t.Fatal(err)
-			}
-		}
-		m.shard.AddJob(m.now, j, p, true)
+	for _, j := range m.specs {
+		m.loadJob(j, m.rows)
 	}
 }
 
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -183,6 +183,19 @@
 	r.shard.Persisted(r.now, b, 1)
 }
 
+// loadJob adds a job to a new owner's shard, with its progress if that is among the persisted rows.
+func (r *rig) loadJob(job cluster.Job, rows map[string]scheduler.Record) {
+	r.t.Helper()
+	var progress *scheduler.Progress
+	if row, ok := rows[job.ID]; ok {
+		var err error
+		if progress, err = scheduler.ParseProgress(row.Value, 1); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+	r.shard.AddJob(r.now, job, progress, true)
+}
+
 // running returns the number of runs of each task.
 func (r *rig) running() map[cluster.TaskID]int {
 	m := make(map[cluster.TaskID]int)
--- a/internal/scheduler/search_test.go
+++ b/internal/scheduler/search_test.go
@@ -322,17 +322,9 @@
 		s.readEntry(id)
 	}
 	for _, j := range s.jobs {
-		if !j.added {
-			continue
-		}
-		var progress *scheduler.Progress
-		if row, ok := s.rows[j.spec.ID]; ok {
-			var err error
-			if progress, err = scheduler.ParseProgress(row.Value, 1); err != nil {
-				s.t.Fatal(err)
-			}
+		if j.added {
+			s.loadJob(j.spec, s.rows)
 		}
-		s.shard.AddJob(s.now, j.spec, progress, true)
 	}
 }
 
