--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -194,8 +194,8 @@
 	if rec.alwaysFails {
 		return
 	}
-	if r != nil && r.startedAt.After(h.lastFailedStart) {
-		h.lastFailedStart = r.startedAt
+	if r != nil {
+		h.lastFailedStart = latest(r.startedAt, h.lastFailedStart)
 	}
 	h.proven = false
 	if (h.probing && h.startedSinceQuarantine(r)) || h.sinceSuccess.blamesWorker(quarantineFailures) || h.sinceNewSuccess.blamesWorker(quarantineNewFailures) {
--- a/internal/scheduler/joint.go
+++ b/internal/scheduler/joint.go
@@ -241,10 +241,7 @@
 	if s.firstJointGang(now) != st {
 		return
 	}
-	startsAt := now.Add(longest)
-	if startsAt.Before(st.joint.startsAt) {
-		startsAt = st.joint.startsAt
-	}
+	startsAt := latest(st.joint.startsAt, now.Add(longest))
 	for _, p := range places {
 		p.w.reserve(st, now.Add(gangReservationTTL), startsAt)
 	}
--- a/internal/scheduler/ownership.go
+++ b/internal/scheduler/ownership.go
@@ -23,9 +23,7 @@
 
 // ConfirmOwnership records that no later owner had loaded the shard at the given time.
 func (s *Shard) ConfirmOwnership(at time.Time) {
-	if at.After(s.ownership.confirmedAt) {
-		s.ownership.confirmedAt = at
-	}
+	s.ownership.confirmedAt = latest(at, s.ownership.confirmedAt)
 }
 
 // OwnershipConfirmedAt returns the time of the last confirmation.
--- a/internal/scheduler/slow.go
+++ b/internal/scheduler/slow.go
@@ -144,10 +144,7 @@
 		patience = longRunningStalledAfter
 	}
 	patience <<= min(r.task.restarts, maxStalledDoublings)
-	since := r.percentChangedAt
-	if r.paceSetAt.After(since) {
-		since = r.paceSetAt
-	}
+	since := latest(r.paceSetAt, r.percentChangedAt)
 	// An older report says nothing: the run may have made progress since.
 	return r.worker.clockAt.After(since.Add(patience))
 }
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -152,20 +152,6 @@
 	return latest(end, s.takeover.loadedAt.Add(firstAnswerTime))
 }
 
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // mayHaveUnknownRuns reports whether a worker may have runs that this owner doesn't know.
 func (s *Shard) mayHaveUnknownRuns(now time.Time) bool {
 	if !s.takeover.machinesListed && now.Sub(s.takeover.jobsLoadedAt) < machineListTimeout {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -263,10 +263,7 @@
 	}
 	left := time.Duration(w.deadlineMS-w.clockMS) * time.Millisecond
 	end := w.clockAt.Add(time.Duration(float64(left)*ClockSlack) + leaseMargin)
-	if w.inDoubtLeaseEnd.After(end) {
-		return w.inDoubtLeaseEnd
-	}
-	return end
+	return latest(w.inDoubtLeaseEnd, end)
 }
 
 // leaseExpired reports whether all runs on a worker that doesn't answer have certainly stopped.
