cell: one method returns the owners that run here

Cause: the hand-over of all shards, the end of the ownerships and the answer to a ping each copied the node's owners under its lock. The gauges, the metrics of teams and forecasts and the list of epochs held the lock while they asked each owner, so that what needs the lock could wait for a busy owner.

Change: Node.ownedShards returns a copy, and all of these use it. takeoverWaits goes, since sumOverOwned does the same. The updates of teams and evacuations still hold the lock: of two updates at once, the later one has to come last. Values on the wire and names of metrics stay.

--- a/internal/cell/confirm.go
+++ b/internal/cell/confirm.go
@@ -31,9 +31,7 @@
 
 // ownerEpochs returns the epochs of the shards that this node owns.
 func (n *Node) ownerEpochs() (list []ownerEpoch) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for shard, o := range n.owned {
+	for shard, o := range n.ownedShards() {
 		list = append(list, ownerEpoch{shard, o.Epoch()})
 	}
 	return list
--- a/internal/cell/forecasts.go
+++ b/internal/cell/forecasts.go
@@ -88,13 +88,11 @@
 // here. The gauges are written anew each time, since shards and queues come and go.
 func (n *Node) writeForecastMetrics(w io.Writer) {
 	errs := make(map[string][]float64)
-	n.mu.Lock()
-	for _, o := range n.owned {
+	for _, o := range n.ownedShards() {
 		for queue, list := range o.ForecastErrors() {
 			errs[queue] = append(errs[queue], list...)
 		}
 	}
-	n.mu.Unlock()
 	for _, queue := range slices.Sorted(maps.Keys(errs)) {
 		slices.Sort(errs[queue])
 		for _, q := range forecastQuantiles {
--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -20,13 +19,10 @@
 // handOverAll hands all shards of this node over to other nodes before it stops, and releases
 // those that no node takes.
 func (n *Node) handOverAll() {
-	n.mu.Lock()
-	owned := maps.Clone(n.owned)
-	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(n.ctx, handOverTotalTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for shard, o := range owned {
+	for shard, o := range n.ownedShards() {
 		wg.Go(func() {
 			if !n.handOverShard(ctx, shard, o) {
 				n.releaseShard(ctx, shard, o)
@@ -113,10 +109,7 @@
 // endOwnerships ends the ownerships that are left when the node stops, before nothing listens any
 // more at its addresses: that is taken for the end of its process.
 func (n *Node) endOwnerships() {
-	n.mu.Lock()
-	owned := maps.Clone(n.owned)
-	n.mu.Unlock()
-	for _, o := range owned {
+	for _, o := range n.ownedShards() {
 		o.EndOwnership("the node stops")
 	}
 }
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -17,15 +17,15 @@
 	gauge := func(name string, of func(scheduler.Counts) int64) {
 		n.metrics.NewGauge(name, func() float64 { return float64(of(n.counts())) })
 	}
-	n.metrics.NewGauge("switchbank_shards_run", func() float64 {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		return float64(len(n.owned))
-	})
+	n.metrics.NewGauge("switchbank_shards_run", func() float64 { return float64(len(n.ownedShards())) })
 	n.metrics.NewGauge("switchbank_ownership_unconfirmed_seconds", n.longestUnconfirmed)
 	n.metrics.NewGauge("switchbank_own_delay_seconds", func() float64 { return n.ownDelay.value().Seconds() })
-	n.metrics.NewGauge("switchbank_takeover_workers_awaited", func() float64 { return float64(n.takeoverWaits().Workers) })
-	n.metrics.NewGauge("switchbank_takeover_tasks_held_back", func() float64 { return float64(n.takeoverWaits().Tasks) })
+	n.metrics.NewGauge("switchbank_takeover_workers_awaited", func() float64 {
+		return n.sumOverOwned(func(o *owner.Owner) int { return o.TakeoverWait().Workers })
+	})
+	n.metrics.NewGauge("switchbank_takeover_tasks_held_back", func() float64 {
+		return n.sumOverOwned(func(o *owner.Owner) int { return o.TakeoverWait().Tasks })
+	})
 	n.metrics.NewGauge("switchbank_peers_up", func() float64 { return float64(n.peers.countUp()) })
 	n.metrics.NewGauge("switchbank_store_silent_seconds", func() float64 {
 		return n.store.silentFor().Seconds()
@@ -55,34 +55,18 @@
 // longestUnconfirmed returns the time, in seconds, since the ownership of a shard that runs here was
 // last confirmed, the longest one of all shards.
 func (n *Node) longestUnconfirmed() float64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	var longest time.Duration
-	for _, o := range n.owned {
+	for _, o := range n.ownedShards() {
 		longest = max(longest, o.ConfirmationAge())
 	}
 	return longest.Seconds()
 }
 
-// takeoverWaits returns what the takeovers that are not complete wait for and hold back.
-func (n *Node) takeoverWaits() (sum scheduler.TakeoverWait) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, o := range n.owned {
-		wait := o.TakeoverWait()
-		sum.Workers += wait.Workers
-		sum.Tasks += wait.Tasks
-	}
-	return sum
-}
-
 // counts returns the sums of the counters of the shards that run here. They start at 0 with
 // each ownership.
 func (n *Node) counts() scheduler.Counts {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	var sum scheduler.Counts
-	for _, o := range n.owned {
+	for _, o := range n.ownedShards() {
 		c := o.Counts()
 		sum.Starts += c.Starts
 		sum.Done += c.Done
@@ -102,10 +86,8 @@
 
 // sumOverOwned returns the sum of a count over the shards that run here.
 func (n *Node) sumOverOwned(count func(*owner.Owner) int) float64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	sum := 0
-	for _, o := range n.owned {
+	for _, o := range n.ownedShards() {
 		sum += count(o)
 	}
 	return float64(sum)
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -193,6 +194,13 @@
 	return n.owned[shard]
 }
 
+// ownedShards returns the owners that run on this node now, by shard.
+func (n *Node) ownedShards() map[cluster.ShardID]*owner.Owner {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.owned)
+}
+
 // announce writes this node's row, by which the other nodes find it.
 func (n *Node) announce(ctx context.Context) {
 	value, err := json.Marshal(n.me)
--- a/internal/cell/peerapi.go
+++ b/internal/cell/peerapi.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 
 	"switchbank.example/switchbank/internal/cluster"
@@ -69,10 +68,7 @@
 		Me: n.me, Draining: n.Draining(), StoreGood: n.relay.DirectAvailable() && !n.store.down(),
 		PartsAway: n.store.parts.countAway(), ConfigVersion: versionOf(n.Config()), Evacuations: n.evacuations.orders(),
 	}
-	n.mu.Lock()
-	owned := maps.Clone(n.owned)
-	n.mu.Unlock()
-	for shard, o := range owned {
+	for shard, o := range n.ownedShards() {
 		reply.Owns = append(reply.Owns, ownedShard{shard, o.Load(), n.encodeForecast(o)})
 	}
 	reply.Members = n.peers.membersFor(req)
--- a/internal/cell/teammetrics.go
+++ b/internal/cell/teammetrics.go
@@ -34,10 +34,8 @@
 
 // teamUses returns the use of each team, summed over the shards that run here.
 func (n *Node) teamUses() (list []scheduler.TeamUse) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	at := make(map[string]int)
-	for _, o := range n.owned {
+	for _, o := range n.ownedShards() {
 		for _, u := range o.TeamUses() {
 			i, ok := at[u.Team]
 			if !ok {
