site: one method returns the runs that have not ended

Change: Site.RunningRuns returns the starts of the runs that have not ended, each by worker, task and run, and serves all three; runsInProgress goes. The tests' bounds stay. A task whose run has an overload or a start on a draining worker recorded now counts as running, which it is; the former is reported by the check for violations that each of these tests makes, and none of them drains workers. TestRunningRuns checks a start, a success, a failure, the timeout of a gang and a crash; it fails with each of five faults that were put into RunningRuns for a trial.

The soak's report was compiled and not run.

--- a/e2e/soakreport_test.go
+++ b/e2e/soakreport_test.go
@@ -7,14 +7,11 @@
 import (
 	"bufio"
 	"fmt"
-	"maps"
 	"net/http"
 	"os"
 	"slices"
 	"strings"
 	"testing"
-
-	"switchbank.example/switchbank/standin/site"
 )
 
 // maxReportedLines is how many log lines of each kind are reported of each node.
@@ -106,20 +103,14 @@
 }
 
 // runningTasks returns the tasks that run on a worker according to the events, sorted.
-func (s *soak) runningTasks(worker string) []string {
-	running := make(map[string]bool)
-	for _, e := range s.site.Events() {
-		if e.Worker != worker {
-			continue
-		}
-		switch e.Kind {
-		case site.EventStart:
-			running[e.Task] = true
-		case site.EventEnd, site.EventSuccess, site.EventGangTimeout:
-			delete(running, e.Task)
+func (s *soak) runningTasks(worker string) (tasks []string) {
+	for _, r := range s.site.RunningRuns() {
+		if r.Worker == worker {
+			tasks = append(tasks, r.Task)
 		}
 	}
-	return slices.Sorted(maps.Keys(running))
+	slices.Sort(tasks)
+	return tasks
 }
 
 // checkEnded describes the state of the i-th accepted job unless it has ended, and returns ""
--- a/matrix/site/cutoff_test.go
+++ b/matrix/site/cutoff_test.go
@@ -100,7 +100,7 @@
 	time.Sleep(settledOwnerAge)
 	env.submitBatch()
 	time.Sleep(time.Second)
-	if n := env.runsInProgress(); n != lastingTasks+batchTasks {
+	if n := len(env.site.RunningRuns()); n != lastingTasks+batchTasks {
 		t.Fatalf("%d tasks run before the cut, want %d", n, lastingTasks+batchTasks)
 	}
 	return env, lasting
@@ -111,19 +111,6 @@
 	return env.submit("batch", "11000 cpu=700", stepBody{Count: batchTasks, CPU: 700, MemoryMB: 10, EstimateMS: 11_000})
 }
 
-// runsInProgress returns how many runs have begun on workers and not ended.
-func (env *testEnv) runsInProgress() (n int) {
-	for _, e := range env.site.Events() {
-		switch e.Kind {
-		case site.EventStart:
-			n++
-		case site.EventEnd, site.EventSuccess, site.EventGangTimeout:
-			n--
-		}
-	}
-	return n
-}
-
 // cutOffCase is a cut around the owner of the shard.
 type cutOffCase struct {
 	// nodes is how many nodes besides the owner are cut off, and workers how many workers.
@@ -244,7 +231,7 @@
 		}
 	})
 	env.checkNoViolations()
-	if n := env.runsInProgress(); n != lastingTasks {
+	if n := len(env.site.RunningRuns()); n != lastingTasks {
 		t.Errorf("%d tasks run after the cut, want the %d that last", n, lastingTasks)
 	}
 }
--- a/matrix/site/workerrestart_test.go
+++ b/matrix/site/workerrestart_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -241,18 +242,13 @@
 
 // runningTasks returns how many tasks of a job run, as the workers observed.
 func (env *testEnv) runningTasks(job string) int {
-	running := make(map[string]bool)
-	for _, e := range env.site.Events() {
-		if len(e.Task) < len(job) || e.Task[:len(job)] != job {
-			continue
-		}
-		if e.Kind == site.EventStart {
-			running[e.Task] = true
-		} else {
-			delete(running, e.Task)
+	tasks := make(map[string]bool)
+	for _, r := range env.site.RunningRuns() {
+		if strings.HasPrefix(r.Task, job+".") {
+			tasks[r.Task] = true
 		}
 	}
-	return len(running)
+	return len(tasks)
 }
 
 // TestLongRunningTasksRestartWithWorkers restarts half of the workers under their old IDs while
--- a/standin/site/task_test.go
+++ b/standin/site/task_test.go
@@ -13,9 +13,9 @@
 	"switchbank.example/switchbank/standin/site"
 )
 
-// runTask starts a task on a worker that the test has prepared, waits for a second, and
-// returns the last event of the run other than its start.
-func runTask(t *testing.T, order string, prepare func(*site.Worker)) (end site.Event) {
+// runOnWorker runs a test in virtual time at a site with one worker; start lets the worker start a
+// run, which it must accept.
+func runOnWorker(t *testing.T, test func(s *site.Site, w *site.Worker, start func(order string))) {
 	synctest.Test(t, func(t *testing.T) {
 		var worker http.Handler
 		s := site.New(site.Config{
@@ -33,13 +33,23 @@
 			// Within this time the worker's goroutine notices that the worker was stopped.
 			time.Sleep(time.Second)
 		}()
-		w := s.AddWorker(site.WorkerConfig{Rack: "r1-0", CPUMilli: 1000, MemoryMB: 1000})
+		test(s, s.AddWorker(site.WorkerConfig{Rack: "r1-0", CPUMilli: 1000, MemoryMB: 1000}), func(order string) {
+			t.Helper()
+			rec := httptest.NewRecorder()
+			worker.ServeHTTP(rec, httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/api/run-start", strings.NewReader(order)))
+			if rec.Code != http.StatusOK {
+				t.Fatalf("start: status %d", rec.Code)
+			}
+		})
+	})
+}
+
+// runTask starts a task on a worker that the test has prepared, waits for a second, and
+// returns the last event of the run other than its start.
+func runTask(t *testing.T, order string, prepare func(*site.Worker)) (end site.Event) {
+	runOnWorker(t, func(s *site.Site, w *site.Worker, start func(order string)) {
 		prepare(w)
-		rec := httptest.NewRecorder()
-		worker.ServeHTTP(rec, httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/api/run-start", strings.NewReader(order)))
-		if rec.Code != http.StatusOK {
-			t.Fatalf("start: status %d", rec.Code)
-		}
+		start(order)
 		time.Sleep(time.Second)
 		for _, e := range s.Events() {
 			if e.Kind != site.EventStart {
