cell: caches by job ID have one constructor

Cause: three caches, of pins, unresolved and uncertain jobs, were made by the same lines, and anyUp repeated the loop of countUp.

Change: newCache makes the caches, with the same sizes, and anyUp asks countUp.

--- a/internal/cell/admit.go
+++ b/internal/cell/admit.go
@@ -51,7 +51,7 @@
 		policy: admission.Policy{
 			Enabled: a.Enabled, AcceptUntil: a.AcceptUntil, ExpectUntil: a.ExpectUntil, NewUntil: a.NewUntil, MaxWaiting: a.MaxWaitingS,
 		},
-		memory: admission.NewMemory(), shares: admission.NewShares(), started: time.Now(), uncertain: newUncertain(),
+		memory: admission.NewMemory(), shares: admission.NewShares(), started: time.Now(), uncertain: newCache[struct{}](maxUncertain),
 	}
 }
 
@@ -59,14 +59,6 @@
 // store outage of 20 s at 100 jobs a second.
 const maxUncertain = 2000
 
-func newUncertain() *lru.Cache[string, struct{}] {
-	c, err := lru.New[string, struct{}](maxUncertain)
-	if err != nil {
-		panic("cell: invalid size of the cache of uncertain jobs: " + err.Error())
-	}
-	return c
-}
-
 // acceptAdmitted accepts an admitted job. The job is not refused at this node until the outcome is
 // known: a write without an answer may take effect late.
 func (n *Node) acceptAdmitted(ctx context.Context, job cluster.Job) Answer {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -179,7 +179,7 @@
 		me:    member{Name: cfg.Node, Address: cfg.Listen.AdvertisePeers, Incarnation: newIncarnation(), DataCentre: cfg.DataCentre, CPUMilli: cfg.Limits.CPUMilli()},
 		owned: make(map[cluster.ShardID]*owner.Owner), lastEpochs: make(map[cluster.ShardID]int64), claimed: make(map[cluster.ShardID]bool),
 		taking: make(map[cluster.ShardID]bool), owners: make(map[cluster.ShardID]ownerState),
-		layouts: make(map[string]cluster.Layout), watched: make(map[string]bool), pins: newPins(), unresolved: newUnresolved(),
+		layouts: make(map[string]cluster.Layout), watched: make(map[string]bool), pins: newCache[owner.Pin](pinCacheSize), unresolved: newCache[struct{}](unresolvedSize),
 		admitter: newAdmitter(cfg.Admission),
 	}
 	n.helperServer = fanout.NewServer(deps.Workers, deps.Log)
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -291,17 +291,7 @@
 }
 
 // anyUp reports whether any peer answers.
-func (p *peers) anyUp() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	for _, q := range p.byName {
-		if p.isUp(q, now) {
-			return true
-		}
-	}
-	return false
-}
+func (p *peers) anyUp() bool { return p.countUp() > 0 }
 
 // get returns a copy of what is known of a node.
 func (p *peers) get(name string) (peer, bool) {
--- a/internal/cell/pins.go
+++ b/internal/cell/pins.go
@@ -6,7 +6,6 @@
 	"context"
 	"slices"
 
-	lru "github.com/hashicorp/golang-lru/v2"
 	"go.uber.org/zap"
 
 	"switchbank.example/switchbank/internal/admission"
@@ -26,14 +25,6 @@
 	maxRackShardLoad = 0.9
 )
 
-func newPins() *lru.Cache[string, owner.Pin] {
-	c, err := lru.New[string, owner.Pin](pinCacheSize)
-	if err != nil {
-		panic("cell: invalid size of the cache of pins: " + err.Error())
-	}
-	return c
-}
-
 // place splits a new job into its parts, each with the shard on which it runs.
 func (n *Node) place(ctx context.Context, job cluster.Job) ([]cluster.Job, bool) {
 	layout, ok := n.layout(job.Service)
--- a/internal/cell/unresolved.go
+++ b/internal/cell/unresolved.go
@@ -6,7 +6,6 @@
 	"context"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
 	"go.uber.org/zap"
 
 	"switchbank.example/switchbank/internal/cluster"
@@ -28,14 +27,6 @@
 	ownerLookupTimeout = 100 * time.Millisecond
 )
 
-func newUnresolved() *lru.Cache[string, struct{}] {
-	c, err := lru.New[string, struct{}](unresolvedSize)
-	if err != nil {
-		panic("cell: invalid size of the cache of unresolved jobs: " + err.Error())
-	}
-	return c
-}
-
 // noteUnresolved remembers that a job may have been accepted, here and at the owners of the
 // shards that may get it.
 func (n *Node) noteUnresolved(job *cluster.Job) {
