--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -30,6 +30,8 @@
 	siteNodes   = 3
 	siteWorkers = 6
 	siteJobs    = 24
+	// siteMemoryMB is the limit of memory in the nodes' settings.
+	siteMemoryMB = 200
 	// jobInterval is the time between two submitted jobs, and pollInterval that between two
 	// checks of an awaited condition.
 	jobInterval  = 100 * time.Millisecond
@@ -54,6 +56,9 @@
 	workersPerShard int
 	// key is the key of the callers' team; empty if calls need none.
 	key string
+	// memoryMB is the nodes' limit of memory in their settings, and maxFiles the limit of open
+	// descriptors that their processes are started with; 0 keeps that of the test's process.
+	memoryMB, maxFiles int
 }
 
 // siteNode is a node's settings and process.
@@ -128,9 +133,13 @@
 }
 
 // newSiteCell starts a platform, workers and nodes, and waits until the nodes are ready.
-func newSiteCell(t *testing.T) *siteCell {
-	ports := freePorts(t, 3+siteWorkers+3*siteNodes)
-	c := &siteCell{t: t, bin: filepath.Join(os.Getenv("SWITCHBANK_BIN"), "switchbank"), dir: t.TempDir(), storeAddress: ports[0], serviceAddresses: [2]string{ports[1], ports[2]}, workersPerShard: siteWorkers}
+func newSiteCell(t *testing.T) *siteCell { return newLimitedSiteCell(t, siteNodes, siteMemoryMB, 0) }
+
+// newLimitedSiteCell is newSiteCell for a number of nodes with limits of their memory, in MB, and
+// of their open descriptors; see siteCell.
+func newLimitedSiteCell(t *testing.T, nodeCount, memoryMB, maxFiles int) *siteCell {
+	ports := freePorts(t, 3+siteWorkers+3*nodeCount)
+	c := &siteCell{t: t, bin: filepath.Join(os.Getenv("SWITCHBANK_BIN"), "switchbank"), dir: t.TempDir(), storeAddress: ports[0], serviceAddresses: [2]string{ports[1], ports[2]}, workersPerShard: siteWorkers, memoryMB: memoryMB, maxFiles: maxFiles}
 	workers, nodes := ports[3:3+siteWorkers], ports[3+siteWorkers:]
 	c.site = site.New(site.Config{
 		Service: "billing", StoreAddress: ports[0], AdviceAddress: ports[1], MachinesAddress: ports[2],
@@ -144,7 +153,7 @@
 	for i := range siteWorkers {
 		c.site.AddWorker(site.WorkerConfig{Rack: fmt.Sprintf("r1-%d", i/2), CPUMilli: 4000, MemoryMB: 32000})
 	}
-	for i := range siteNodes {
+	for i := range nodeCount {
 		n := &siteNode{name: fmt.Sprintf("n%d", i), callers: nodes[3*i], ready: nodes[3*i+1], peers: nodes[3*i+2], storeAddress: c.storeAddress, advertisedPeers: nodes[3*i+2]}
 		c.seeds = append(c.seeds, n.peers)
 		c.nodes = append(c.nodes, n)
@@ -189,7 +198,7 @@
 store: "%s"
 advice: "%s"
 machines: "%s"
-limits: {memory_mb: 200}
+limits: {memory_mb: %d}
 bounds: {stop_ms: 200, grace_ms: 6000}
 workers_per_shard: %d
 `
@@ -198,7 +207,7 @@
 func (c *siteCell) startNode(n *siteNode) {
 	c.t.Helper()
 	n.file = filepath.Join(c.dir, n.name+".yaml")
-	text := fmt.Sprintf(siteSettings, n.name, n.callers, n.ready, n.peers, n.advertisedPeers, strings.Join(c.seeds, `", "`), n.storeAddress, c.serviceAddresses[0], c.serviceAddresses[1], c.workersPerShard)
+	text := fmt.Sprintf(siteSettings, n.name, n.callers, n.ready, n.peers, n.advertisedPeers, strings.Join(c.seeds, `", "`), n.storeAddress, c.serviceAddresses[0], c.serviceAddresses[1], c.memoryMB, c.workersPerShard)
 	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
@@ -207,7 +216,7 @@
 		c.t.Fatal(err)
 	}
 	n.log = log
-	n.cmd = exec.CommandContext(c.t.Context(), c.bin, "node", "--settings", n.file)
+	n.cmd = c.nodeCommand(n)
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	if err := n.cmd.Start(); err != nil {
 		c.t.Fatal(err)
@@ -215,6 +224,15 @@
 	c.t.Cleanup(func() { c.killNode(n) })
 }
 
+// nodeCommand returns the command that runs a node. A shell that sets the limit of descriptors
+// replaces itself with the node, so that the process is the node's.
+func (c *siteCell) nodeCommand(n *siteNode) *exec.Cmd {
+	if c.maxFiles == 0 {
+		return exec.CommandContext(c.t.Context(), c.bin, "node", "--settings", n.file)
+	}
+	return exec.CommandContext(c.t.Context(), "sh", "-c", `ulimit -n "$1" && exec "$2" node --settings "$3"`, "sh", strconv.Itoa(c.maxFiles), c.bin, n.file)
+}
+
 // killNode kills a node's process, unless it has ended, and waits for it.
 func (c *siteCell) killNode(n *siteNode) {
 	if n.cmd.ProcessState != nil {
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -162,7 +162,7 @@
 // newSoak starts the cell for a seed.
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
-		siteCell:    &siteCell{t: t, bin: filepath.Join(os.Getenv("SWITCHBANK_BIN"), "switchbank"), dir: t.TempDir(), links: make(map[string]*link), workersPerShard: soakWorkersPerShard},
+		siteCell:    &siteCell{t: t, bin: filepath.Join(os.Getenv("SWITCHBANK_BIN"), "switchbank"), dir: t.TempDir(), links: make(map[string]*link), workersPerShard: soakWorkersPerShard, memoryMB: siteMemoryMB},
 		seed:        seed,
 		rng:         rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // A seed must give the same faults.
 		faultActive: make(map[string]bool), canceled: make(map[string]bool), refused: make(map[string]bool), failing: make(map[string]bool), gangs: make(map[string]bool), ended: make(map[string]bool),
