intake: bound the memory of bodies that are not whole over all connections

A submission's body was read into a buffer of up to twice its size before anything else, for any number of connections and for any time: 300 clients that stop one byte short of 256 KB held 124 MB until they disconnected, and the number of clients was the only bound.

Bodies are now read in parts of at most 16 KB, each of which counts against a limit for all connections of an eighth of limits.memory_mb. When the limit is reached, the connection whose client has been silent longest, of those in the middle of a body, is closed; one whose request has been read whole never is. If no body is unfinished, the new one is answered 503 with Retry-After; nothing of the job has been written then. A body that is alone may be as large as the operators' MaxBodyBytes. A body that takes longer than a minute is answered 503; also the rest of a body that no handler reads.

TestLargestBodyIsServed passes before and now.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -36,6 +36,7 @@
 	"switchbank.example/switchbank/internal/events"
 	"switchbank.example/switchbank/internal/fanout"
 	"switchbank.example/switchbank/internal/forecast"
+	"switchbank.example/switchbank/internal/intake"
 	"switchbank.example/switchbank/internal/owner"
 	"switchbank.example/switchbank/internal/scheduler"
 	"switchbank.example/switchbank/internal/settings"
@@ -123,6 +124,8 @@
 	// forecasts holds the summaries that the owners of shards reported last.
 	forecasts forecast.Received
 	admitter  *admitter
+	// intake bounds what callers make this process hold.
+	intake *intake.Limiter
 	// configChanges tells of changes of the configuration and of the evacuations.
 	configChanges notifier
 	// configConfirmed is when the configuration in force was last known to be the newest.
@@ -180,7 +183,7 @@
 		owned: make(map[cluster.ShardID]*owner.Owner), lastEpochs: make(map[cluster.ShardID]int64), claimed: make(map[cluster.ShardID]bool),
 		taking: make(map[cluster.ShardID]bool), owners: make(map[cluster.ShardID]ownerState),
 		layouts: make(map[string]cluster.Layout), watched: make(map[string]bool), pins: newCache[owner.Pin](pinCacheSize), unresolved: newCache[struct{}](unresolvedSize),
-		admitter: newAdmitter(cfg.Admission),
+		admitter: newAdmitter(cfg.Admission), intake: intake.New(intake.LimitsFor(cfg.Limits.MemoryBytes())),
 	}
 	n.helperServer = fanout.NewServer(deps.Workers, deps.Log)
 	n.peers = newPeers(n)
@@ -265,11 +268,13 @@
 	listeners := []struct {
 		address string
 		handler http.Handler
+		// intake bounds what the clients hold; nil if only nodes and operators are clients.
+		intake *intake.Limiter
 	}{
-		{n.cfg.Listen.Callers, n.closeWhenDraining(n.Callers(n))},
-		{n.cfg.Listen.Ready, n.readyHandler()},
-		{n.cfg.Listen.Peers, mux},
-		{n.cfg.Listen.Metrics, http.HandlerFunc(n.serveMetrics)},
+		{n.cfg.Listen.Callers, n.closeWhenDraining(n.Callers(n)), n.intake},
+		{n.cfg.Listen.Ready, n.readyHandler(), nil},
+		{n.cfg.Listen.Peers, mux, nil},
+		{n.cfg.Listen.Metrics, http.HandlerFunc(n.serveMetrics), nil},
 	}
 	var servers []*http.Server
 	for _, p := range listeners {
@@ -285,6 +290,10 @@
 			return nil, &Error{"run", KindListen, err}
 		}
 		s := &http.Server{Handler: p.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+		if p.intake != nil {
+			p.intake.Attach(s)
+			l = p.intake.Listener(l)
+		}
 		servers = append(servers, s)
 		n.group.Go(func() error {
 			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -105,6 +105,14 @@
 // CPUMilli returns the CPU that the node may use, in thousandths of a reference core.
 func (l Limits) CPUMilli() int64 { return int64(l.CPUShare * l.CoreSpeed * 1000) }
 
+// MemoryBytes returns the memory that the node may use, in bytes.
+func (l Limits) MemoryBytes() int64 {
+	if l.MemoryMB == 0 {
+		return defaultMemoryMB << 20
+	}
+	return l.MemoryMB << 20
+}
+
 // Bounds are the platform's time limits, in milliseconds.
 type Bounds struct {
 	// MaxLeaseMS is the longest lease that workers grant.
