platform: decode a job's steps one by one, within a bound of memory

A whole body within the limits was decoded before it was checked: 256 KB of empty steps became some 16 MB of objects, and any number of them at once. 20 such bodies took 494 MB, 30 of the shortest valid steps 179 MB.

Steps are validated as they are decoded, and the first invalid one ends it. What a body may become is bounded before any object is built, by its size and the number of its objects, and reserved from a limit for all connections of an eighth of limits.memory_mb until the call is answered. A call that has to wait for it beyond its deadline is answered 503 with Retry-After, before anything is written; a job that needs more than all of it is decoded alone. Which bodies are valid is unchanged.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -242,7 +242,7 @@
 	}
 	total := 0
 	for i := range j.Steps {
-		if err := j.Steps[i].validate(i); err != nil {
+		if err := j.Steps[i].Validate(i); err != nil {
 			return err
 		}
 		total += j.Steps[i].Count
@@ -250,7 +250,8 @@
 	return j.validateTimes(total)
 }
 
-func (s *Step) validate(i int) error {
+// Validate checks the job's step of index i on its own, and names the first invalid field.
+func (s *Step) Validate(i int) error {
 	field := fmt.Sprintf("steps[%d]", i)
 	if s.Count <= 0 || s.Count > MaxTasks {
 		return invalid(field+".count", "must be from 1 to "+strconv.Itoa(MaxTasks))
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -3,6 +3,7 @@
 package intake
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -107,6 +108,15 @@
 // Size returns the size of the body in bytes.
 func (b *Body) Size() int { return b.size }
 
+// Count returns how often a byte occurs in the body.
+func (b *Body) Count(c byte) int {
+	n := 0
+	for _, chunk := range b.chunks {
+		n += bytes.Count(chunk, []byte{c})
+	}
+	return n
+}
+
 // Release frees the memory of the body, which must not be used any more.
 func (b *Body) Release() {
 	b.chunks = nil
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -16,6 +16,7 @@
 // and in the handler:
 //
 //	body, err := intake.ReadBody(ctx, w, r, limit)
+//	release, err := intake.Reserve(ctx, bytesWhenDecoded)
 package intake
 
 import (
@@ -66,28 +67,33 @@
 
 // Limits bound what all clients of a server hold together.
 type Limits struct {
-	// Bytes bounds the memory of requests that have not been read whole or not been decoded.
+	// Bytes bounds the memory of requests that have not been decoded.
 	Bytes int64
+	// DecodeBytes bounds the memory that requests are decoded into until they are answered.
+	DecodeBytes int64
 	// ReadTime bounds the time in which the body of a request is read.
 	ReadTime time.Duration
 }
 
 const (
-	// bodyShare is the part of the process's memory that requests may hold.
-	bodyShare = 8
+	// bodyShare and decodeShare are the parts of the process's memory for the bodies of requests,
+	// and for what they are decoded into.
+	bodyShare, decodeShare = 8, 8
 	// readTime is long enough for 256 KB at 35 kbit/s.
 	readTime = time.Minute
 )
 
 // LimitsFor returns the limits for a process that may use memoryBytes of memory.
 func LimitsFor(memoryBytes int64) Limits {
-	return Limits{Bytes: memoryBytes / bodyShare, ReadTime: readTime}
+	return Limits{Bytes: memoryBytes / bodyShare, DecodeBytes: memoryBytes / decodeShare, ReadTime: readTime}
 }
 
 // Stats are counts since the start of the process, and what is held now.
 type Stats struct {
 	// HeldBytes is the memory that requests hold.
 	HeldBytes int64
+	// DecodeBytes is the memory that is reserved for decoded requests.
+	DecodeBytes int64
 	// ClosedForMemory counts the connections that were closed to free their memory.
 	ClosedForMemory int64
 	// Busy counts the requests that were refused since others held all memory.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -213,3 +214,44 @@
 		t.Errorf("got %d", status)
 	}
 }
+
+// TestDecodedRequestsExhaustMemory checks that requests wait while others that are decoded need all
+// memory, that one which needs more is served alone, and that one whose time ends is refused.
+func TestDecodedRequestsExhaustMemory(t *testing.T) {
+	const decodeBytes = 1000
+	l := intake.New(intake.Limits{Bytes: 64 << 10, DecodeBytes: decodeBytes, ReadTime: time.Minute})
+	began, release := make(chan struct{}), make(chan struct{})
+	address := serve(t, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := r.Context()
+		if r.URL.Path == "/hurry" {
+			short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+			defer cancel()
+			ctx = short
+		}
+		free, err := intake.Reserve(ctx, 5*decodeBytes)
+		if err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer free()
+		began <- struct{}{}
+		<-release
+	}))
+	first := send(t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-began
+	if status, _ := answer(t, send(t, address, "GET /hurry HTTP/1.1\r\nHost: h\r\n\r\n")); status != http.StatusServiceUnavailable {
+		t.Errorf("the request whose time has ended got %d", status)
+	}
+	second := send(t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	release <- struct{}{}
+	<-began
+	if held := l.Stats().DecodeBytes; held != decodeBytes {
+		t.Errorf("%d bytes are reserved, want %d", held, decodeBytes)
+	}
+	release <- struct{}{}
+	for _, c := range []net.Conn{first, second} {
+		if status, _ := answer(t, c); status != http.StatusOK {
+			t.Errorf("got %d", status)
+		}
+	}
+}
