intake: bound the connections of callers and of the balancer's checks

Connections of callers were bounded by the process's descriptors only: 700 clients took all 512 that a node was started with, so that it could open none to the store, workers and peers, nor accept a caller. Those in the middle of a body stayed open without end.

Above that, the connection whose client has been silent longest is closed, whether it is idle, in the middle of a head or a body, or hasn't received its answer for a second. A request that has been read whole keeps its connection until it is answered; if there is no other, the new connection is closed. Each part of an answer must be received within a minute.

--- a/e2e/hostileclients_test.go
+++ b/e2e/hostileclients_test.go
@@ -379,6 +379,29 @@
 	}}.run(t)
 }
 
+// TestUnreadAnswersExhaustDescriptors sends requests one after another without reading the answers,
+// with a small receive buffer.
+func TestUnreadAnswersExhaustDescriptors(t *testing.T) {
+	requests := bytes.Repeat([]byte("GET /none/ HTTP/1.1\r\nHost: h\r\n\r\n"), 2000)
+	crowd{clients: 700, maxFiles: crowdMaxFiles, send: func(w io.Writer) error {
+		if tcp, ok := w.(*net.TCPConn); ok {
+			if err := tcp.SetReadBuffer(2 << 10); err != nil {
+				return err
+			}
+		}
+		// The node may stop reading before it has read all requests.
+		for data := requests; len(data) > 0; data = data[min(len(data), 4<<10):] {
+			if tcp, ok := w.(*net.TCPConn); ok && tcp.SetWriteDeadline(time.Now().Add(time.Second)) != nil {
+				return nil
+			}
+			if err := write(w, data[:min(len(data), 4<<10)]); err != nil {
+				return err
+			}
+		}
+		return nil
+	}}.run(t)
+}
+
 // TestReadyClientsExhaustDescriptors opens silent connections to the listener of the balancer's
 // checks.
 func TestReadyClientsExhaustDescriptors(t *testing.T) {
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -36,6 +36,7 @@
 	n.metrics.NewGauge("switchbank_directory_read", n.directory.reads)
 	n.metrics.NewGauge("switchbank_admission_refused_jobs", func() float64 { return float64(n.admitter.memory.Len()) })
 	n.metrics.NewGauge("switchbank_data_centres_evacuated", func() float64 { return float64(len(n.evacuations.dataCentres())) })
+	n.registerIntakeMetrics()
 	gauge("switchbank_runs_started", func(c scheduler.Counts) int64 { return c.Starts })
 	gauge("switchbank_runs_done", func(c scheduler.Counts) int64 { return c.Done })
 	gauge("switchbank_runs_failed", func(c scheduler.Counts) int64 { return c.Failed })
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -124,8 +124,9 @@
 	// forecasts holds the summaries that the owners of shards reported last.
 	forecasts forecast.Received
 	admitter  *admitter
-	// intake bounds what callers make this process hold.
-	intake *intake.Limiter
+	// intake bounds what callers make this process hold, and readyIntake what the balancer's
+	// checks do.
+	intake, readyIntake *intake.Limiter
 	// configChanges tells of changes of the configuration and of the evacuations.
 	configChanges notifier
 	// configConfirmed is when the configuration in force was last known to be the newest.
@@ -183,7 +184,7 @@
 		owned: make(map[cluster.ShardID]*owner.Owner), lastEpochs: make(map[cluster.ShardID]int64), claimed: make(map[cluster.ShardID]bool),
 		taking: make(map[cluster.ShardID]bool), owners: make(map[cluster.ShardID]ownerState),
 		layouts: make(map[string]cluster.Layout), watched: make(map[string]bool), pins: newCache[owner.Pin](pinCacheSize), unresolved: newCache[struct{}](unresolvedSize),
-		admitter: newAdmitter(cfg.Admission), intake: intake.New(intake.LimitsFor(cfg.Limits.MemoryBytes())),
+		admitter: newAdmitter(cfg.Admission), intake: newIntake(cfg.Limits), readyIntake: newReadyIntake(cfg.Limits),
 	}
 	n.helperServer = fanout.NewServer(deps.Workers, deps.Log)
 	n.peers = newPeers(n)
@@ -272,7 +273,7 @@
 		intake *intake.Limiter
 	}{
 		{n.cfg.Listen.Callers, n.closeWhenDraining(n.Callers(n)), n.intake},
-		{n.cfg.Listen.Ready, n.readyHandler(), nil},
+		{n.cfg.Listen.Ready, n.readyHandler(), n.readyIntake},
 		{n.cfg.Listen.Peers, mux, nil},
 		{n.cfg.Listen.Metrics, http.HandlerFunc(n.serveMetrics), nil},
 	}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -10,12 +10,32 @@
 	"time"
 )
 
+// phase is what a connection waits for.
+type phase int
+
+// The phases of a connection.
+const (
+	// phaseIdle waits for the first byte of a request.
+	phaseIdle phase = iota
+	// phaseHead waits for the rest of a request's head.
+	phaseHead
+	// phaseBody waits for the rest of a request's body.
+	phaseBody
+	// phaseServed waits for the request's handler.
+	phaseServed
+	// phaseAnswer waits for the client to receive an answer.
+	phaseAnswer
+)
+
 // conn is a connection of a limited server. Its fields are guarded by the limiter's mutex.
 type conn struct {
 	net.Conn
-	l *Limiter
-	// element is the connection's place in receiving, or nil.
+	l     *Limiter
+	phase phase
+	// element is the connection's place in the limiter's list of its phase, or nil.
 	element *list.Element
+	// heard is when the connection entered its phase or its client last sent something.
+	heard time.Time
 	// held is the memory that its request holds, in bytes.
 	held int64
 	// closed is set once the limiter has closed the connection or the server is done with it.
@@ -24,21 +44,88 @@
 	bodyRead bool
 }
 
+// answerTime is how long an answer may wait for its client.
+const answerTime = time.Second
+
 // Read reads from the client and records that the client isn't silent.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.progress()
+	if n > 0 && !c.progress() {
+		return 0, newClosed("read")
 	}
 	return n, err
 }
 
-// progress moves the connection behind those that have been silent longer.
-func (c *conn) progress() {
+// progress records that data has come, and returns false if the connection has been closed.
+func (c *conn) progress() bool {
+	l := c.l
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	switch c.phase {
+	case phaseIdle:
+		c.enter(phaseHead)
+	case phaseHead, phaseBody:
+		c.enter(c.phase)
+	}
+	return true
+}
+
+// mayClose reports whether the limiter may close the connection. One that is being answered must
+// have kept the answer waiting for answerTime. l.mu is held.
+func (c *conn) mayClose() bool {
+	return c.phase != phaseAnswer || time.Since(c.heard) >= answerTime
+}
+
+// enter moves the connection to the end of the list of a phase. l.mu is held.
+func (c *conn) enter(p phase) {
+	c.leave()
+	c.phase = p
+	c.heard = time.Now()
+	if list := c.l.listOf(p); list != nil {
+		c.element = list.PushBack(c)
+	}
+}
+
+// leave takes the connection out of the list of its phase. l.mu is held.
+func (c *conn) leave() {
+	if c.element != nil {
+		c.l.listOf(c.phase).Remove(c.element)
+		c.element = nil
+	}
+}
+
+// Write writes to the client, within Limits.ReadTime. While it waits, the connection may be closed.
+func (c *conn) Write(b []byte) (int, error) {
+	if !c.beginAnswer() {
+		return 0, newClosed("write")
+	}
+	defer c.endAnswer()
+	return c.Conn.Write(b)
+}
+
+// beginAnswer returns false if the connection has been closed.
+func (c *conn) beginAnswer() bool {
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
-	if c.element != nil {
-		c.l.receiving.MoveToBack(c.element)
+	if c.closed {
+		return false
+	}
+	if c.phase == phaseServed {
+		c.enter(phaseAnswer)
+	}
+	// An error means that the connection has ended, which the write reports.
+	_ = c.SetWriteDeadline(time.Now().Add(c.l.limits.ReadTime))
+	return true
+}
+
+func (c *conn) endAnswer() {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	if !c.closed && c.phase == phaseAnswer {
+		c.enter(phaseServed)
 	}
 }
 
@@ -46,8 +133,7 @@
 func (c *conn) Close() error {
 	c.l.mu.Lock()
 	c.release(c.held)
-	c.closed = true
-	c.leave()
+	c.l.remove(c)
 	c.l.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -56,12 +142,16 @@
 func (c *conn) setState(state http.ConnState) {
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
+	if c.closed {
+		return
+	}
 	switch state {
 	case http.StateIdle:
 		c.release(c.held)
-		c.leave()
+		c.enter(phaseIdle)
 	case http.StateActive:
 		c.bodyRead = false
+		c.enter(phaseServed)
 	}
 }
 
@@ -72,9 +162,9 @@
 	}
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
-	if !c.closed && c.element == nil {
-		c.element = c.l.receiving.PushBack(c)
-		// Without the deadline, only a full budget would end a silent client. An error means that
+	if !c.closed {
+		c.enter(phaseBody)
+		// Without the deadline, only a full limit would end a silent client. An error means that
 		// the connection has ended.
 		_ = c.SetReadDeadline(time.Now().Add(c.l.limits.ReadTime))
 	}
@@ -104,19 +194,11 @@
 		return newClosed("read body")
 	}
 	c.bodyRead = true
-	c.leave()
+	c.enter(phaseServed)
 	_ = c.SetReadDeadline(time.Time{})
 	return nil
 }
 
-// leave takes the connection out of receiving. l.mu is held.
-func (c *conn) leave() {
-	if c.element != nil {
-		c.l.receiving.Remove(c.element)
-		c.element = nil
-	}
-}
-
 // acquire adds n bytes to what the request holds. While that would exceed the limit, it closes the
 // connections that have been silent longest and waits until their memory is free.
 func (c *conn) acquire(ctx context.Context, n int64) error {
@@ -159,7 +241,7 @@
 // release frees n bytes of what the request holds. l.mu is held.
 func (c *conn) release(n int64) {
 	n = min(n, c.held)
-	if n == 0 {
+	if n <= 0 {
 		return
 	}
 	c.held -= n
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,8 +3,8 @@
 // Package intake bounds what the clients of a server make its process hold: memory for requests
 // that have not been answered, and connections. The bounds hold for all connections together.
 // When one is reached, the connection whose client has been silent longest is closed, so that
-// clients that stop in the middle of a request don't keep others out. A connection whose request
-// has been read whole, and is not being answered yet, is never closed.
+// clients that stop in the middle of a request, or don't read their answers, don't keep others out.
+// A connection whose request has been read whole, and is not being answered yet, is never closed.
 //
 // # Usage
 //
@@ -67,25 +67,39 @@
 
 // Limits bound what all clients of a server hold together.
 type Limits struct {
+	// Conns bounds the open connections.
+	Conns int
 	// Bytes bounds the memory of requests that have not been decoded.
 	Bytes int64
 	// DecodeBytes bounds the memory that requests are decoded into until they are answered.
 	DecodeBytes int64
-	// ReadTime bounds the time in which the body of a request is read.
+	// ReadTime bounds the time in which the body of a request is read, and each part of an answer
+	// received.
 	ReadTime time.Duration
 }
 
 const (
-	// bodyShare and decodeShare are the parts of the process's memory for the bodies of requests,
-	// and for what they are decoded into.
+	// bodyShare and decodeShare are the parts of the process's memory for the heads and bodies of
+	// requests, and for what they are decoded into.
 	bodyShare, decodeShare = 8, 8
+	// connShare is the part for the connections' buffers and stacks, of connBytes each.
+	connShare, connBytes = 4, 24 << 10
+	// reservedFiles is how many descriptors are left for files, and fileShare the part of the
+	// others that connections of clients may take. The rest is for the store, workers and peers.
+	reservedFiles, fileShare = 200, 2
+	// minConns is the least number of connections that are allowed.
+	minConns = 16
 	// readTime is long enough for 256 KB at 35 kbit/s.
 	readTime = time.Minute
 )
 
-// LimitsFor returns the limits for a process that may use memoryBytes of memory.
-func LimitsFor(memoryBytes int64) Limits {
-	return Limits{Bytes: memoryBytes / bodyShare, DecodeBytes: memoryBytes / decodeShare, ReadTime: readTime}
+// LimitsFor returns the limits for a process that may use memoryBytes of memory and maxFiles
+// descriptors.
+func LimitsFor(memoryBytes int64, maxFiles int) Limits {
+	return Limits{
+		Conns: max(minConns, min(int(memoryBytes/connShare/connBytes), (maxFiles-reservedFiles)/fileShare)),
+		Bytes: memoryBytes / bodyShare, DecodeBytes: memoryBytes / decodeShare, ReadTime: readTime,
+	}
 }
 
 // Stats are counts since the start of the process, and what is held now.
@@ -94,6 +108,11 @@
 	HeldBytes int64
 	// DecodeBytes is the memory that is reserved for decoded requests.
 	DecodeBytes int64
+	// Conns is the number of open connections.
+	Conns int
+	// ClosedForRoom counts the connections that were closed to make room for new ones, and
+	// Refused the new ones that were closed since no other one could be.
+	ClosedForRoom, Refused int64
 	// ClosedForMemory counts the connections that were closed to free their memory.
 	ClosedForMemory int64
 	// Busy counts the requests that were refused since others held all memory.
@@ -108,16 +127,16 @@
 	stats Stats
 	// freeing is the part of stats.HeldBytes that belongs to closed connections.
 	freeing int64
-	// receiving holds the connections that wait for bytes of a request's body, the one that
-	// has been silent longest first.
-	receiving *list.List
+	// idle holds the connections between two requests, and waiting those that wait for their client
+	// in the middle of one, the one that has been silent longest first.
+	idle, waiting *list.List
 	// changed is closed, and replaced, when memory is freed or a connection is closed.
 	changed chan struct{}
 }
 
 // New returns a limiter of one server.
 func New(limits Limits) *Limiter {
-	return &Limiter{limits: limits, receiving: list.New(), changed: make(chan struct{})}
+	return &Limiter{limits: limits, idle: list.New(), waiting: list.New(), changed: make(chan struct{})}
 }
 
 // Stats returns the counts.
@@ -163,25 +182,89 @@
 	l *Limiter
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection for which there is room.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c, ok := l.l.admit(inner); ok {
+			return c, nil
+		}
+		_ = inner.Close()
+	}
+}
+
+// admit adds a new connection, and closes the one that has been silent longest if there are too
+// many; false if none can be closed.
+func (l *Limiter) admit(inner net.Conn) (*conn, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limits.Conns > 0 && l.stats.Conns >= l.limits.Conns {
+		silentest := l.silentest()
+		if silentest == nil {
+			l.stats.Refused++
+			return nil, false
+		}
+		l.close(silentest)
+		l.stats.ClosedForRoom++
+	}
+	l.stats.Conns++
+	c := &conn{Conn: inner, l: l}
+	c.enter(phaseIdle)
+	return c, true
+}
+
+// silentest returns the connection that has been silent longest, or nil. l.mu is held.
+func (l *Limiter) silentest() *conn {
+	idle, waiting := firstToClose(l.idle), firstToClose(l.waiting)
+	if idle == nil || waiting != nil && waiting.heard.Before(idle.heard) {
+		return waiting
+	}
+	return idle
+}
+
+// firstToClose returns the first connection of a list that may be closed, or nil.
+func firstToClose(conns *list.List) *conn {
+	for e := conns.Front(); e != nil; e = e.Next() {
+		if c, ok := e.Value.(*conn); ok && c.mayClose() {
+			return c
+		}
+	}
+	return nil
+}
+
+// listOf returns the list of the connections in a phase, or nil if they are never closed.
+func (l *Limiter) listOf(p phase) *list.List {
+	switch p {
+	case phaseIdle:
+		return l.idle
+	case phaseHead, phaseBody, phaseAnswer:
+		return l.waiting
+	default:
+		return nil
 	}
-	return &conn{Conn: c, l: l.l}, nil
 }
 
 // close closes a connection so that the memory of its request is freed. l.mu is held.
 func (l *Limiter) close(c *conn) {
-	c.closed = true
-	c.leave()
+	l.remove(c)
 	l.freeing += c.held
 	// The connection's own goroutine meets the error and ends.
 	_ = c.Conn.Close()
 	l.broadcast()
 }
 
+// remove takes a connection out of the count and the lists. l.mu is held.
+func (l *Limiter) remove(c *conn) {
+	if !c.closed {
+		c.closed = true
+		c.leave()
+		l.stats.Conns--
+	}
+}
+
 // broadcast wakes those that wait for memory. l.mu is held.
 func (l *Limiter) broadcast() {
 	close(l.changed)
@@ -191,8 +274,8 @@
 // closeSilentest closes the connection other than except that holds memory and has been silent
 // longest; false if there is none. l.mu is held.
 func (l *Limiter) closeSilentest(except *conn) bool {
-	for e := l.receiving.Front(); e != nil; e = e.Next() {
-		if c, ok := e.Value.(*conn); ok && c != except && c.held > 0 {
+	for e := l.waiting.Front(); e != nil; e = e.Next() {
+		if c, ok := e.Value.(*conn); ok && c != except && c.held > 0 && c.mayClose() {
 			l.close(c)
 			l.stats.ClosedForMemory++
 			return true
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -88,12 +88,12 @@
 	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", length, body)
 }
 
-// waitHeld waits until requests hold at least n bytes.
-func waitHeld(t *testing.T, l *intake.Limiter, n int64) {
+// waitStats waits until the counts of a limiter satisfy a condition.
+func waitStats(t *testing.T, l *intake.Limiter, condition string, ok func(intake.Stats) bool) {
 	t.Helper()
-	for end := time.Now().Add(answerTimeout); l.Stats().HeldBytes < n; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(answerTimeout); !ok(l.Stats()); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("requests hold %d bytes, want %d", l.Stats().HeldBytes, n)
+			t.Fatalf("%+v, want %s", l.Stats(), condition)
 		}
 	}
 }
@@ -104,7 +104,7 @@
 	address := serve(t, l, http.HandlerFunc(sizeHandler))
 	body := strings.Repeat("x", 50<<10)
 	first := send(t, address, post(len(body), body[1:]))
-	waitHeld(t, l, 50<<10)
+	waitStats(t, l, "the first body held", func(s intake.Stats) bool { return s.HeldBytes >= 50<<10 })
 	if status, text := answer(t, send(t, address, post(len(body), body))); status != http.StatusOK || text != "51200" {
 		t.Errorf("the second client got %d %q", status, text)
 	}
@@ -149,6 +149,7 @@
 	address := serve(t, l, http.HandlerFunc(sizeHandler))
 	body := strings.Repeat("x", 300<<10)
 	for range 3 {
+		waitStats(t, l, "nothing held", func(s intake.Stats) bool { return s.HeldBytes == 0 })
 		if status, text := answer(t, send(t, address, post(len(body), body))); status != http.StatusOK || text != "307200" {
 			t.Errorf("got %d %q", status, text)
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -93,6 +93,9 @@
 // Limits are the resources that the node may use.
 type Limits struct {
 	MemoryMB int64 `yaml:"memory_mb"`
+	// MaxFiles is the number of descriptors that the process may have open; 0 means what the
+	// system allows.
+	MaxFiles int `yaml:"max_files"`
 	// CPUShare is the number of cores that the process may use, and CoreSpeed the speed
 	// of such a core relative to a reference core. Both are 1 by default.
 	CPUShare  float64 `yaml:"cpu_share"`
@@ -263,6 +266,9 @@
 	if s.Limits.LinkMbps < 0 {
 		return newInvalid("limits.link_mbps", "must not be below 0")
 	}
+	if s.Limits.MaxFiles < 0 {
+		return newInvalid("limits.max_files", "must not be below 0")
+	}
 	if s.Limits.CoreSpeed < 0 {
 		return newInvalid("limits.core_speed", "must be above 0")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -56,6 +56,7 @@
 		{validSettings + "workers_per_shard: 1501\n", "workers_per_shard"},
 		{validSettings + "workers_per_shard: 300\nlimits: {cpu_share: 0.12}\n", "workers_per_shard"},
 		{validSettings + "limits: {link_mbps: -2}\n", "limits.link_mbps"},
+		{validSettings + "limits: {max_files: -1}\n", "limits.max_files"},
 		{validSettings + "limits: {core_speed: -1}\n", "limits.core_speed"},
 		{validSettings + "worker_orders: heartbeat\n", "worker_orders"},
 		{validSettings + "admission: {accept_until: 0.9}\n", "admission.accept_until"},
