intake: bound the size of heads and the memory that they take

The head of a request could be as long as the library's default of 1 MB, on all servers, and its lines take many times their size: 100 heads of 300 KB in short lines took 397 MB, and 600 heads of 7 KB before a body that lacks its last byte 85 MB.

A head may have 8 KB on all servers (12 KB with what the library adds; longer ones are answered 431). What its text and lines take counts against the limit of the bodies, of which heads may take a quarter more, so that a request whose body finds no memory is answered 503.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -290,7 +290,7 @@
 			}
 			return nil, &Error{"run", KindListen, err}
 		}
-		s := &http.Server{Handler: p.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+		s := &http.Server{Handler: p.handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 		if p.intake != nil {
 			p.intake.Attach(s)
 			l = p.intake.Listener(l)
@@ -307,6 +307,8 @@
 }
 
 const (
+	// maxHeaderBytes bounds the head of a request, to which the server adds 4 KB.
+	maxHeaderBytes = 8 << 10
 	// readHeaderTimeout and idleTimeout bound how long slow and idle clients keep a
 	// connection open.
 	readHeaderTimeout = 5 * time.Second
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -3,6 +3,7 @@
 package intake
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"net"
@@ -44,20 +45,32 @@
 	bodyRead bool
 }
 
-// answerTime is how long an answer may wait for its client.
-const answerTime = time.Second
+const (
+	// headCopies is how many times its size a head takes while it is read.
+	headCopies = 3
+	// headerLineBytes is the memory for a line of a head beside its text.
+	headerLineBytes = 200
+	// headReserve is the part of Limits.Bytes that only heads may use beyond it, so that a request
+	// whose body finds no memory gets an answer.
+	headReserve = 4
+	// readHeadBytes is the memory for a head that has been read, beside its lines.
+	readHeadBytes = 2 << 10
+	// answerTime is how long an answer may wait for its client.
+	answerTime = time.Second
+)
 
 // Read reads from the client and records that the client isn't silent.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 && !c.progress() {
+	if n > 0 && !c.progress(b[:n]) {
 		return 0, newClosed("read")
 	}
 	return n, err
 }
 
-// progress records that data has come, and returns false if the connection has been closed.
-func (c *conn) progress() bool {
+// progress records that data has come, and returns false if the connection has been closed. A
+// connection with a head for which there is no memory is closed as well.
+func (c *conn) progress(data []byte) bool {
 	l := c.l
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -70,9 +83,48 @@
 	case phaseHead, phaseBody:
 		c.enter(c.phase)
 	}
+	if c.phase != phaseHead {
+		return true
+	}
+	return c.holdHead(headCopies*int64(len(data)) + headerLineBytes*int64(bytes.Count(data, []byte{'\n'})))
+}
+
+// holdHead adds n bytes to what the request holds, and waits until closing other connections has
+// made room for them. It returns false if the connection is closed, or if there is no room. l.mu is
+// held.
+func (c *conn) holdHead(n int64) bool {
+	l := c.l
+	limit := l.limits.Bytes + l.limits.Bytes/headReserve
+	for l.stats.HeldBytes+n > limit {
+		switch {
+		case l.stats.HeldBytes-l.freeing+n > limit && l.closeSilentest(c):
+			continue
+		case l.freeing == 0:
+			l.stats.Busy++
+			l.close(c)
+			return false
+		}
+		l.wait(context.Background())
+		if c.closed {
+			return false
+		}
+	}
+	c.held += n
+	l.stats.HeldBytes += n
 	return true
 }
 
+// settleHead frees what was held for a head that has been read and has few lines: the first bytes
+// of the body came with it.
+func (c *conn) settleHead(lines int) {
+	if c == nil {
+		return
+	}
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.release(c.held - (readHeadBytes + 2*headerLineBytes*int64(lines)))
+}
+
 // mayClose reports whether the limiter may close the connection. One that is being answered must
 // have kept the answer waiting for answerTime. l.mu is held.
 func (c *conn) mayClose() bool {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -150,6 +150,7 @@
 func (l *Limiter) Attach(s *http.Server) {
 	h := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		connOf(r.Context()).settleHead(len(r.Header))
 		h.ServeHTTP(w, r)
 		if r.Body != http.NoBody {
 			// The server reads what the handler has left of the body before it answers.
