standin/site: judge stalls of jobs whose team has a limit

The check of stalls knew no limits: a job that waits at its team's limit counted as stalled, so that runs with teams at their limits couldn't use the check.

--- a/standin/site/teams.go
+++ b/standin/site/teams.go
@@ -11,6 +11,10 @@
 // configuration and the moment from which its limits hold.
 const maxLimitDelay = 3 * time.Second
 
+// limitChangeSlack is how long before and after a change of a limit the lower one of both counts for
+// the room that a team has: the change takes up to maxLimitDelay, and then runs above it are stopped.
+const limitChangeSlack = maxLimitDelay + time.Second
+
 // TeamExpectation is what the operators have set for a team.
 type TeamExpectation struct {
 	Name string
@@ -38,6 +42,19 @@
 	return highest
 }
 
+// lowestLimitAt returns the lowest limit that may be in force at a time, or close to it; 0: none is.
+func (x *TeamExpectation) lowestLimitAt(at time.Time) int64 {
+	lowest := int64(0)
+	for i, l := range x.Limits {
+		begun := !at.Before(l.At.Add(-limitChangeSlack))
+		replaced := i+1 < len(x.Limits) && !at.Before(x.Limits[i+1].At.Add(limitChangeSlack))
+		if begun && !replaced && (lowest == 0 || l.CPUMilli < lowest) {
+			lowest = l.CPUMilli
+		}
+	}
+	return lowest
+}
+
 // checkTeams checks the start of a task of a job against the limit of its team.
 func (c *checker) checkTeams(e Event, job string) {
 	for _, x := range c.expected.Teams {
