e2e: check stalls in soak runs with teams

TestSoakStallsJobs judged no runs with teams, all but the seeds that have failed before, since the check of stalls didn't know limits. It now gets the limits of the callers' team over time and judges all seeds.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -66,7 +66,11 @@
 	if text == "" {
 		return append(ciSeeds, failedSeeds...)
 	}
-	var seeds []uint64
+	return parseSeeds(t, text)
+}
+
+// parseSeeds returns the seeds of a list of seeds and ranges of seeds.
+func parseSeeds(t *testing.T, text string) (seeds []uint64) {
 	for _, part := range strings.Split(text, ",") {
 		first, last, isRange := strings.Cut(part, "-")
 		if !isRange {
@@ -75,7 +79,7 @@
 		from, err1 := strconv.ParseUint(first, 10, 64)
 		to, err2 := strconv.ParseUint(last, 10, 64)
 		if err1 != nil || err2 != nil {
-			t.Fatalf("SOAK_SEEDS: %q is not a seed or a range of seeds", part)
+			t.Fatalf("%q is not a seed or a range of seeds", part)
 		}
 		for s := from; s <= to; s++ {
 			seeds = append(seeds, s)
@@ -157,6 +161,8 @@
 	checksStalls bool
 	// stallJobs describe the accepted jobs for the check of stalls.
 	stallJobs []site.StallJob
+	// limitChanges are the limits of the callers' team over time.
+	limitChanges []site.LimitChange
 }
 
 // newSoak starts the cell for a seed.
--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -215,7 +215,11 @@
 	for i := range s.extraRoutes {
 		routes = append(routes, site.Route{Name: fmt.Sprintf("more%d", i), Host: "another", PathPrefix: fmt.Sprintf("/more%d/", i), MaxAttempts: 3, Stretch: 2, Upstream: "billing", Advice: urgent.Advice})
 	}
-	s.site.ConfigureTeams(s.version, s.teams(), routes...)
+	teams := s.teams()
+	s.site.ConfigureTeams(s.version, teams, routes...)
+	if len(teams) > 0 {
+		s.limitChanges = append(s.limitChanges, site.LimitChange{At: time.Now(), CPUMilli: teams[0].Limit.CPUMilli})
+	}
 }
 
 // The pause between two extensions of the configuration, and the routes that each one adds.
--- a/e2e/soakstalls_test.go
+++ b/e2e/soakstalls_test.go
@@ -31,18 +31,32 @@
 	return id
 }
 
-// checkNoStallsSince checks that no accepted job has waited beside room since a time. Jobs that are
-// cancelled, and those that fail by themselves or crash their workers, may wait, and so may all jobs
-// of a team at its limit.
+// checkNoStallsSince checks that no accepted job has waited since a time beside room on workers and
+// within its team's limit. Jobs that are cancelled, and those that fail by themselves or crash their
+// workers, may wait.
 func (s *soak) checkNoStallsSince(since time.Time) {
-	if !s.checksStalls || s.hasTeams() {
+	if !s.checksStalls {
 		return
 	}
 	s.mu.Lock()
 	jobs := slices.DeleteFunc(slices.Clone(s.stallJobs), func(j site.StallJob) bool { return s.canceled[j.ID] || s.failing[j.ID] })
 	s.mu.Unlock()
-	for _, stall := range s.site.Stalls(site.StallCheck{Jobs: jobs, From: since, Until: time.Now()}) {
+	for _, stall := range s.site.Stalls(site.StallCheck{Jobs: jobs, From: since, Until: time.Now(), Teams: s.stallTeams()}) {
 		s.t.Error(stall)
 		s.reportJob(stalledJob(stall))
 	}
 }
+
+// stallTeams returns the callers' team with its jobs and its limits over time.
+func (s *soak) stallTeams() []site.TeamExpectation {
+	teams := s.teamExpectations()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range teams {
+		for _, j := range s.stallJobs {
+			teams[i].Jobs[j.ID] = true
+		}
+		teams[i].Limits = slices.Clone(s.limitChanges)
+	}
+	return teams
+}
