e2e: run a cell of the size of a site with teams at their limits

The users saw jobs stand still on 34 nodes of unlike size, 350 workers in two shards and 20 teams with limits. No run of ours had that size, or teams at their limits on real processes: the soak has five nodes, eight workers and a calm in which its team uses a fifth of the cell.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 LDFLAGS := -s -w
 FUZZTIME ?= 3s
 
-.PHONY: all build run test race race-packages race-site race-large e2e soak matrix lint bench slopes measure fuzz tools verify clean
+.PHONY: all build run test race race-packages race-site race-large e2e soak soak-site matrix lint bench slopes measure fuzz tools verify clean
 
 all: build
 
@@ -59,6 +59,11 @@
 soak: build
 	SWITCHBANK_BIN=$(CURDIR)/$(BIN) SOAK_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m -parallel 4 -tags e2e -run 'TestSoak$$' ./e2e/...
 
+# soak-site runs a cell of 34 nodes, 350 workers and 20 teams at their limits as real processes,
+# in one run after the other: make soak-site SEEDS=1-4.
+soak-site: build
+	SWITCHBANK_BIN=$(CURDIR)/$(BIN) SITE_SOAK_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m -tags e2e -run 'TestSiteSoak$$' ./e2e/...
+
 # matrix runs every fault at every step and prints the grid; test runs a sample.
 matrix:
 	mkdir -p $(BIN)
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -68,9 +69,11 @@
 	// storeAddress is where the node reaches the store, and advertisedPeers where other nodes
 	// reach the node.
 	storeAddress, advertisedPeers string
-	file                          string
-	cmd                           *exec.Cmd
-	log                           *os.File
+	// limits are the resource limits of the node's settings; "": the cell's memoryMB.
+	limits string
+	file   string
+	cmd    *exec.Cmd
+	log    *os.File
 }
 
 const (
@@ -198,7 +201,7 @@
 store: "%s"
 advice: "%s"
 machines: "%s"
-limits: {memory_mb: %d}
+limits: {%s}
 bounds: {stop_ms: 200, grace_ms: 6000}
 workers_per_shard: %d
 `
@@ -207,7 +210,7 @@
 func (c *siteCell) startNode(n *siteNode) {
 	c.t.Helper()
 	n.file = filepath.Join(c.dir, n.name+".yaml")
-	text := fmt.Sprintf(siteSettings, n.name, n.callers, n.ready, n.peers, n.advertisedPeers, strings.Join(c.seeds, `", "`), n.storeAddress, c.serviceAddresses[0], c.serviceAddresses[1], c.memoryMB, c.workersPerShard)
+	text := fmt.Sprintf(siteSettings, n.name, n.callers, n.ready, n.peers, n.advertisedPeers, strings.Join(c.seeds, `", "`), n.storeAddress, c.serviceAddresses[0], c.serviceAddresses[1], cmp.Or(n.limits, fmt.Sprintf("memory_mb: %d", c.memoryMB)), c.workersPerShard)
 	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
