matrix/site: check stalls while a team is at its limit

Stalls were judged only in the calm after a load, which leaves a team below its limit. The check of the calm stays as strict as it was: it grants nothing for a limit.

--- a/matrix/site/teamlimit_test.go
+++ b/matrix/site/teamlimit_test.go
@@ -75,12 +75,31 @@
 // checkTeamLimit checks all guarantees, and that the team did not exceed its limit.
 func (env *testEnv) checkTeamLimit() {
 	env.t.Helper()
+	env.setTeamJobs()
+	env.checkNoViolations()
+}
+
+// checkNoStallsWithinLimit checks that no accepted job has waited beside room on workers and within
+// the limit of its team since a time. It suits times at which teams are at their limits, as
+// checkNoStallsSince doesn't.
+func (env *testEnv) checkNoStallsWithinLimit(since time.Time) {
+	env.t.Helper()
+	env.setTeamJobs()
+	for _, stall := range env.site.Stalls(site.StallCheck{Jobs: env.stallJobsSoFar(), From: since, Until: time.Now(), Teams: env.teams}) {
+		env.t.Error(stall)
+	}
+}
+
+// setTeamJobs sets the jobs of the team with a limit: it has sent all of them.
+func (env *testEnv) setTeamJobs() {
 	jobs := make(map[string]bool)
 	for _, e := range env.site.Events() {
 		jobs[e.Task[:len(e.Task)-len(afterJob(e.Task))]] = true
 	}
+	for _, j := range env.stallJobsSoFar() {
+		jobs[j.ID] = true
+	}
 	env.teams[0].Jobs = jobs
-	env.checkNoViolations()
 }
 
 // afterJob returns the part of a task's name after its job.
@@ -146,6 +165,7 @@
 		env := newLimitedEnvWith(t, limit)
 		defer env.close()
 		time.Sleep(2 * time.Second)
+		began := time.Now()
 		var ids []string
 		for i := range gangs {
 			id := fmt.Sprintf("%016x", i+1)
@@ -158,6 +178,7 @@
 				t.Errorf("gang %s is %q", id, got)
 			}
 		}
+		env.checkNoStallsWithinLimit(began)
 		env.checkTeamLimit()
 	})
 }
@@ -169,6 +190,7 @@
 		env := newLimitedEnv(t)
 		defer env.close()
 		time.Sleep(2 * time.Second)
+		began := time.Now()
 		const tasks = 9
 		for i := range 2 {
 			id := fmt.Sprintf("%016x", i+1)
@@ -182,6 +204,7 @@
 			}
 			time.Sleep(6 * time.Second)
 		}
+		env.checkNoStallsWithinLimit(began)
 		env.checkTeamLimit()
 	})
 }
@@ -258,6 +281,7 @@
 		env := newLimitedEnvWith(t, 4000)
 		defer env.close()
 		time.Sleep(5 * time.Second)
+		began := time.Now()
 		for i := range 8 {
 			id := fmt.Sprintf("%016x", i+1)
 			accepted := time.Now()
@@ -269,6 +293,7 @@
 				}
 			}
 		}
+		env.checkNoStallsWithinLimit(began)
 		env.checkTeamLimit()
 	})
 }
