e2e: a team may use a raised limit as soon as it is sent

A raised limit now holds from before the configuration is sent; a lowered one from its acknowledgement on, as before, so that nothing above a limit passes that was reported.

--- a/e2e/sitesoakload_test.go
+++ b/e2e/sitesoakload_test.go
@@ -80,18 +80,27 @@
 	for _, t := range s.teams {
 		teams = append(teams, site.Team{Name: t.name, Keys: []string{t.name}, Weight: float64(t.limit), Limit: site.TeamLimit{CPUMilli: t.currentLimit()}})
 	}
+	sent := time.Now()
 	s.site.ConfigureTeams(s.version, teams, urgent, batch)
+	acknowledged := time.Now()
 	for _, t := range s.teams {
-		t.addLimitChange(t.currentLimit())
+		t.addLimitChange(sent, acknowledged)
 	}
 }
 
-// addLimitChange records the limit that is configured from now on.
-func (t *soakTeam) addLimitChange(cpuMilli int64) {
-	x := &t.expectation
-	if n := len(x.Limits); n == 0 || x.Limits[n-1].CPUMilli != cpuMilli {
-		x.Limits = append(x.Limits, site.LimitChange{At: time.Now(), CPUMilli: cpuMilli})
+// addLimitChange records the limit that was configured, if it is another one. A node may use a higher
+// limit as soon as it is sent, and has time for a lower one from its acknowledgement on.
+func (t *soakTeam) addLimitChange(sent, acknowledged time.Time) {
+	x, limit, at := &t.expectation, t.currentLimit(), acknowledged
+	if n := len(x.Limits); n > 0 {
+		if x.Limits[n-1].CPUMilli == limit {
+			return
+		}
+		if limit > x.Limits[n-1].CPUMilli {
+			at = sent
+		}
 	}
+	x.Limits = append(x.Limits, site.LimitChange{At: at, CPUMilli: limit})
 }
 
 // pause waits, and reports whether the load goes on.
