scheduler: a stalled job's part isn't kept before that of other stalled jobs

What is kept now counts with the usual urgency, so that a stalled job elsewhere comes first. TestPartKeptForAdviceStallsOtherShard failed before with advice of 2 and 3.5 s, and passes.

--- a/internal/scheduler/limitstall_test.go
+++ b/internal/scheduler/limitstall_test.go
@@ -3,6 +3,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"os"
 	"strconv"
 	"testing"
@@ -116,6 +117,35 @@
 	}
 }
 
+// TestPartKeptForAdviceStallsOtherShard guards against a part of a team's limit that a shard keeps for
+// urgent jobs which come one after the other and wait for advice, while a job of another shard stands.
+func TestPartKeptForAdviceStallsOtherShard(t *testing.T) {
+	for _, adviceMS := range []float64{700, 2000, 3500} {
+		t.Run(fmt.Sprintf("advice of %v ms", adviceMS), func(t *testing.T) {
+			const interval, before, after = 200 * time.Millisecond, 15, 40
+			s := newLimitSim(t, 0, 2, 20_000, zap.NewNop())
+			urgent := func() {
+				s.add(0, 0, 300*time.Millisecond, &cluster.AdviceCost{BaseMS: adviceMS, ValidMS: 2500}, oneCore(4))
+				s.run(interval)
+			}
+			s.add(0, 2, 3*time.Second, nil, oneCore(20))
+			s.run(2 * time.Second)
+			for range before {
+				urgent()
+			}
+			large := oneCore(1)
+			large.Need.CPUMilli = 5000
+			late := s.add(1, 2, time.Second, nil, large)
+			for range after {
+				urgent()
+			}
+			if !late.ended && s.runningOf(late) == 0 {
+				t.Errorf("a job has not run for %v beside parts of the limit that nobody uses", after*interval)
+			}
+		})
+	}
+}
+
 // searchLimitStalls plays random jobs of one team at its limit, and returns the stalls.
 func searchLimitStalls(t *testing.T, seed uint64, shards int, log *zap.Logger) []string {
 	const submitTime, settleTime = 30 * time.Second, 20 * time.Second
--- a/internal/scheduler/teamlimit.go
+++ b/internal/scheduler/teamlimit.go
@@ -258,7 +258,7 @@
 		st.pendingSince = now
 	}
 	if now.Sub(st.pendingSince) < maxPending {
-		t.pending = append(t.pending, pendingUse{st.job.urgencyOfStart(now), st.quotaUse().Times(int64(n))})
+		t.pending = append(t.pending, pendingUse{st.job.urgency(), st.quotaUse().Times(int64(n))})
 	}
 }
 
