scheduler: a gang's hold on its team comes in stretches

Now less urgent steps are held back for 2 s, in which the team's runs end, and then not for 1 s; a job of which nothing has run for 2 s starts one task in any case. Advice for that task is requested after 0.5 s, so that it starts as soon as it may, within the 3 s of the rule.

--- a/internal/scheduler/limitstall_test.go
+++ b/internal/scheduler/limitstall_test.go
@@ -103,6 +103,34 @@
 	s.checkNoStalls()
 }
 
+// TestGangStarvesBesideSmallJobs guards against a gang that never gets its team's limit, since jobs of
+// one task each keep coming that are held back for some time each and then all start.
+func TestGangStarvesBesideSmallJobs(t *testing.T) {
+	for name, c := range map[string]struct{ shards, priority int }{
+		"one shard":                    {1, 2},
+		"two shards":                   {2, 2},
+		"two shards, less urgent jobs": {2, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const interval, before, after = 250 * time.Millisecond, 40, 80
+			s := newLimitSim(t, 0, c.shards, 20_000, zap.NewNop())
+			submit := func(n int) {
+				for i := range n {
+					s.add(i%c.shards, c.priority, 4*time.Second, nil, oneCore(1))
+					s.run(interval)
+				}
+			}
+			submit(before)
+			gang := s.add(0, 2, time.Second, nil, oneCoreGang(12))
+			submit(after)
+			if !gang.ended && s.runningOf(gang) == 0 {
+				t.Errorf("a gang that needs %d of a limit of %d has not run for %v", gang.need(), s.limit, after*interval)
+			}
+			s.checkNoStalls()
+		})
+	}
+}
+
 // TestPartOfLimitGoesToLessUrgentJob guards against a shard that gives a part of a team's limit away
 // while its own more urgent tasks wait for advice before they can use it.
 func TestPartOfLimitGoesToLessUrgentJob(t *testing.T) {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -83,6 +83,7 @@
 	all := len(waiting)
 	if waiting = s.withinLimit(now, st, waiting); len(waiting) == 0 {
 		st.waitingSince, st.pendingSince = time.Time{}, time.Time{}
+		s.prefetchHeld(now, st)
 		return
 	}
 	// Tasks that wait for isolation need tickets, but no room yet.
@@ -108,6 +109,15 @@
 	s.handleUnplaced(now, st, len(waiting)-placed-queued)
 }
 
+// prefetchHeld requests advice for one task of a step that is held back for a gang of its team, so that
+// it can start as soon as it may.
+func (s *Shard) prefetchHeld(now time.Time, st *step) {
+	stalled := !st.job.stalledSince.IsZero() && now.Sub(st.job.stalledSince) >= heldAdviceDelay
+	if stalled && st.needsTicket() && st.isHeldBack(now) && !s.hasUsefulTicket(now, st) {
+		s.requestAdvice(now, st, 1, true)
+	}
+}
+
 // withinLimit returns those of a step's waiting tasks that may start by its team's limit.
 func (s *Shard) withinLimit(now time.Time, st *step, waiting []*task) []*task {
 	n := s.startsWithinLimit(now, st, len(waiting))
--- a/internal/scheduler/teamlimit.go
+++ b/internal/scheduler/teamlimit.go
@@ -97,15 +97,19 @@
 	// how long that lasts unless it is asked for again.
 	gangLimitPatience = time.Second
 	holdTime          = 700 * time.Millisecond
-	// maxGangHold is how long less urgent steps are held back for a gang in one stretch. As long a
-	// pause follows: runs that don't end may take what it lacks.
-	maxGangHold = 15 * time.Second
+	// gangHold is how long less urgent steps are held back for a gang in one stretch, in which the
+	// team's runs end and few begin, and gangHoldPause the time between two stretches.
+	gangHold      = 2 * time.Second
+	gangHoldPause = time.Second
 	// maxPending is how long a part of the limit is kept for tasks that wait for advice or a worker:
 	// advice takes over a second.
 	maxPending = 2 * time.Second
 	// maxHeldBack is how long nothing of a job runs before one of its tasks starts although less
 	// urgent steps are held back: three seconds beside a limit that has room for it are too long.
-	maxHeldBack = time.Second
+	maxHeldBack = 2 * time.Second
+	// heldAdviceDelay is how long a job that is held back waits before advice is requested for its
+	// first task.
+	heldAdviceDelay = 500 * time.Millisecond
 	// stalledPriority is added to the priority of a job that has stalled, so that it comes before
 	// all others.
 	stalledPriority = -1000
@@ -178,10 +182,8 @@
 // startsBesideHold returns how many of n tasks of a step may start although less urgent steps of its
 // team may be held back for a gang. Of a job that has stalled one task may start, or a whole gang.
 func (st *step) startsBesideHold(now time.Time, n int) int {
-	t := st.job.team
-	isHeld := now.Before(t.heldUntil) && t.heldFor.Before(st.job.urgency())
 	switch {
-	case !isHeld:
+	case !st.isHeldBack(now):
 		return n
 	case !st.job.hasStalled(now):
 		return 0
@@ -191,6 +193,12 @@
 	return min(n, 1)
 }
 
+// isHeldBack reports whether steps as urgent as this one are held back for a gang of its team.
+func (st *step) isHeldBack(now time.Time) bool {
+	t := st.job.team
+	return now.Before(t.heldUntil) && t.heldFor.Before(st.job.urgency())
+}
+
 // hasStalled reports whether nothing of the job has run for so long that no gang of its team holds it
 // back any more.
 func (j *job) hasStalled(now time.Time) bool {
@@ -288,7 +296,7 @@
 	}
 	t := st.job.team
 	waited := now.Sub(st.limitSince) - gangLimitPatience
-	if waited < 0 || waited%(2*maxGangHold) >= maxGangHold || !t.mayHold(st) {
+	if waited < 0 || waited%(gangHold+gangHoldPause) >= gangHold || !t.mayHold(st) {
 		return
 	}
 	t.hold(now, st.job.urgency())
