scheduler: a part of a limit isn't given twice in one answer

Found by the review: where a gang has stalled, a request asks for all that waits and, apart from that, for the gang. A shard in which nothing of the team waits granted both, and so gave 500,000 millionths of the limit where 250,000 were lacking. No limit was exceeded, but idle room moved away from where it may be needed next.

What was given for the first counts for the second. TestGangGetsPartTwice failed before and passes.

--- a/internal/scheduler/limitsim_test.go
+++ b/internal/scheduler/limitsim_test.go
@@ -33,8 +33,8 @@
 )
 
 // limitSim drives the shards of a service in which all jobs belong to one team with a limit, in
-// virtual time. The workers have room for far more than the limit, and the shards exchange parts of it
-// as owners do.
+// virtual time. The workers have room for far more than the limit. The shards exchange parts of it at
+// the times at which owners do, but with all other shards at once and without delay.
 type limitSim struct {
 	t      *testing.T
 	rng    *rand.Rand
@@ -112,10 +112,15 @@
 
 // add submits a job of one step to a shard. advice is nil if its starts need no tickets.
 func (s *limitSim) add(shard, priority int, duration time.Duration, advice *cluster.AdviceCost, step cluster.Step) *limitJob {
+	return s.addOf("red", shard, priority, duration, advice, step)
+}
+
+// addOf is add for a job of any team.
+func (s *limitSim) addOf(teamName string, shard, priority int, duration time.Duration, advice *cluster.AdviceCost, step cluster.Step) *limitJob {
 	step.EstimateMS = duration.Milliseconds()
 	x := s.shards[shard]
 	j := &limitJob{shard: x, duration: duration, endsAt: make(map[runKey]time.Time), done: make(map[cluster.TaskID]bool), spec: batch(fmt.Sprintf("job%03d", len(s.jobs)), step)}
-	j.spec.Policy.Priority, j.spec.Policy.Advice, j.spec.Team, j.spec.AcceptedMS, j.spec.Shard = priority, advice, "red", s.now.UnixMilli(), shard
+	j.spec.Policy.Priority, j.spec.Policy.Advice, j.spec.Team, j.spec.AcceptedMS, j.spec.Shard = priority, advice, teamName, s.now.UnixMilli(), shard
 	x.longRunning[j.spec.ID] = step.LongRunning
 	s.jobs = append(s.jobs, j)
 	x.shard.AddJob(s.now, j.spec, nil, false)
--- a/internal/scheduler/limitstall_test.go
+++ b/internal/scheduler/limitstall_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/quota"
 	"switchbank.example/switchbank/internal/resource"
 )
 
@@ -174,6 +175,74 @@
 	}
 }
 
+// TestGangGetsPartTwice guards against a shard that gives the part which a stalled gang lacks twice in
+// one answer, once for all that waits there and once for the gang.
+func TestGangGetsPartTwice(t *testing.T) {
+	const limit, members, lacking = 40_000, 10, quota.Whole / 4
+	s := newLimitSim(t, 0, 2, limit, zap.NewNop())
+	s.add(0, 2, 4*time.Second, nil, oneCore(20))
+	s.add(1, 2, 20*time.Second, nil, oneCore(20))
+	s.run(time.Second)
+	gang := s.add(1, 2, 2*time.Second, nil, oneCoreGang(members))
+	for range 80 {
+		if s.run(limitTick); s.runningOf(gang) > 0 {
+			break
+		}
+	}
+	given := s.shards[0].shard.GivenTo(1)
+	if s.runningOf(gang) < members || len(given.Parts) != 1 || given.Parts[0].Part > lacking {
+		t.Errorf("%d members run, and the other shard has given %v, want %d at most", s.runningOf(gang), given.Parts, lacking)
+	}
+}
+
+// TestPartStaysWithNewOwner guards against a new owner that gives nothing of its part of a team's limit
+// while one of its workers doesn't answer, although it has no job of the team.
+func TestPartStaysWithNewOwner(t *testing.T) {
+	s := newLimitSim(t, 0, 2, 20_000, zap.NewNop())
+	s.shards[0].workers["w0"].silent = true
+	s.add(1, 2, 25*time.Second, nil, oneCore(10))
+	s.run(time.Second)
+	s.add(1, 2, time.Second, nil, oneCore(2))
+	s.run(15 * time.Second)
+	s.checkNoStalls()
+}
+
+// TestUnknownTeamStallsJob guards against an owner that knows no configuration with the team of a job,
+// and lets it wait for longer than a job may stand.
+func TestUnknownTeamStallsJob(t *testing.T) {
+	s := newLimitSim(t, 0, 1, 20_000, zap.NewNop())
+	j := s.addOf("blue", 0, 2, time.Second, nil, oneCore(1))
+	s.run(maxLimitStall)
+	if s.runningOf(j) == 0 && !j.ended {
+		t.Errorf("a job of an unknown team has not run for %v", maxLimitStall)
+	}
+}
+
+// TestLastingGangStallsLongRunningTask guards against a long-running gang that holds back a
+// long-running task for longer than such a task may be away, while another task of its job runs.
+func TestLastingGangStallsLongRunningTask(t *testing.T) {
+	const maxAway, step = 6 * time.Second, 500 * time.Millisecond
+	s := newLimitSim(t, 0, 1, 20_000, zap.NewNop())
+	s.add(0, 2, 30*time.Second, nil, oneCore(12))
+	s.run(time.Second)
+	gang := oneCoreGang(10)
+	gang.LongRunning = true
+	s.add(0, 2, time.Second, nil, gang)
+	s.run(3 * time.Second)
+	lasting := oneCore(2)
+	lasting.LongRunning = true
+	j := s.add(0, 2, time.Second, nil, lasting)
+	away := time.Duration(0)
+	for range 60 {
+		if s.run(step); s.runningOf(j) < lasting.Count {
+			away += step
+		}
+	}
+	if away > maxAway {
+		t.Errorf("a long-running task was away for %v beside room within the limit", away)
+	}
+}
+
 // searchLimitStalls plays random jobs of one team at its limit, and returns the stalls.
 func searchLimitStalls(t *testing.T, seed uint64, shards int, log *zap.Logger) []string {
 	const submitTime, settleTime = 30 * time.Second, 20 * time.Second
--- a/internal/scheduler/teamparts.go
+++ b/internal/scheduler/teamparts.go
@@ -73,6 +73,7 @@
 		return false
 	}
 	s.unseenRound = -1
+	given := make(map[string]int64, len(wants))
 	for _, w := range wants {
 		t := s.teams[w.Team]
 		if t == nil || !t.known {
@@ -80,8 +81,12 @@
 		}
 		yields := t.blocked == (resource.Amount{}) || s.isMoreUrgent(to, w.Urgency, t.firstUrgency)
 		part := min(t.askedPart(&w, yields), quota.PartWithin(t.limit, s.headroom(t).Sub(t.pendingBefore(w.Urgency))), s.ledger.Part(t.name))
-		if w.Part == 0 && part < w.First {
-			continue
+		if w.Part == 0 {
+			lacking := w.First - given[w.Team]
+			if part < lacking {
+				continue
+			}
+			part = lacking
 		}
 		if w.Hold && part < w.First && yields {
 			t.hold(now, w.Urgency)
@@ -89,6 +94,7 @@
 		if part <= 0 {
 			continue
 		}
+		given[w.Team] += part
 		s.ledger.Give(t.name, to, part)
 		changed = true
 		s.log.Info("part of a team's limit given", events.TeamPartGiven, zap.String("team", t.name), zap.Int("shard", to), zap.Int64("part", part))
