--- a/internal/scheduler/teamlimit.go
+++ b/internal/scheduler/teamlimit.go
@@ -97,8 +97,9 @@
 	// how long that lasts unless it is asked for again.
 	gangLimitPatience = time.Second
 	holdTime          = 700 * time.Millisecond
-	// gangHold is how long less urgent steps are held back for a gang in one stretch, in which the
-	// team's runs end and few begin, and gangHoldPause the time between two stretches.
+	// gangHold is how long the hold for a gang is renewed in one stretch, in which the team's runs
+	// end and few begin, and gangHoldPause for how long it isn't renewed then. It lasts holdTime
+	// from the last time.
 	gangHold      = 2 * time.Second
 	gangHoldPause = time.Second
 	// maxPending is how long a part of the limit is kept for tasks that wait for advice or a worker:
