--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -21,6 +21,7 @@
 
 type nodeCmd struct {
 	Settings string `required:"" env:"SWITCHBANK_SETTINGS" help:"The settings file." placeholder:"FILE"`
+	MaxFiles int    `help:"Overrides limits.max_files if it is above 0." placeholder:"N"`
 	Check    bool   `help:"Check the settings file and end."`
 }
 
@@ -39,6 +40,9 @@
 	if err != nil || c.Check {
 		return err
 	}
+	if c.MaxFiles > 0 {
+		cfg.Limits.MaxFiles = c.MaxFiles
+	}
 	out := telemetry.NewAsyncWriter(env.Out)
 	defer out.Close()
 	log, level, err := telemetry.NewLeveledLogger(cfg.LogLevel, out)
