--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the cases 9 to 13. The build of the deploy file has to come first.
+set -e
+cd "$(dirname "$0")/.."
+go build -o target/standin3 ./review/_standin3
