--- a/review/_standin3/link.go
+++ b/review/_standin3/link.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"context"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -58,10 +56,7 @@
 }
 
 func (k *link) serve(in net.Conn) {
-	k.mu.Lock()
-	from := k.refuseFrom
-	k.mu.Unlock()
-	if from != nil && from.ownsConn(in.RemoteAddr().String(), k.address) {
+	if k.refuses(in) {
 		_ = in.Close()
 		return
 	}
@@ -86,11 +81,24 @@
 		delete(k.conns, in)
 		k.mu.Unlock()
 	}
+	if k.refuses(in) {
+		// The cut has begun meanwhile.
+		done()
+		return
+	}
 	go func() { _, _ = io.Copy(out, in); done() }()
 	_, _ = io.Copy(in, out)
 	done()
 }
 
+// refuses reports whether a connection comes from the node whose connections are closed.
+func (k *link) refuses(in net.Conn) bool {
+	k.mu.Lock()
+	from := k.refuseFrom
+	k.mu.Unlock()
+	return from != nil && from.ownsConn(in.RemoteAddr().String(), k.address)
+}
+
 // cut refuses new connections and closes the open ones.
 func (k *link) cut() {
 	k.mu.Lock()
@@ -130,7 +138,8 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	return false
+	// One that isn't found is closed by now, or is taken for the node's: others try again.
+	return true
 }
 
 func (n *node) hasSocket(inode string) bool {
@@ -170,59 +179,3 @@
 	must(err)
 	return "0100007F:" + strings.ToUpper(strconv.FormatInt(0x10000+int64(n), 16)[1:])
 }
-
-// gate shuts a server off from one node, or from all others.
-type gate struct {
-	mu   sync.Mutex
-	node *node
-	// only is set if the others are shut off.
-	only bool
-	// known tells for a connection whether it comes from the node.
-	known map[string]bool
-}
-
-// shut lets only calls of the node in, or all others; a nil node lets all in.
-func (g *gate) shut(n *node, only bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.node, g.only, g.known = n, only, make(map[string]bool)
-}
-
-// allows reports whether the gate lets a connection in.
-func (g *gate) allows(r *http.Request) bool {
-	address := r.RemoteAddr
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.node == nil {
-		return true
-	}
-	from, known := g.known[address]
-	if !known {
-		local, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
-		from = g.node.ownsConn(address, local.String())
-		g.known[address] = from
-	}
-	return from == g.only
-}
-
-// handler passes the calls to h that the gate lets in. The others get no answer.
-func (g *gate) handler(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if !g.allows(r) {
-			g.silence(r.Context())
-			panic(http.ErrAbortHandler)
-		}
-		h.ServeHTTP(rw, r)
-		if !g.allows(r) {
-			// The answer to a call that was open when the gate was shut is lost.
-			panic(http.ErrAbortHandler)
-		}
-	})
-}
-
-func (g *gate) silence(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(30 * time.Second):
-	}
-}
--- a/review/_standin3/memory.go
+++ b/review/_standin3/memory.go
@@ -61,10 +61,10 @@
 	return kills, peak
 }
 
-// runMemory hands in jobs that can never be done: each task needs more than any worker has. With
-// the disruption they have many tasks.
+// runMemory hands in scheduled jobs that can never be done: their task needs more than any worker has.
+// With the disruption they are to run each minute for 69 days, and else for 100 minutes.
 func runMemory(trouble bool, record string) int {
-	const hopeless = 24
+	const hopeless = 4
 	c := newCell(7, 48, 16000, 32768)
 	stop := make(chan struct{})
 	defer c.stopAll()
@@ -78,9 +78,9 @@
 	}
 	kills, peak := c.guardMemory(stop)
 	time.Sleep(3 * time.Second)
-	count := 10
+	times := 100
 	if trouble {
-		count = 100_000
+		times = 100_000
 	}
 	accepted := make(map[string]string)
 	small := func(i int) {
@@ -93,8 +93,9 @@
 		small(i)
 	}
 	for i := range hopeless {
-		c.submit("/big/", fmt.Sprintf("%016x", 0xb000+i), job{Spec: "hopeless", Steps: []step{{Count: count, CPU: 20000, MemMB: 100, EstimateMS: 2000}}})
-		time.Sleep(200 * time.Millisecond)
+		c.submit("/big/", fmt.Sprintf("%016x", 0xb000+i), job{Spec: "hopeless", Steps: []step{{Count: 1, CPU: 20000, MemMB: 100, EstimateMS: 2000}},
+			RepeatCount: times, StartAtMS: time.Now().Add(time.Minute).UnixMilli(), IntervalMS: 60_000})
+		time.Sleep(time.Second)
 		small(100 + i)
 	}
 	for i := range 10 {
--- a/review/_standin3/refuse.go
+++ b/review/_standin3/refuse.go
@@ -37,10 +37,11 @@
 // reached by it alone.
 func runRefuse(trouble bool, record string) int {
 	const (
-		cutFor = 12 * time.Second
-		behind = 8 // of 48 workers: 0.17
+		cutFor  = 12 * time.Second
+		workers = 48
+		behind  = 8 // 0.17 of the workers
 	)
-	c := newLinkedCell(7, 48, 16000, 32768, true)
+	c := newLinkedCell(7, workers, 16000, 32768, true)
 	defer c.stopAll()
 	defer func() { c.writeRecord(record, true) }()
 	c.workMS = func(string) int64 { return 40_000 }
@@ -65,27 +66,38 @@
 		return cantRun
 	}
 	c.logf("%d tasks run; %s gives the orders", c.runningTasks(), a.name)
-	var side []*worker
-	for i := 0; i < 48; i += 6 {
-		side = append(side, c.workers[i])
+	var behindCut []*worker
+	for i := 0; i < workers; i += workers / behind {
+		behindCut = append(behindCut, c.workers[i])
 	}
-	for _, w := range side[:behind] {
+	for _, w := range behindCut {
 		w.mu.Lock()
 		c.logf("worker %s (%d tasks) is on the side of %s", w.id, len(w.running), a.name)
 		w.mu.Unlock()
 	}
 	if trouble {
 		c.logf("the partition begins: connections to and from %s are refused, but to the workers on its side", a.name)
+		highest := c.highestFence()
 		for _, w := range c.workers {
-			w.gate.shut(a, slices.Contains(side[:behind], w))
+			if slices.Contains(behindCut, w) {
+				w.gate.shut(withOwner, highest)
+			} else {
+				w.gate.shut(withOthers, highest)
+			}
 		}
+		// The ways from the machine come first, so that it learns of nothing that happens meanwhile.
 		for _, k := range c.links {
-			if k.node == a {
-				k.cut()
-			} else if k.direction == toNode {
+			if k.node != a && k.direction == toNode {
 				k.refuse(a)
 			}
 		}
+		for _, direction := range []string{toPlatform, toNode} {
+			for _, k := range c.links {
+				if k.node == a && k.direction == direction {
+					k.cut()
+				}
+			}
+		}
 	}
 	for end := time.Now().Add(cutFor); time.Now().Before(end); time.Sleep(2 * time.Second) {
 		c.logf("tasks that run: %d; owner on the other side: %s", c.runningTasks(), nameOf(c.owner(a)))
@@ -99,7 +111,7 @@
 			}
 		}
 		for _, w := range c.workers {
-			w.gate.shut(nil, false)
+			w.gate.shut(everywhere, 0)
 		}
 		c.logf("the partition is over")
 	}
@@ -121,3 +133,13 @@
 	}
 	return n.name
 }
+
+// highestFence returns the highest fence that a worker has seen.
+func (c *cell) highestFence() (highest int64) {
+	for _, w := range c.workers {
+		w.mu.Lock()
+		highest = max(highest, w.fence)
+		w.mu.Unlock()
+	}
+	return highest
+}
--- a/review/_standin3/worker.go
+++ b/review/_standin3/worker.go
@@ -129,6 +129,7 @@
 	machine string
 	address string
 	rack    string
+	rare    bool
 	cpu     int64
 	mem     int64
 	began   time.Time
@@ -149,6 +150,8 @@
 	changed  chan struct{}
 	// failAll makes all runs that start fail, and late makes the next orders unanswered.
 	failAll bool
+	// busy makes the worker answer 503 to starts.
+	busy bool
 	// gate may shut the worker off from some nodes.
 	gate gate
 }
@@ -200,12 +203,20 @@
 		}
 		mux.ServeHTTP(rw, r)
 	})
-	w.address, w.close = s.listen(address, w.gate.handler(h))
+	w.address, w.close = s.listen(address, h)
 	w.beat()
 	go w.loop()
 	return w
 }
 
+// kind returns the label of the worker's kind.
+func (w *worker) kind() string {
+	if w.rare {
+		return "b"
+	}
+	return "a"
+}
+
 func (w *worker) clock() int64 { return time.Since(w.began).Milliseconds() }
 
 // beat writes the worker's entry.
@@ -217,7 +228,7 @@
 		state, remaining = "draining", max(1, time.Until(w.leavesAt).Milliseconds())
 	}
 	e := map[string]any{"Upstream": "core", "Address": w.address, "Zone": "zone-a", "Version": "v1", "Slots": 8, "State": state, "ColdRemainingMs": 0,
-		"Capacity": map[string]int64{"Cpu": w.cpu, "MemMb": w.mem, "Gpu": 0}, "Labels": []string{"a", w.rack}, "ClockMs": w.clock(), "born": w.began.UnixMilli(), "Seq": w.seq}
+		"Capacity": map[string]int64{"Cpu": w.cpu, "MemMb": w.mem, "Gpu": 0}, "Labels": []string{w.kind(), w.rack}, "ClockMs": w.clock(), "born": w.began.UnixMilli(), "Seq": w.seq}
 	if remaining > 0 {
 		e["RemainingMs"] = remaining
 	}
@@ -403,11 +414,14 @@
 	Percent    int64  `json:"percent"`
 }
 
-func readOrder(rw http.ResponseWriter, r *http.Request) (o order, ok bool) {
+func (w *worker) readOrder(rw http.ResponseWriter, r *http.Request) (o order, ok bool) {
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		http.Error(rw, err.Error(), http.StatusBadRequest)
 		return o, false
 	}
+	if !w.gate.allows(o.Fence) {
+		hold(r.Context())
+	}
 	return o, true
 }
 
@@ -427,11 +441,17 @@
 }
 
 func (w *worker) serveStart(rw http.ResponseWriter, r *http.Request) {
-	o, ok := readOrder(rw, r)
+	o, ok := w.readOrder(rw, r)
 	if !ok {
 		return
 	}
 	w.mu.Lock()
+	if w.busy {
+		w.mu.Unlock()
+		w.s.record(w, o.Task, o.Run, "rejected", "503")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	reason := w.start(o)
 	w.mu.Unlock()
 	if reason != "" {
@@ -481,7 +501,7 @@
 }
 
 func (w *worker) serveStop(rw http.ResponseWriter, r *http.Request) {
-	o, ok := readOrder(rw, r)
+	o, ok := w.readOrder(rw, r)
 	if !ok {
 		return
 	}
@@ -508,13 +528,13 @@
 }
 
 func (w *worker) servePace(rw http.ResponseWriter, r *http.Request) {
-	if _, ok := readOrder(rw, r); ok {
+	if _, ok := w.readOrder(rw, r); ok {
 		w.answer(rw, "")
 	}
 }
 
 func (w *worker) serveHold(rw http.ResponseWriter, r *http.Request) {
-	o, ok := readOrder(rw, r)
+	o, ok := w.readOrder(rw, r)
 	if !ok {
 		return
 	}
@@ -559,6 +579,9 @@
 	for _, e := range w.ended[:min(len(w.ended), maxListedEnds)] {
 		ended = append(ended, []any{e.n, e.task, e.run, e.how, e.saved})
 	}
+	if !w.gate.allows(o.Fence) {
+		panic(http.ErrAbortHandler) // The partition has begun meanwhile.
+	}
 	writeJSON(rw, http.StatusOK, map[string]any{"ClockMs": w.clock(), "born": w.began.UnixMilli(), "Running": running, "Ended": ended})
 }
 
@@ -570,7 +593,7 @@
 	list := []map[string]any{}
 	for _, w := range workers {
 		w.mu.Lock()
-		m := map[string]any{"machine": w.machine, "pool": "core", "State": "up", "Zone": "zone-a", "Labels": []string{"a", w.rack},
+		m := map[string]any{"machine": w.machine, "pool": "core", "State": "up", "Zone": "zone-a", "Labels": []string{w.kind(), w.rack},
 			"Capacity": map[string]int64{"Cpu": w.cpu, "MemMb": w.mem, "Gpu": 0}, "Id": w.id}
 		if w.dead {
 			m["State"], m["Id"] = "down", ""
