--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -1,5 +1,7 @@
-// Command standin3 plays one case of the review: the platform, its workers and the clients in this
-// process, and the nodes as processes of their own. Usage: standin3 CASE RECORD
+// SPDX-License-Identifier: Apache-2.0
+
+// Command stand plays one case of the review: the platform, its workers and the clients in this
+// process, and the nodes as processes of their own. Usage: stand CASE RECORD
 package main
 
 import (
@@ -24,7 +26,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin3 CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
 		os.Exit(cantRun)
 	}
 	go endInTime()
--- a/review/_standin3/memory.go
+++ b/review/_standin3/memory.go
@@ -1,3 +1,5 @@
+// SPDX-License-Identifier: Apache-2.0
+
 package main
 
 import (
