scheduler: a job's state grows with what is due or runs, not with what it means

Accepted jobs of others never ran.

Cause: the steps and tasks of all repeats were created when a job was added or loaded, and so were all tasks of wide steps, steps that wait for others and gangs that fit nowhere.

Now a repeat gets its steps a second before it is due, at most 1,024 tasks that have not begun at a time, and is kept as a number once it has ended, also in the progress row. A step's tasks get state when it may start, at most 1,024 that wait, and the done ones of wide steps share one. A report about a repeat without state creates it again. So the load of a shard takes no more memory either.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -208,10 +208,13 @@
 // approved workers among those asked about, or an error.
 func (s *Shard) AdviceReplied(at time.Time, id StepID, asked []string, tickets []cluster.Ticket, validFor time.Duration, err error) {
 	j := s.jobs[id.Job]
-	if j == nil || id.Repeat >= len(j.repeats) {
+	if j == nil {
+		return
+	}
+	st := j.openStep(id)
+	if st == nil {
 		return
 	}
-	st := j.repeats[id.Repeat].steps[id.Step]
 	st.advice.openCalls--
 	asked, tickets = st.advice.finishCall(asked, tickets)
 	if err != nil {
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -168,7 +168,7 @@
 	s.log.Info("job's end persisted", events.JobEndPersisted, zap.String("job", r.Job), zap.String("state", string(j.state)),
 		zap.Duration("after", now.Sub(j.finishedAt)))
 	s.endPersisted(now, j)
-	j.repeats = nil
+	j.repeats, j.ended = nil, nil
 	j.spec.Spec, j.spec.Steps = "", nil
 }
 
--- a/internal/scheduler/dependencies.go
+++ b/internal/scheduler/dependencies.go
@@ -23,7 +23,7 @@
 // done stays so, and is not visited again.
 func (st *step) dependenciesDone() bool {
 	for st.depsDone < len(st.spec.After) {
-		if dep := st.repeat.steps[st.spec.After[st.depsDone]]; dep.done < len(dep.tasks) {
+		if dep := st.repeat.steps[st.spec.After[st.depsDone]]; dep.done < dep.spec.Count {
 			return false
 		}
 		st.depsDone++
@@ -92,6 +92,9 @@
 
 // lastTaskEnd is expectedEnd without regard to what was computed before.
 func (s *Shard) lastTaskEnd(now time.Time, st *step) (in time.Duration, known bool) {
+	if st.pristine > 0 {
+		return 0, false
+	}
 	for _, t := range st.tasks {
 		switch {
 		case t.done:
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -53,7 +53,7 @@
 // unavailableTasks returns how many tasks of a long-running step are not running at 100
 // percent, or are being stopped.
 func (s *Shard) unavailableTasks(st *step) int {
-	n := 0
+	n := st.pristine
 	for _, t := range st.tasks {
 		if len(t.runs) == 0 || t.runs[0].stopping || t.runs[0].percent < 100 {
 			n++
--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -112,7 +112,7 @@
 // remainingWork returns the milli-CPU x seconds that the job's tasks still need.
 func (s *Shard) remainingWork(j *job) (sum float64) {
 	for st := range j.steps() {
-		sum += float64(len(st.tasks)-st.done) * float64(st.spec.Need.CPUMilli) * s.expectedTime(st).Seconds()
+		sum += float64(st.spec.Count-st.done) * float64(st.spec.Need.CPUMilli) * s.expectedTime(st).Seconds()
 	}
 	return sum
 }
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -180,7 +180,7 @@
 			break
 		}
 		for _, st := range rep.steps {
-			left := int64(len(st.tasks) - st.done)
+			left := int64(st.spec.Count - st.done)
 			if st.job.isJoint() && st.spec.Gang {
 				left /= int64(j.spec.Share.Of)
 			}
@@ -377,7 +377,7 @@
 	a.decay(now)
 	ratio, work := s.taskRatio(j.spec.Queue), 0.0
 	for st := range j.steps() {
-		work += float64(int64(len(st.tasks)-st.done) * st.taskWork(ratio))
+		work += float64(int64(st.spec.Count-st.done) * st.taskWork(ratio))
 	}
 	a.work, a.due = a.work+work, a.due+work*j.forecastDue().Sub(now).Seconds()
 }
@@ -385,10 +385,10 @@
 // learnStepTime records how long the longest task of a finished step took compared to its
 // estimate.
 func (s *Shard) learnStepTime(now time.Time, st *step) {
-	if st.done < len(st.tasks) || st.spec.EstimateMS <= 0 || st.spec.LongRunning {
+	if st.done < st.spec.Count || st.spec.EstimateMS <= 0 || st.spec.LongRunning {
 		return
 	}
-	longest := time.Duration(0)
+	longest := st.longestRun
 	for _, t := range st.tasks {
 		longest = max(longest, t.runTime)
 	}
--- a/internal/scheduler/gangplace.go
+++ b/internal/scheduler/gangplace.go
@@ -11,7 +11,7 @@
 
 // placeGang starts all members of a gang at once, or none.
 func (s *Shard) placeGang(now time.Time, st *step, waiting []*task) {
-	if len(waiting) < len(st.tasks) {
+	if len(waiting) < st.spec.Count {
 		return // members of an earlier run are still there
 	}
 	if st.job.isJoint() {
@@ -21,8 +21,8 @@
 		s.requestJointAdvice(now, st)
 		return
 	}
-	if s.startsWithinLimit(now, st, len(st.tasks)) < len(st.tasks) {
-		s.limitBlocks(now, st, len(st.tasks))
+	if s.startsWithinLimit(now, st, st.spec.Count) < st.spec.Count {
+		s.limitBlocks(now, st, st.spec.Count)
 		st.waitingSince, st.pendingSince = time.Time{}, time.Time{}
 		return
 	}
@@ -31,7 +31,7 @@
 		return
 	}
 	var places []*worker
-	if s.countStartable(now, st) >= len(st.tasks) {
+	if s.countStartable(now, st) >= st.spec.Count {
 		places = s.gangPlacement(now, st)
 	}
 	if places == nil {
@@ -88,7 +88,7 @@
 // is "", all workers are considered.
 func (s *Shard) placeGangOnRack(now time.Time, st *step, rack string) []*worker {
 	isolate := st.mustIsolate()
-	return s.placeMembers(now, st, len(st.tasks), func(w *worker) bool {
+	return s.placeMembers(now, st, st.spec.Count, func(w *worker) bool {
 		if isolate && w.hasSuspectBeside(now, st.tasks[0]) {
 			return false
 		}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -23,12 +23,19 @@
 	rank Rank
 	// deferralEnded is set once the job was deferred for maxDeferral beyond its due time.
 	deferralEnded bool
-	repeats       []*repeat
-	state         cluster.State
+	// repeats are those that are open, by number; ended are the numbers of those that have ended and
+	// were released, and nextRepeat is the first one that was not looked at yet.
+	repeats    []*repeat
+	ended      numberSet
+	nextRepeat int
+	state      cluster.State
 	// begun is set once a run of the job was ordered, or found on a worker.
 	begun bool
 	// inherited is set for jobs that an earlier owner may have started.
 	inherited bool
+	// uncertain is set from the load of an inherited job until the takeover is complete: tasks without
+	// state may be running on a worker that has not answered.
+	uncertain bool
 	// moving is set while the job may be on its way to another shard.
 	moving bool
 	// offeredAt is when the job was last offered to other shards, or when it was added if
@@ -57,21 +64,23 @@
 	nextStallLog time.Duration
 }
 
-// repeat is one execution of all steps of a job.
-type repeat struct {
-	due   time.Time
-	steps []*step
-	paths paths
-}
-
 // step is a step of one repeat.
 type step struct {
 	id     StepID
 	job    *job
 	repeat *repeat
 	spec   *cluster.Step
-	tasks  []*task
-	done   int
+	// tasks are the first tasks of the step, which have state; pristine is how many of the others may
+	// run here and have not succeeded.
+	tasks    []*task
+	pristine int
+	// done is how many of all tasks have succeeded, or are run by another shard.
+	done int
+	// released stands for all tasks whose state was released, at releasedAtDone done ones, and
+	// longestRun is the longest run time of these.
+	released       *task
+	releasedAtDone int
+	longestRun     time.Duration
 	// depsDone is how many of the steps that it depends on, in the order of the specification,
 	// are known to be done.
 	depsDone int
@@ -211,7 +220,7 @@
 		progress = s.carriedProgress(&spec)
 	}
 	spec.CarriedProgress = nil
-	j := &job{spec: spec, team: s.team(now, spec.Team), rank: newRank(&spec, now), state: cluster.StatePending, inherited: uncertain, offeredAt: now}
+	j := &job{spec: spec, team: s.team(now, spec.Team), rank: newRank(&spec, now), state: cluster.StatePending, inherited: uncertain, uncertain: uncertain, offeredAt: now}
 	j.rank.BeyondWeight = s.countJob(j.team, &spec) && j.rank.Priority != longRunningPriority
 	s.jobs[spec.ID] = j
 	if progress != nil && progress.State.Finished() {
@@ -220,10 +229,11 @@
 		s.endPersisted(now, j)
 		return
 	}
-	s.buildSteps(j, now, uncertain)
+	j.tasksLeft = j.numRepeats() * j.tasksPerRepeat()
 	if progress != nil {
-		j.restore(progress)
+		s.restore(j, progress)
 	}
+	s.openDueRepeats(now, j)
 	at, _ := slices.BinarySearchFunc(s.active, j, func(a, b *job) int {
 		if a.rank.Before(b.rank) {
 			return -1
@@ -253,53 +263,16 @@
 	return p
 }
 
-// buildSteps creates the steps and tasks of all repeats of a job.
-func (s *Shard) buildSteps(j *job, now time.Time, uncertain bool) {
-	for k := range max(1, j.spec.Repeats) {
-		rep := &repeat{due: now}
-		if j.spec.Repeats > 0 {
-			rep.due = time.UnixMilli(j.spec.StartMS + int64(k)*j.spec.IntervalMS)
-		}
-		for i := range j.spec.Steps {
-			st := &step{id: StepID{j.spec.ID, k, i}, job: j, repeat: rep, spec: &j.spec.Steps[i], lastGangRun: s.params.Epoch * runsPerEpoch}
-			s.buildTasks(st, uncertain)
-			j.tasksLeft += len(st.tasks) - st.done
-			rep.steps = append(rep.steps, st)
-		}
-		j.repeats = append(j.repeats, rep)
-	}
-}
-
-// buildTasks creates all tasks of a step. Those that another shard runs count as done
-// here.
-func (s *Shard) buildTasks(st *step, uncertain bool) {
-	for x := range st.spec.Count {
-		t := &task{
-			id: cluster.TaskID{Job: st.id.Job, Repeat: st.id.Repeat, Step: st.id.Step, Index: x}, step: st,
-			lastRun: s.params.Epoch * runsPerEpoch, uncertain: uncertain,
-		}
-		if !st.job.spec.MayRun(st.spec, x) {
-			t.done, t.uncertain = true, false
-			st.done++
-		}
-		st.tasks = append(st.tasks, t)
-	}
-}
-
 // task returns a task of the shard, or nil if the job or the task is unknown.
 func (s *Shard) task(id cluster.TaskID) *task {
-	j := s.jobs[id.Job]
-	if j == nil || id.Repeat >= len(j.repeats) {
-		return nil
-	}
-	steps := j.repeats[id.Repeat].steps
-	if id.Step >= len(steps) || id.Index >= len(steps[id.Step].tasks) {
+	st := s.step(StepID{id.Job, id.Repeat, id.Step})
+	if st == nil || id.Index < 0 || id.Index >= st.spec.Count {
 		return nil
 	}
-	return steps[id.Step].tasks[id.Index]
+	return s.taskAt(st, id.Index)
 }
 
-// steps ranges over the steps of all repeats of a job.
+// steps ranges over the steps of all open repeats of a job.
 func (j *job) steps() iter.Seq[*step] {
 	return func(yield func(*step) bool) {
 		for _, rep := range j.repeats {
--- a/internal/scheduler/joint.go
+++ b/internal/scheduler/joint.go
@@ -151,10 +151,11 @@
 // jointGang returns the joint gang with this ID, or nil.
 func (s *Shard) jointGang(id StepID) *step {
 	j := s.jobs[id.Job]
-	if j == nil || j.state.Finished() || !j.isJoint() || id.Repeat >= len(j.repeats) || id.Step >= len(j.repeats[id.Repeat].steps) {
+	if j == nil || j.state.Finished() || !j.isJoint() {
 		return nil
 	}
-	if st := j.repeats[id.Repeat].steps[id.Step]; st.spec.Gang {
+	if st := s.step(id); st != nil && st.spec.Gang {
+		s.createTasks(st, st.spec.Count)
 		return st
 	}
 	return nil
@@ -194,8 +195,8 @@
 		return g
 	}
 	s.reserveForJointGang(now, st, &g)
-	if len(s.startable(now, st)) == len(st.tasks) {
-		g.Ready = s.startsWithinLimit(now, st, min(s.countStartable(now, st), len(st.tasks)))
+	if len(s.startable(now, st)) == st.spec.Count {
+		g.Ready = s.startsWithinLimit(now, st, min(s.countStartable(now, st), st.spec.Count))
 	}
 	return g
 }
@@ -225,7 +226,7 @@
 // would deadlock.
 func (s *Shard) reserveForJointGang(now time.Time, st *step, g *GangState) {
 	s.releaseReservations(st)
-	places := s.soonestPlacements(now, st, len(st.tasks), maxGangReserveWait)
+	places := s.soonestPlacements(now, st, st.spec.Count, maxGangReserveWait)
 	within := s.startsWithinLimit(now, st, len(places))
 	if within < len(places) {
 		s.limitBlocks(now, st, len(places)-within)
@@ -291,7 +292,7 @@
 func (s *Shard) StartGangMembers(now time.Time, g GangStart) bool {
 	st := s.jointGang(g.Step)
 	if st == nil || g.OwnerEpoch != s.params.Epoch || g.Epoch < st.joint.leadEpoch || g.Run <= st.lastGangRun ||
-		g.From < 0 || g.To > len(st.tasks) || g.From >= g.To {
+		g.From < 0 || g.To > st.spec.Count || g.From >= g.To {
 		return false
 	}
 	if g := s.gangRunState(st); g.Busy || g.Done || !g.AllKnown {
@@ -308,7 +309,7 @@
 		return
 	}
 	total, _ := s.approvedRoom(now, st)
-	if total < int(gangOversampling*float64(len(st.tasks))) && s.requestAdviceOnUnknown(now, st, len(st.tasks)) {
+	if total < int(gangOversampling*float64(st.spec.Count)) && s.requestAdviceOnUnknown(now, st, st.spec.Count) {
 		return
 	}
 	s.renewTickets(now, st)
--- a/internal/scheduler/jointlead.go
+++ b/internal/scheduler/jointlead.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		for st := range j.steps() {
-			if st.spec.Gang && st.done < len(st.tasks) && st.ready(now) {
+			if st.spec.Gang && st.done < st.spec.Count && st.ready(now) {
 				polls = append(polls, s.gangPoll(now, st))
 			}
 		}
@@ -59,7 +59,7 @@
 // have been started by then.
 func (s *Shard) GangStatesReceived(now time.Time, id StepID, answers []*GangState) []ShardMessage[GangStart] {
 	st := s.jointGang(id)
-	if st == nil || st.done == len(st.tasks) {
+	if st == nil || st.done == st.spec.Count {
 		return nil
 	}
 	all := append([]GangState{s.gangState(now, st)}, receivedStates(answers)...)
@@ -68,14 +68,14 @@
 	}
 	sum := sumGangStates(all)
 	st.lastGangRun = max(st.lastGangRun, sum.run)
-	st.joint.stopRuns = sum.busy && sum.running != len(st.tasks)
+	st.joint.stopRuns = sum.busy && sum.running != st.spec.Count
 	if sum.busy || !sum.allKnown {
 		return nil
 	}
-	if sum.ready >= len(st.tasks) {
+	if sum.ready >= st.spec.Count {
 		return s.startGang(now, st, all)
 	}
-	st.joint.planMembers(len(st.tasks), all)
+	st.joint.planMembers(st.spec.Count, all)
 	s.logGangWaiting(now, st, all)
 	return nil
 }
@@ -94,7 +94,7 @@
 		ready[i], soon[i] = g.Ready, g.ReadySoon
 	}
 	s.log.Info("gang waits for room in several shards", events.GangWaiting, zap.String("job", st.id.Job), zap.Int("step", st.id.Step),
-		zap.Int("members", len(st.tasks)), zap.Ints("ready", ready), zap.Ints("soon", soon), zap.Ints("kept", st.joint.memberPlan),
+		zap.Int("members", st.spec.Count), zap.Ints("ready", ready), zap.Ints("soon", soon), zap.Ints("kept", st.joint.memberPlan),
 		zap.Duration("starts_in", st.joint.startsIn))
 }
 
@@ -140,7 +140,7 @@
 // applyCrashedRuns records crashes under members of a joint gang that ran in other shards.
 func (s *Shard) applyCrashedRuns(now time.Time, st *step, crashed []CrashedRun) {
 	for _, c := range crashed {
-		if c.Index < 0 || c.Index >= len(st.tasks) {
+		if c.Index < 0 || c.Index >= st.spec.Count {
 			continue
 		}
 		age := time.Duration(c.AgeMS) * time.Millisecond
@@ -210,7 +210,7 @@
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(all[b].Ready, all[a].Ready) })
 	next, own, ownTo := 0, 0, 0
 	for _, i := range order {
-		to := min(next+all[i].Ready, len(st.tasks))
+		to := min(next+all[i].Ready, st.spec.Count)
 		if to == next {
 			continue
 		}
@@ -228,7 +228,7 @@
 	}
 	st.waitingSince = time.Time{}
 	s.log.Info("gang starts in several shards", events.JointGang, zap.String("job", st.id.Job), zap.Int("step", st.id.Step),
-		zap.Int64("run", run), zap.Int("members", len(st.tasks)), zap.Int("here", ownTo-own), zap.Int("others", len(starts)))
+		zap.Int64("run", run), zap.Int("members", st.spec.Count), zap.Int("here", ownTo-own), zap.Int("others", len(starts)))
 	return starts
 }
 
--- a/internal/scheduler/lateness.go
+++ b/internal/scheduler/lateness.go
@@ -164,9 +164,12 @@
 
 // remainingStep returns how long a step is expected to take to the end of its last task.
 func (s *Shard) remainingStep(now time.Time, st *step) (left time.Duration) {
-	if st.done == len(st.tasks) {
+	if st.done == st.spec.Count {
 		return 0
 	}
+	if st.pristine > 0 {
+		return s.expectedStragglerTime(st) + s.startSpread(st)
+	}
 	for _, t := range st.tasks {
 		switch {
 		case t.done:
@@ -183,7 +186,7 @@
 // deviate evenly, the longest of many deviates by twice the mean.
 func (s *Shard) expectedStragglerTime(st *step) time.Duration {
 	d := s.expectedTime(st)
-	if r := s.learnedRatio(st); r != nil && len(st.tasks) > 1 {
+	if r := s.learnedRatio(st); r != nil && st.spec.Count > 1 {
 		d += time.Duration(float64(d) * 2 * min(r.deviation, maxDeviation))
 	}
 	return d
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -48,7 +48,7 @@
 func (j *job) waitingDemand(now time.Time) resource.Amount {
 	var sum resource.Amount
 	for st := range j.steps() {
-		if st.done < len(st.tasks) && st.ready(now) {
+		if st.done < st.spec.Count && st.ready(now) {
 			sum = sum.Add(st.spec.Allocation().Times(st.waitingTasksHere()))
 		}
 	}
@@ -67,7 +67,7 @@
 
 // waitingTasks returns how many tasks of the step neither run nor have succeeded.
 func (st *step) waitingTasks() int64 {
-	n := int64(0)
+	n := int64(st.pristine)
 	for _, t := range st.tasks {
 		if !t.done && len(t.runs) == 0 {
 			n++
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -249,7 +249,7 @@
 // shard holds it only while little else runs there.
 func (s *Shard) waitsForTightGang(now time.Time, j *job) bool {
 	for st := range j.steps() {
-		enough := jointMaxFit * len(st.tasks)
+		enough := jointMaxFit * st.spec.Count
 		if st.spec.Gang && st.waitTime(now) >= jointDelay && s.maxTasksHere(st, enough) < enough {
 			return true
 		}
@@ -263,7 +263,7 @@
 		return nil
 	}
 	for st := range j.steps() {
-		if st.done < len(st.tasks) && !s.canHold(st) {
+		if st.done < st.spec.Count && !s.canHold(st) {
 			return st
 		}
 	}
@@ -276,7 +276,7 @@
 func (s *Shard) canHold(st *step) bool {
 	need := 1
 	if st.spec.Gang || st.spec.LongRunning {
-		need = len(st.tasks) - st.done
+		need = st.spec.Count - st.done
 	}
 	return s.maxTasksHere(st, need) >= need
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -32,7 +32,7 @@
 				break
 			}
 			for _, st := range rep.steps {
-				if st.done == len(st.tasks) {
+				if st.done == st.spec.Count {
 					continue
 				}
 				if s.startsLeft <= 0 {
@@ -42,6 +42,7 @@
 					s.prefetch(now, st)
 					continue
 				}
+				s.createWaitingTasks(st)
 				s.placeStep(now, st)
 			}
 		}
@@ -195,11 +196,11 @@
 		return
 	}
 	total, free := s.approvedRoom(now, st)
-	if free >= len(st.tasks) {
-		s.requestAdvice(now, st, len(st.tasks), true)
+	if free >= st.spec.Count {
+		s.requestAdvice(now, st, st.spec.Count, true)
 		return
 	}
-	if enough := int(gangOversampling * float64(len(st.tasks))); total < enough {
+	if enough := int(gangOversampling * float64(st.spec.Count)); total < enough {
 		s.requestAdviceOnUnknown(now, st, enough-total)
 	}
 }
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"slices"
 
 	"switchbank.example/switchbank/internal/cluster"
 )
@@ -14,6 +15,8 @@
 	State cluster.State `json:"state"`
 	Begun bool          `json:"begun,omitempty"`
 	Steps []StepState   `json:"steps,omitempty"`
+	// Ended are the numbers of the repeats all of whose tasks have succeeded.
+	Ended numberSet `json:"er,omitempty"`
 	// Moving is set while the job may be moving to another shard.
 	Moving bool `json:"m,omitempty"`
 	// Epoch is that of the owner that wrote this, and Change rises with each change of
@@ -81,9 +84,13 @@
 		p.Team = j.spec.Team
 		return p
 	}
-	for k, rep := range j.repeats {
+	p.Ended = j.ended
+	for _, rep := range j.repeats {
+		if j.ended.has(rep.number) {
+			continue
+		}
 		for i, st := range rep.steps {
-			if ss, changed := st.state(k, i); changed {
+			if ss, changed := st.state(rep.number, i); changed {
 				p.Steps = append(p.Steps, ss)
 			}
 		}
@@ -122,29 +129,45 @@
 
 // restore sets a job's progress from what was persisted, ignoring entries that don't
 // match the job's steps.
-func (j *job) restore(p *Progress) {
+func (s *Shard) restore(j *job, p *Progress) {
 	j.version, j.begun, j.moving = p.version, p.Begun, p.Moving
-	for _, ss := range p.Steps {
-		if ss.Repeat < 0 || ss.Repeat >= len(j.repeats) || ss.Step < 0 || ss.Step >= len(j.repeats[ss.Repeat].steps) {
+	if p.Ended.valid(j.numRepeats() - 1) {
+		j.ended = slices.Clone(p.Ended)
+		j.tasksLeft -= j.ended.size() * j.tasksPerRepeat()
+	}
+	for i := range p.Steps {
+		ss := &p.Steps[i]
+		if st := s.step(StepID{j.spec.ID, ss.Repeat, ss.Step}); st != nil && !j.ended.has(ss.Repeat) {
+			s.restoreStep(st, ss)
+		}
+	}
+	j.releaseEndedRepeats()
+}
+
+// restoreStep sets a step's progress from what was persisted.
+func (s *Shard) restoreStep(st *step, ss *StepState) {
+	for x := range min(len(ss.Done), st.spec.Count) {
+		if x%maxWaitingTasks == 0 {
+			st.releaseDoneTasks(s)
+		}
+		if ss.Done[x] != '1' {
 			continue
 		}
-		st := j.repeats[ss.Repeat].steps[ss.Step]
-		for x := range min(len(ss.Done), len(st.tasks)) {
-			if ss.Done[x] == '1' && !st.tasks[x].done {
-				st.tasks[x].done = true
-				st.done++
-				j.tasksLeft--
-			}
+		if t := s.taskAt(st, x); !t.done {
+			t.done, t.uncertain, st.repeat.begun = true, false, true
+			st.done++
+			st.job.tasksLeft--
 		}
-		for _, ts := range ss.Tasks {
-			if ts.Index >= 0 && ts.Index < len(st.tasks) {
-				t := st.tasks[ts.Index]
-				t.failed, t.checkpoint, t.lastRun = ts.Failed, ts.Checkpoint, max(t.lastRun, ts.LastRun)
-				st.lastGangRun = max(st.lastGangRun, t.lastRun)
-				if ts.Crashes != nil && len(ts.Crashes.Workers) == len(ts.Crashes.Runs) {
-					t.crashes = *ts.Crashes
-				}
-			}
+	}
+	for _, ts := range ss.Tasks {
+		if ts.Index < 0 || ts.Index >= st.spec.Count {
+			continue
+		}
+		t := s.taskAt(st, ts.Index)
+		t.failed, t.checkpoint, t.lastRun = ts.Failed, ts.Checkpoint, max(t.lastRun, ts.LastRun)
+		st.lastGangRun, st.repeat.begun = max(st.lastGangRun, t.lastRun), true
+		if ts.Crashes != nil && len(ts.Crashes.Workers) == len(ts.Crashes.Runs) {
+			t.crashes = *ts.Crashes
 		}
 	}
 }
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -93,7 +93,7 @@
 
 // reserveGang reserves room for all members of a gang, or none.
 func (s *Shard) reserveGang(now time.Time, st *step) {
-	if s.reservedTasks(now, st) >= len(st.tasks) {
+	if s.reservedTasks(now, st) >= st.spec.Count {
 		s.gangReserved = true
 		return
 	}
@@ -106,8 +106,8 @@
 	if !s.gangReserved {
 		s.gangReserved, within = true, maxGangReserveWait
 	}
-	places := s.soonestPlacements(now, st, len(st.tasks), within)
-	if len(places) < len(st.tasks) {
+	places := s.soonestPlacements(now, st, st.spec.Count, within)
+	if len(places) < st.spec.Count {
 		return
 	}
 	longest := places[len(places)-1].in
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -115,6 +115,7 @@
 	if team := t.step.job.team; team != nil {
 		team.addUse(t.step, 1)
 	}
+	t.step.repeat.begun = true
 	if j := t.step.job; !j.begun {
 		j.begun = true
 		s.markChanged(j)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -275,6 +275,7 @@
 // scan checks all workers and runs for what changes by the passing of time alone, such as
 // expired leases and stalled runs.
 func (s *Shard) scan(now time.Time) {
+	s.updateRepeats(now)
 	s.endDeferral(now)
 	s.expireLeases(now)
 	s.expireInDoubt(now)
--- a/internal/scheduler/stalls.go
+++ b/internal/scheduler/stalls.go
@@ -59,7 +59,7 @@
 func (s *Shard) limitCause(now time.Time, st *step) stallCause {
 	t, n := st.job.team, 1
 	if st.spec.Gang {
-		n = len(st.tasks)
+		n = st.spec.Count
 	}
 	switch {
 	case s.startsWithinLimit(now, st, n) >= n:
@@ -79,7 +79,7 @@
 		return nil
 	}
 	for st := range j.steps() {
-		if st.done < len(st.tasks) && st.ready(now) {
+		if st.done < st.spec.Count && st.ready(now) {
 			return st
 		}
 	}
@@ -128,7 +128,7 @@
 	}
 	fields := []zap.Field{
 		events.JobStalls, zap.String("job", st.id.Job), zap.Int("step", st.id.Step), zap.Duration("stalled", stalled), zap.String("cause", string(cause)),
-		zap.Int("tasks", len(st.tasks)-st.done), zap.Bool("gang", st.spec.Gang), zap.Bool("begun", st.job.begun), zap.Bool("joint", st.job.isJoint()),
+		zap.Int("tasks", st.spec.Count-st.done), zap.Bool("gang", st.spec.Gang), zap.Bool("begun", st.job.begun), zap.Bool("joint", st.job.isJoint()),
 		zap.Int64("cpu_milli", st.spec.Need.CPUMilli), zap.Int64("memory_mb", st.spec.Need.MemoryMB), zap.Bool("asking", st.advice.openCalls > 0),
 	}
 	if t := st.job.team; t != nil {
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -70,6 +70,7 @@
 		zap.Bool("machines_listed", s.takeover.machinesListed), zap.Duration("took", now.Sub(s.startedAt)))
 	// A job that fails leaves the active ones.
 	for _, j := range slices.Clone(s.active) {
+		j.uncertain = false
 		for st := range j.steps() {
 			for _, t := range st.tasks {
 				t.uncertain = false
@@ -100,6 +101,9 @@
 	}
 	for _, j := range s.active {
 		for st := range j.steps() {
+			if j.uncertain {
+				wait.Tasks += st.pristine
+			}
 			for _, t := range st.tasks {
 				if t.uncertain && !t.done {
 					wait.Tasks++
--- a/internal/scheduler/teamlimit.go
+++ b/internal/scheduler/teamlimit.go
@@ -306,7 +306,7 @@
 // mayHold reports whether the limit can hold a gang once the team's other runs have ended, apart from
 // the long-running tasks.
 func (t *teamState) mayHold(st *step) bool {
-	return !st.quotaUse().Times(int64(len(st.tasks))).Add(t.usedLongRunning).Exceeds(t.limit)
+	return !st.quotaUse().Times(int64(st.spec.Count)).Add(t.usedLongRunning).Exceeds(t.limit)
 }
 
 // hold holds back steps of the team that are less urgent than u, unless others are held back for
@@ -362,6 +362,9 @@
 func (u uncertainUse) add(j *job) uncertainUse {
 	for st := range j.steps() {
 		n := int64(0)
+		if j.uncertain {
+			n = int64(st.pristine)
+		}
 		for _, t := range st.tasks {
 			if t.uncertain && !t.done {
 				n++
