cell: the cancel of a job that isn't there keeps it from being accepted

Cause: the node answered 410 as soon as it found no pin, while the write that accepts the job was still under way. Evidence: with that write 5 s late all cases of TestJobCancelledBeforeAcceptanceRuns started the job before this change, at whichever node the cancel came, and also if the submission's node was killed in between.

Now such a cancel writes the pin itself, as a tombstone, on condition that there is none, and is answered with 410 after that: the late acceptance has the same condition and fails. A submission of the ID is answered 503, with a Retry-After of the 120 s for which the tombstone is kept. The shard's owner, told by a cancel row, deletes both rows together. All nodes together write at most 10,000 tombstones in 120 s.

--- a/internal/cell/admit.go
+++ b/internal/cell/admit.go
@@ -27,8 +27,8 @@
 // Result is the outcome of a submission.
 type Result struct {
 	Answer Answer
-	// RetryAfter is when the caller should retry, and Reason why its job is refused, if Answer is
-	// AnswerOverloaded.
+	// RetryAfter is when the caller should retry, if Answer is AnswerOverloaded or AnswerCancelled, and
+	// Reason why its job is refused, if it is AnswerOverloaded.
 	RetryAfter time.Duration
 	Reason     admission.Reason
 }
--- a/internal/cell/callers.go
+++ b/internal/cell/callers.go
@@ -32,6 +32,9 @@
 	AnswerNoJob Answer = "no_job"
 	// AnswerConflict means that a job of another team has the ID.
 	AnswerConflict Answer = "conflict"
+	// AnswerCancelled means that the job was cancelled before it was accepted, and never runs. Its ID
+	// can't be used for a while.
+	AnswerCancelled Answer = "cancelled"
 	// AnswerOverLimit means that the job's team may never run it under the present limit.
 	AnswerOverLimit Answer = "over_limit"
 	// AnswerOverloaded means that the job would end too late, and is not accepted for now.
@@ -144,6 +147,9 @@
 // Cancel cancels a job that the viewer may see, durably. The service is as for State.
 func (n *Node) Cancel(ctx context.Context, v Viewer, service, id string) Answer {
 	state, answer := n.State(ctx, v, service, id)
+	if answer == AnswerNoJob {
+		answer = n.cancelAbsent(ctx, v, service, id)
+	}
 	if answer != AnswerOK {
 		return answer
 	}
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -122,8 +122,9 @@
 	configLag    configLag
 	evacuations  evacuations
 	// forecasts holds the summaries that the owners of shards reported last.
-	forecasts forecast.Received
-	admitter  *admitter
+	forecasts  forecast.Received
+	admitter   *admitter
+	tombstones tombstoneBudget
 	// intake bounds what callers make this process hold, and readyIntake what the balancer's
 	// checks do.
 	intake, readyIntake *intake.Limiter
--- a/internal/cell/pins.go
+++ b/internal/cell/pins.go
@@ -158,7 +158,7 @@
 		n.Log.Warn("pin row skipped", events.RowSkipped, zap.String("job", id), zap.Error(err))
 		return owner.Pin{}, row, AnswerRefused
 	}
-	if !v.sees(pin.Team) {
+	if pin.Tombstone || !v.sees(pin.Team) {
 		return owner.Pin{}, row, AnswerNoJob
 	}
 	n.pins.Add(id, pin)
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -44,7 +44,11 @@
 	if d := n.admit(ctx, &job); !d.Admit {
 		return Result{AnswerOverloaded, d.RetryAfter, d.Reason}
 	}
-	return Result{Answer: n.acceptAdmitted(ctx, job)}
+	answer := n.acceptAdmitted(ctx, job)
+	if answer == AnswerCancelled {
+		return Result{Answer: answer, RetryAfter: n.finishedRetention()}
+	}
+	return Result{Answer: answer}
 }
 
 // accept persists a job and sends it to the owners of its shards.
@@ -82,11 +86,8 @@
 		switch {
 		case err == nil && res.Committed:
 			return n.sendAccepted(parts, res.Version, time.Since(began))
-		case err == nil && !n.acceptedBefore(&job, res.Current):
-			n.refuse(job.ID, "a job of another team has this ID")
-			return AnswerConflict
 		case err == nil:
-			return n.answerAccepted(&job)
+			return n.answerBlocked(&job, res.Current)
 		case tables.KindOf(err) == tables.KindInvalid && !maybeCommitted:
 			n.refuse(job.ID, err.Error())
 			return AnswerImpossible
@@ -131,17 +132,6 @@
 	}
 }
 
-// acceptedBefore reports whether the job itself was accepted before, by the pin that kept it from
-// being accepted now, and not a job of another team with the same ID.
-func (n *Node) acceptedBefore(job *cluster.Job, current []tables.Row) bool {
-	for _, r := range current {
-		if pin, err := owner.ParsePin(r); err == nil {
-			return pin.Team == job.Team
-		}
-	}
-	return true
-}
-
 // answerUnknown returns the answer for a job whose commit got no answer from the store, and
 // logs it.
 func (n *Node) answerUnknown(id string) Answer {
--- a/internal/owner/applyloaded.go
+++ b/internal/owner/applyloaded.go
@@ -56,6 +56,7 @@
 	}
 	for _, r := range ends {
 		id, _ := parseJobKey(r.Key)
+		o.noteTombstone(now, r)
 		o.shard.EndJob(now, id, endState(r))
 	}
 	return n
--- a/internal/owner/deleteloop.go
+++ b/internal/owner/deleteloop.go
@@ -27,6 +27,7 @@
 		for _, id := range forgottenJobs {
 			o.deleteQueue.add(pinRow(id))
 		}
+		o.deleteTombstones(ctx)
 		if rows := o.deleteQueue.takeBatch(); len(rows) > 0 {
 			o.deleteRows(ctx, rows)
 		}
--- a/internal/owner/failjob.go
+++ b/internal/owner/failjob.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	res, err := o.Tables.Commit(ctx, endJobTxn(p.Shards, pin, jobEnd{cluster.StateFailed}))
+	res, err := o.Tables.Commit(ctx, endJobTxn(p.Shards, pin, jobEnd{State: cluster.StateFailed}))
 	if err == nil && !res.Committed {
 		err = &Error{"fail job", KindConflict, errors.New("its pin has changed")}
 	}
--- a/internal/owner/feed.go
+++ b/internal/owner/feed.go
@@ -50,6 +50,7 @@
 			continue
 		}
 		if cancel {
+			o.noteTombstone(now, r)
 			s.EndJob(now, id, endState(r))
 			continue
 		}
--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -274,7 +274,7 @@
 		if !here {
 			return false
 		}
-		row := newPinRow(job.ID, Pin{[]cluster.ShardID{o.cfg.Shard}, o.teamOf(job.ID, seen), job.Moves})
+		row := newPinRow(job.ID, Pin{Shards: []cluster.ShardID{o.cfg.Shard}, Team: o.teamOf(job.ID, seen), Moves: job.Moves})
 		res, err := o.Tables.Commit(ctx, tables.Txn{If: []tables.Row{seen}, Put: []tables.Row{row}})
 		if err == nil && res.Committed {
 			return true
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -112,9 +112,11 @@
 	deleteQueue      deleteQueue
 	fallback         fallback
 	unreadParts      unreadParts
-	teamParts        teamParts
-	wakeScheduler    chan struct{}
-	wakePersist      chan struct{}
+	// tombstones are those of the shard, by job.
+	tombstones    map[string]tombstone
+	teamParts     teamParts
+	wakeScheduler chan struct{}
+	wakePersist   chan struct{}
 	// wakeConfirm requests a confirmation of the ownership before the next one is due.
 	wakeConfirm chan struct{}
 	// wakeMachineList requests a listing of the machines before the next one is due.
@@ -136,7 +138,7 @@
 	shard.ConfirmOwnership(cfg.ConfirmedAt)
 	return &Owner{
 		cfg: cfg, Deps: deps, startedAt: time.Now(), shard: shard,
-		askSlots: make(chan struct{}, maxParallelAsks), holdLoops: make(map[string]bool), invalidEntries: newInvalidEntries(), teamParts: teamParts{writing: make(chan struct{}, 1), answered: make(map[int]bool), next: cfg.Shard.Index},
+		askSlots: make(chan struct{}, maxParallelAsks), holdLoops: make(map[string]bool), invalidEntries: newInvalidEntries(), tombstones: make(map[string]tombstone), teamParts: teamParts{writing: make(chan struct{}, 1), answered: make(map[int]bool), next: cfg.Shard.Index},
 		wakeScheduler: make(chan struct{}, 1), wakePersist: make(chan struct{}, 1), wakeConfirm: make(chan struct{}, 1), wakeMachineList: make(chan struct{}, 1), wakeTeamParts: make(chan struct{}, 1),
 	}
 }
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -90,6 +90,8 @@
 	Moves int `json:"moves,omitempty"`
 	// Team is the team to which the job belongs; empty if it came without a token.
 	Team string `json:"team,omitempty"`
+	// Tombstone is as in Pin.
+	Tombstone bool `json:"tombstone,omitempty"`
 }
 
 // Pin says which shards have the parts of a job, and to which team it belongs.
@@ -100,6 +102,9 @@
 	// Moves is how often the job has moved. It only rises, so that it tells a job that never left
 	// a shard from one that has come back.
 	Moves int
+	// Tombstone is set if the job was cancelled before it was accepted: it doesn't exist, and is not
+	// accepted while the pin is there.
+	Tombstone bool
 }
 
 // AcceptJobTxn returns the transaction that accepts a job, given as its parts. It does not
@@ -118,13 +123,13 @@
 		row.Value = value
 		txn.Put = append(txn.Put, row)
 	}
-	txn.Put = append(txn.Put, newPinRow(job.ID, Pin{shards, job.Team, job.Moves}))
+	txn.Put = append(txn.Put, newPinRow(job.ID, Pin{Shards: shards, Team: job.Team, Moves: job.Moves}))
 	return txn, nil
 }
 
 // newPinRow returns the pin that says which shards have the parts of a job.
 func newPinRow(id string, pin Pin) tables.Row {
-	p := pinValue{Service: pin.Shards[0].Service, Team: pin.Team, Moves: pin.Moves}
+	p := pinValue{Service: pin.Shards[0].Service, Team: pin.Team, Moves: pin.Moves, Tombstone: pin.Tombstone}
 	for _, s := range pin.Shards {
 		p.Shards = append(p.Shards, s.Index)
 	}
@@ -147,7 +152,7 @@
 	if err != nil {
 		return Pin{}, &Error{"parse pin of " + row.Key, KindLoad, err}
 	}
-	pin := Pin{Shards: make([]cluster.ShardID, len(p.Shards)), Team: p.Team, Moves: p.Moves}
+	pin := Pin{Shards: make([]cluster.ShardID, len(p.Shards)), Team: p.Team, Moves: p.Moves, Tombstone: p.Tombstone}
 	for i, index := range p.Shards {
 		pin.Shards[i] = cluster.ShardID{Service: p.Service, Index: index}
 	}
@@ -192,6 +197,9 @@
 type jobEnd struct {
 	// State is the state in which the job ends; empty: cancelled.
 	State cluster.State `json:"state,omitempty"`
+	// Tombstone is the service of the shard that deletes the row and the job's pin, if the pin is a
+	// tombstone.
+	Tombstone string `json:"tombstone,omitempty"`
 }
 
 // endState returns the state in which a cancel row ends its job. An owner may also end a job
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -24,6 +24,9 @@
 	busyParts []string
 	// moveFault, if not nil, decides the fault of each write that moves a row to another table.
 	moveFault func(m RowMove) WriteFault
+	// writeFault, if not nil, decides the fault of each write that puts rows into faultTable.
+	writeFault func(keys []string) WriteFault
+	faultTable string
 	// partCalls counts the reads and writes of each part.
 	partCalls map[string]int
 	// changed is closed and replaced with each change.
--- a/standin/site/storefaults.go
+++ b/standin/site/storefaults.go
@@ -83,8 +83,19 @@
 	s.moveFault = f
 }
 
-// faultOf returns the fault of a write that moves a row. The caller holds mu.
+// SetWriteFault sets a function that decides the fault of each write that puts rows into a table, by
+// the keys of these rows. It is independent of the other faults, and must not call the store.
+func (s *Store) SetWriteFault(table string, f func(keys []string) WriteFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faultTable, s.writeFault = table, f
+}
+
+// faultOf returns the fault of a write. The caller holds mu.
 func (s *Store) faultOf(txn storeTxn) WriteFault {
+	if keys := txn.keysIn(s.faultTable); s.writeFault != nil && len(keys) > 0 {
+		return s.writeFault(keys)
+	}
 	if s.moveFault == nil {
 		return WriteFault{}
 	}
@@ -98,6 +109,16 @@
 	return WriteFault{}
 }
 
+// keysIn returns the keys of the rows that the write puts into a table.
+func (t storeTxn) keysIn(table string) (keys []string) {
+	for _, r := range t.Put {
+		if r.Table == table {
+			keys = append(keys, r.Key)
+		}
+	}
+	return keys
+}
+
 // failsPart counts a call of a part, and reports whether the part is unavailable. Such a call is
 // over when failsPart returns, or ends with a reset of its connection.
 func (s *Store) failsPart(w http.ResponseWriter, r *http.Request, part string) bool {
