scheduler, owner: progress of a large job is divided over several rows

Cause, in two parts: all progress of a job lay in one row without a bound, with an entry for each checkpoint, failure and crash and a digit for each task; and a write that the store refuses for good was repeated as it was, with all other jobs in it.

The ends of a job are confirmed once all of its changed chunks are written. A write that is refused as not valid is repeated job by job, and one job that is refused by itself waits for 30 s (SB1733).

--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -47,6 +47,7 @@
 	gauge("switchbank_advice_calls", func(c scheduler.Counts) int64 { return c.AdviceCalls })
 	gauge("switchbank_runs_crashed", func(c scheduler.Counts) int64 { return c.CrashedRuns })
 	gauge("switchbank_runs_above_limit", func(c scheduler.Counts) int64 { return c.AboveLimit })
+	gauge("switchbank_progress_refused", func(c scheduler.Counts) int64 { return c.RefusedProgress })
 	gauge("switchbank_jobs_crashing", func(c scheduler.Counts) int64 { return c.CrashingJobs })
 	n.metrics.NewGauge("switchbank_workers_aside", func() float64 { return n.sumOverOwned((*owner.Owner).QuarantinedWorkers) })
 	n.metrics.NewGauge("switchbank_jobs_stalled", func() float64 { return n.sumOverOwned((*owner.Owner).StalledJobs) })
@@ -81,6 +82,7 @@
 		sum.CrashedRuns += c.CrashedRuns
 		sum.CrashingJobs += c.CrashingJobs
 		sum.AboveLimit += c.AboveLimit
+		sum.RefusedProgress += c.RefusedProgress
 	}
 	return sum
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -120,6 +120,7 @@
 	ShardLoaded        = zap.String(Field, "SB1701")
 	RowSkipped         = zap.String(Field, "SB1702")
 	StoreFailed        = zap.String(Field, "SB1703")
+	ProgressRefused    = zap.String(Field, "SB1733")
 	ProgressReconciled = zap.String(Field, "SB1704")
 	MachinesNotRead    = zap.String(Field, "SB1705")
 	OwnerChanged       = zap.String(Field, "SB1706")
--- a/internal/owner/applyloaded.go
+++ b/internal/owner/applyloaded.go
@@ -19,6 +19,7 @@
 func (o *Owner) applyLoaded(rows *loadedRows) int {
 	now := time.Now()
 	o.applyFallbackRows(rows)
+	o.joinChunks(rows)
 	if len(rows.missingParts) > 0 {
 		o.deferUnreadJobs(rows)
 	}
--- a/internal/owner/fallback.go
+++ b/internal/owner/fallback.go
@@ -100,7 +100,16 @@
 }
 
 // writeFallback writes a batch to fallback rows and reports whether that succeeded.
-func (o *Owner) writeFallback(ctx context.Context, batch scheduler.Batch) bool {
+func (o *Owner) writeFallback(ctx context.Context) bool {
+	o.mu.Lock()
+	batch := o.shard.NextFullBatch(time.Now(), maxBatchJobs, min(o.cfg.MaxWriteBytes, maxBatchBytes))
+	o.mu.Unlock()
+	if len(batch.Records) == 0 {
+		if !batch.Empty() {
+			o.updateShard(func(s *scheduler.Shard, now time.Time) { s.PersistedInFallback(now, batch) })
+		}
+		return true
+	}
 	txn := tables.Txn{If: []tables.Row{o.cfg.Row}}
 	for _, r := range batch.Records {
 		row := o.fallbackRow(&r)
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"switchbank.example/switchbank/internal/events"
+	"switchbank.example/switchbank/internal/scheduler"
 	"switchbank.example/switchbank/internal/tables"
 )
 
@@ -41,6 +42,8 @@
 	workerList tables.Row
 	// teamParts holds what earlier owners have given of the teams' limits.
 	teamParts tables.Row
+	// chunks maps job IDs to the rows that hold parts of their progress.
+	chunks map[string][]tables.Row
 	// fallbackRows hold progress that was written while its own part did not answer.
 	fallbackRows []tables.Row
 	// version is the oldest version of the lists of jobs; their feed continues from it.
@@ -58,7 +61,7 @@
 		return err
 	}
 	began := time.Now()
-	rows := &loadedRows{progress: make(map[string]tables.Row)}
+	rows := &loadedRows{progress: make(map[string]tables.Row), chunks: make(map[string][]tables.Row)}
 	partsRead := o.readJobParts(ctx)
 	if err := o.readProgress(ctx, rows); err != nil {
 		return &Error{"load", KindLoad, err}
@@ -188,6 +191,10 @@
 		case teamPartsKey:
 			loaded.teamParts = r
 		default:
+			if id, ok := scheduler.ChunkOwner(r.Key); ok {
+				loaded.chunks[id] = append(loaded.chunks[id], r)
+				continue
+			}
 			loaded.progress[r.Key] = r
 		}
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -117,6 +117,9 @@
 	teamParts     teamParts
 	wakeScheduler chan struct{}
 	wakePersist   chan struct{}
+	// singleWrites is how many jobs are still written one by one, since the store has refused a write
+	// with several. Only the persist loop uses it.
+	singleWrites int
 	// wakeConfirm requests a confirmation of the ownership before the next one is due.
 	wakeConfirm chan struct{}
 	// wakeMachineList requests a listing of the machines before the next one is due.
--- a/internal/scheduler/batch.go
+++ b/internal/scheduler/batch.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
@@ -27,6 +26,12 @@
 	Final bool
 	// Change is the number of the job's last change that the record includes.
 	Change int64
+	// Chunks are rows that hold parts of the progress beside Value. Partial is set if others that have
+	// changed are left out.
+	Chunks  []ChunkRow
+	Partial bool
+	// Obsolete are the keys of rows with chunks that a job has left when it ended.
+	Obsolete []string
 }
 
 // Batch is a set of records, and the ends that can be confirmed to the workers once they
@@ -42,27 +47,56 @@
 // ends are confirmed only up to the first one whose job has changes that were left out.
 const maxSkippedBatches = 20
 
-// NextBatch returns the changes to persist next, of at most maxJobs jobs and about
+// NextBatch returns the changes to persist next, of at most maxJobs jobs, twice as many rows and about
 // maxBytes: first those that many batches have left out, then those of finished jobs,
 // since callers wait for them, then the most urgent. The batch covers a worker's ends up
 // to the first one whose job has changes that are left out.
-func (s *Shard) NextBatch(maxJobs, maxBytes int) Batch {
-	var b Batch
+func (s *Shard) NextBatch(now time.Time, maxJobs, maxBytes int) Batch {
+	maxRows := 2 * maxJobs
+	rows, bytes := 0, 0
+	return s.nextBatch(now, maxJobs, func(j *job) (r Record, ok bool) {
+		if rows+2 > maxRows || bytes >= maxBytes {
+			return r, false
+		}
+		r = s.newRecord(j, maxRows-rows-2, maxBytes-bytes)
+		if rows > 0 && bytes+r.size() > maxBytes {
+			return r, false
+		}
+		rows, bytes = rows+2+len(r.Chunks), bytes+r.size()
+		j.noteSent(r.Chunks)
+		return r, true
+	})
+}
+
+// NextFullBatch is NextBatch for rows that hold the whole progress of a job each. Jobs for which that is
+// too large are left out.
+func (s *Shard) NextFullBatch(now time.Time, maxJobs, maxBytes int) Batch {
+	bytes := 0
+	return s.nextBatch(now, maxJobs, func(j *job) (r Record, ok bool) {
+		r = Record{Job: j.spec.ID, Queue: j.spec.Queue, Version: j.version, Value: s.encodeProgress(j, j.progress()), Final: j.state.Finished(), Change: j.changeCount}
+		if len(r.Value) > maxFullBytes || (bytes > 0 && bytes+r.size() > maxBytes) {
+			return r, false
+		}
+		bytes += r.size()
+		return r, true
+	})
+}
+
+// nextBatch returns a batch of at most maxJobs of the changed jobs, in the order of NextBatch, as records
+// that newRecord makes; ok is false in its result if the job has to be left out.
+func (s *Shard) nextBatch(now time.Time, maxJobs int, newRecord func(j *job) (r Record, ok bool)) (b Batch) {
 	// A moving job's row holds the mark of the move until that is completed or cancelled.
 	open := slices.SortedFunc(maps.Values(s.dirty), compareDirty)
-	open = slices.DeleteFunc(open, func(j *job) bool { return j.moving })
-	bytes, included := 0, make(map[string]bool)
-	for _, j := range open[:min(len(open), maxJobs)] {
-		r := Record{
-			Job: j.spec.ID, Queue: j.spec.Queue, Version: j.version, Value: s.encodeProgress(j, j.progress()), Final: j.state.Finished(), Change: j.changeCount,
+	open = slices.DeleteFunc(open, func(j *job) bool { return j.moving || now.Before(j.refusedUntil) })
+	included := make(map[string]bool)
+	for _, j := range open {
+		if len(b.Records) < maxJobs {
+			if r, ok := newRecord(j); ok {
+				b.Records = append(b.Records, r)
+				included[r.Job] = !r.Partial
+				continue
+			}
 		}
-		if bytes += len(r.Value); bytes > maxBytes && len(b.Records) > 0 {
-			break
-		}
-		b.Records = append(b.Records, r)
-		included[r.Job] = true
-	}
-	for _, j := range open[len(b.Records):] {
 		j.skippedBatches++
 	}
 	b.confirmedEnds = make(map[*worker]int64)
@@ -74,6 +108,39 @@
 	return b
 }
 
+// newRecord returns the record of a job's progress: one row, or a head and at most maxChunks rows of
+// chunks that have changed, of about maxBytes.
+func (s *Shard) newRecord(j *job, maxChunks, maxBytes int) Record {
+	r := Record{Job: j.spec.ID, Queue: j.spec.Queue, Version: j.version, Final: j.state.Finished(), Change: j.changeCount}
+	if r.Final {
+		r.Value, r.Obsolete = s.encodeProgress(j, j.progressHead()), j.chunkKeys()
+		return r
+	}
+	if !j.isChunked {
+		if r.Value = s.encodeProgress(j, j.progress()); len(r.Value) <= maxInlineBytes {
+			return r
+		}
+		j.isChunked = true
+	}
+	head, changed := j.chunked(j.progressHead())
+	r.Value = s.encodeProgress(j, head)
+	n, left := 0, maxBytes-len(r.Value)
+	for ; n < min(len(changed), maxChunks) && (n == 0 || left > 0); n++ {
+		left -= len(changed[n].Value) + rowOverheadBytes
+	}
+	r.Chunks, r.Partial = changed[:n], n < len(changed)
+	return r
+}
+
+// size returns the approximate size of the record's rows.
+func (r *Record) size() int {
+	n := len(r.Value) + rowOverheadBytes
+	for _, c := range r.Chunks {
+		n += len(c.Value) + rowOverheadBytes
+	}
+	return n
+}
+
 // confirmableEnd returns up to which number a worker's ends are persisted once the
 // changes of the given jobs are. A slow store leaves changes out of many batches in a
 // row, so that ends which waited for a batch with all changes would never be confirmed.
@@ -90,11 +157,7 @@
 // encodeProgress returns the value of a job's progress row as of its last change.
 func (s *Shard) encodeProgress(j *job, p Progress) []byte {
 	p.Epoch, p.Change, p.MovesPlusOne = s.params.Epoch, j.changeCount, j.spec.Moves+1
-	value, err := json.Marshal(p)
-	if err != nil {
-		panic("scheduler: progress holds only strings and numbers: " + err.Error())
-	}
-	return value
+	return encode(p)
 }
 
 // compareDirty orders jobs by how soon their progress should be persisted.
@@ -123,6 +186,7 @@
 	for _, r := range b.Records {
 		if j := s.jobs[r.Job]; j != nil {
 			j.version = version
+			j.noteWritten(r.Chunks)
 		}
 	}
 	s.batchDurable(now, b)
@@ -158,6 +222,9 @@
 // recordDurable records that the progress of a job is durable up to a change. Once that
 // includes the job's end, its steps and specification are dropped.
 func (s *Shard) recordDurable(now time.Time, j *job, r Record) {
+	if r.Partial {
+		return
+	}
 	j.skippedBatches, j.durableChange = 0, max(j.durableChange, r.Change)
 	if r.Change == j.changeCount {
 		delete(s.dirty, r.Job)
@@ -172,6 +239,23 @@
 	j.spec.Spec, j.spec.Steps = "", nil
 }
 
+// refusedRetryInterval is the time after which a write that the store can't accept is tried again: a later
+// change may fit.
+const refusedRetryInterval = 30 * time.Second
+
+// ProgressRefused records that the store can't accept the progress of a job as it is. It is not written
+// again for a while, so that it doesn't keep that of other jobs from being written.
+func (s *Shard) ProgressRefused(now time.Time, r Record) {
+	j := s.jobs[r.Job]
+	if j == nil {
+		return
+	}
+	j.refusedUntil = now.Add(refusedRetryInterval)
+	s.counts.RefusedProgress++
+	s.log.Error("the store refuses the progress of a job", events.ProgressRefused, zap.String("job", r.Job), zap.String("queue", r.Queue),
+		zap.Int("bytes", r.size()), zap.Int("rows", 1+len(r.Chunks)), zap.Int("tasks", j.tasksLeft))
+}
+
 // SetVersion corrects the version of a job's progress row after a conflict.
 func (s *Shard) SetVersion(id string, version int64) {
 	if j := s.jobs[id]; j != nil {
--- a/internal/scheduler/batch_test.go
+++ b/internal/scheduler/batch_test.go
@@ -29,7 +29,7 @@
 		}
 	}
 	r.reportAll()
-	b := r.shard.NextBatch(most, unlimitedBytes)
+	b := r.shard.NextBatch(r.now, most, unlimitedBytes)
 	if len(b.Records) != most {
 		t.Fatalf("%d records, want %d", len(b.Records), most)
 	}
@@ -54,7 +54,7 @@
 	r.endAllRuns(cluster.OutcomeDone)
 	r.reportAll()
 	for taken := 0; taken < jobs; taken += most {
-		b := r.shard.NextBatch(most, unlimitedBytes)
+		b := r.shard.NextBatch(r.now, most, unlimitedBytes)
 		r.shard.Persisted(r.now, b, 1)
 		r.reportAll()
 		open := 0
@@ -80,7 +80,7 @@
 	}
 	r.runFor(300 * time.Millisecond)
 	for _, c := range []struct{ bytes, least, most int }{{1, 1, 1}, {500, 2, 12}, {unlimitedBytes, 30, 30}} {
-		if n := len(r.shard.NextBatch(100, c.bytes).Records); n < c.least || n > c.most {
+		if n := len(r.shard.NextBatch(r.now, 100, c.bytes).Records); n < c.least || n > c.most {
 			t.Errorf("a batch of up to %d bytes has %d records, want %d to %d", c.bytes, n, c.least, c.most)
 		}
 	}
@@ -112,7 +112,7 @@
 			r.succeedOneRun(old)
 		}
 		r.runFor(100 * time.Millisecond)
-		b := r.shard.NextBatch(most, unlimitedBytes)
+		b := r.shard.NextBatch(r.now, most, unlimitedBytes)
 		r.shard.Persisted(r.now, b, 1)
 		for _, rec := range b.Records {
 			if rec.Job == old && round > 0 {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -47,6 +47,12 @@
 	version        int64 // of the progress row
 	changeCount    int64 // rises with each change that has to be persisted
 	durableChange  int64 // the last change that is persisted
+	// isChunked is set once the progress is divided over several rows. chunkHashes are the hashes of the
+	// rows of chunks in the store.
+	isChunked   bool
+	chunkHashes map[chunkID]uint64
+	// refusedUntil is until when no write of the job's progress is tried, since the store refused it.
+	refusedUntil time.Time
 	// failing is set while the job is being failed in all of its shards.
 	failing bool
 	// skippedBatches is how many batches in a row have not included the job's changes.
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -131,9 +131,9 @@
 
 // mayMove reports whether the job is not split over shards, nothing of it may be running,
 // and no other write of it is under way. It does not move while its progress is being written, since that
-// write would replace the mark.
+// write would replace the mark, nor if its progress is too large to go with it.
 func (s *Shard) mayMove(j *job) bool {
-	if j.moving || s.dirty[j.spec.ID] != nil || !j.spec.Share.Whole() || j.mayBeRunning() {
+	if j.moving || j.isChunked || s.dirty[j.spec.ID] != nil || !j.spec.Share.Whole() || j.mayBeRunning() {
 		return false
 	}
 	return !j.inherited || s.takeover.complete
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -17,6 +17,11 @@
 	Steps []StepState   `json:"steps,omitempty"`
 	// Ended are the numbers of the repeats all of whose tasks have succeeded.
 	Ended numberSet `json:"er,omitempty"`
+	// Chunked is set if the steps are in rows of their own, of which ChunkKeys are the keys once they
+	// are joined, and DoneChunks those that have none since their tasks have succeeded.
+	Chunked    bool         `json:"ch,omitempty"`
+	ChunkKeys  []string     `json:"ck,omitempty"`
+	DoneChunks []DoneChunks `json:"dc,omitempty"`
 	// Moving is set while the job may be moving to another shard.
 	Moving bool `json:"m,omitempty"`
 	// Epoch is that of the owner that wrote this, and Change rises with each change of
@@ -48,6 +53,8 @@
 type StepState struct {
 	Repeat int `json:"r,omitempty"`
 	Step   int `json:"s,omitempty"`
+	// From is the index of the first task that Done tells of.
+	From int `json:"o,omitempty"`
 	// Done has a '0' or '1' for each task; "": none has succeeded.
 	Done  string      `json:"d,omitempty"`
 	Tasks []TaskState `json:"t,omitempty"`
@@ -79,18 +86,16 @@
 // progress returns what is to be persisted of the job: only its state once it has
 // finished.
 func (j *job) progress() Progress {
-	p := Progress{State: j.state, Begun: j.begun}
+	p := j.progressHead()
 	if j.state.Finished() {
-		p.Team = j.spec.Team
 		return p
 	}
-	p.Ended = j.ended
 	for _, rep := range j.repeats {
 		if j.ended.has(rep.number) {
 			continue
 		}
-		for i, st := range rep.steps {
-			if ss, changed := st.state(rep.number, i); changed {
+		for _, st := range rep.steps {
+			if ss, changed := st.state(0, len(st.tasks)); changed {
 				p.Steps = append(p.Steps, ss)
 			}
 		}
@@ -98,24 +103,34 @@
 	return p
 }
 
-// state returns the progress of the step, which is the i-th of the k-th repeat;
-// changed is false if there is none.
-func (st *step) state(k, i int) (ss StepState, changed bool) {
-	ss = StepState{Repeat: k, Step: i}
-	done := make([]byte, len(st.tasks))
-	for x, t := range st.tasks {
+// progressHead returns the progress of the job without its steps.
+func (j *job) progressHead() Progress {
+	if j.state.Finished() {
+		return Progress{State: j.state, Begun: j.begun, Team: j.spec.Team}
+	}
+	return Progress{State: j.state, Begun: j.begun, Ended: j.ended}
+}
+
+// hasProgress reports whether something has to be persisted of a task that has not succeeded.
+func (t *task) hasProgress() bool { return len(t.failed) > 0 || t.checkpoint != "" || t.suspect() }
+
+// state returns the progress of a range of the step's tasks; changed is false if there is none.
+func (st *step) state(from, to int) (ss StepState, changed bool) {
+	ss = StepState{Repeat: st.id.Repeat, Step: st.id.Step, From: from}
+	done, anyDone := make([]byte, to-from), false
+	for x, t := range st.tasks[from:to] {
 		done[x] = '0'
 		switch {
 		case t.done:
-			done[x] = '1'
-		case len(t.failed) > 0 || t.checkpoint != "" || t.suspect():
-			ss.Tasks = append(ss.Tasks, t.persistedState(x))
+			done[x], anyDone = '1', true
+		case t.hasProgress():
+			ss.Tasks = append(ss.Tasks, t.persistedState(from+x))
 		}
 	}
-	if st.done > 0 {
+	if anyDone {
 		ss.Done = string(done)
 	}
-	return ss, st.done > 0 || len(ss.Tasks) > 0
+	return ss, anyDone || len(ss.Tasks) > 0
 }
 
 // persistedState returns what is persisted of the task, which is the x-th of its step.
@@ -135,6 +150,7 @@
 		j.ended = slices.Clone(p.Ended)
 		j.tasksLeft -= j.ended.size() * j.tasksPerRepeat()
 	}
+	s.restoreChunks(j, p)
 	for i := range p.Steps {
 		ss := &p.Steps[i]
 		if st := s.step(StepID{j.spec.ID, ss.Repeat, ss.Step}); st != nil && !j.ended.has(ss.Repeat) {
@@ -146,17 +162,12 @@
 
 // restoreStep sets a step's progress from what was persisted.
 func (s *Shard) restoreStep(st *step, ss *StepState) {
-	for x := range min(len(ss.Done), st.spec.Count) {
-		if x%maxWaitingTasks == 0 {
-			st.releaseDoneTasks(s)
-		}
-		if ss.Done[x] != '1' {
-			continue
-		}
-		if t := s.taskAt(st, x); !t.done {
-			t.done, t.uncertain, st.repeat.begun = true, false, true
-			st.done++
-			st.job.tasksLeft--
+	if ss.From < 0 {
+		return
+	}
+	for x := range ss.Done {
+		if ss.Done[x] == '1' {
+			s.restoreDone(st, ss.From+x, min(ss.From+x+1, st.spec.Count))
 		}
 	}
 	for _, ts := range ss.Tasks {
@@ -171,3 +182,17 @@
 		}
 	}
 }
+
+// restoreDone records that a range of a step's tasks have succeeded, as was persisted.
+func (s *Shard) restoreDone(st *step, from, to int) {
+	for x := from; x < to; x++ {
+		if x%maxWaitingTasks == 0 {
+			st.releaseDoneTasks(s)
+		}
+		if t := s.taskAt(st, x); !t.done {
+			t.done, t.uncertain, st.repeat.begun = true, false, true
+			st.done++
+			st.job.tasksLeft--
+		}
+	}
+}
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -30,6 +30,8 @@
 	log         *zap.Logger
 	// lastCommands are the commands of the last round.
 	lastCommands []scheduler.Command
+	// chunks are the rows that persist has written beside those of the jobs, by key.
+	chunks map[string][]byte
 }
 
 // fakeWorker is the state that a worker itself knows.
@@ -52,7 +54,7 @@
 const testLease = 8 * time.Second
 
 func newRig(t *testing.T, workers int) *rig {
-	r := &rig{t: t, now: time.Unix(1_000, 0), workers: make(map[string]*fakeWorker), longRunning: make(map[string]bool), log: zap.NewNop()}
+	r := &rig{t: t, now: time.Unix(1_000, 0), workers: make(map[string]*fakeWorker), longRunning: make(map[string]bool), log: zap.NewNop(), chunks: make(map[string][]byte)}
 	for i := range workers {
 		r.workers[fmt.Sprintf("w%d", i)] = &fakeWorker{}
 	}
@@ -176,11 +178,32 @@
 
 // persist writes all pending changes and stores the rows by job.
 func (r *rig) persist(rows map[string]scheduler.Record) {
-	b := r.shard.NextBatch(100, unlimitedBytes)
+	b := r.shard.NextBatch(r.now, 100, unlimitedBytes)
+	r.store(b, rows)
+	r.shard.Persisted(r.now, b, 1)
+}
+
+// store stores the rows of a batch.
+func (r *rig) store(b scheduler.Batch, rows map[string]scheduler.Record) {
 	for _, rec := range b.Records {
 		rows[rec.Job] = rec
+		for _, c := range rec.Chunks {
+			if r.chunks[c.Key] = c.Value; len(c.Value) == 0 {
+				delete(r.chunks, c.Key)
+			}
+		}
 	}
-	r.shard.Persisted(r.now, b, 1)
+}
+
+// chunksOf returns the rows with chunks of a job.
+func (r *rig) chunksOf(id string) map[string][]byte {
+	list := make(map[string][]byte)
+	for key, value := range r.chunks {
+		if job, _ := scheduler.ChunkOwner(key); job == id {
+			list[key] = value
+		}
+	}
+	return list
 }
 
 // loadJob adds a job to a new owner's shard, with its progress if that is among the persisted rows.
@@ -192,6 +215,9 @@
 		if progress, err = scheduler.ParseProgress(row.Value, 1); err != nil {
 			r.t.Fatal(err)
 		}
+		if err := progress.JoinChunks(r.chunksOf(job.ID)); err != nil {
+			r.t.Fatal(err)
+		}
 	}
 	r.shard.AddJob(r.now, job, progress, true)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -22,7 +22,7 @@
 //	seq, order, lastSeen, ok := s.BeginHold(now, worker.ID)
 //	s.Observe(now, worker.ID, seq, report)
 //	for _, c := range s.Schedule(now) { … } // carry out, and feed back the reply
-//	batch := s.NextBatch(maxJobs, maxBytes) // persist, then
+//	batch := s.NextBatch(now, maxJobs, maxBytes) // persist, then
 //	s.Persisted(now, batch, version)
 package scheduler
 
@@ -228,6 +228,8 @@
 	CrashedRuns, CrashingJobs int64
 	// AboveLimit counts the runs that were stopped since their team's limit was lowered.
 	AboveLimit int64
+	// RefusedProgress counts the writes of a job's progress that the store could not accept.
+	RefusedProgress int64
 }
 
 // New returns an empty shard.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -72,7 +72,7 @@
 	r.endAllRuns(cluster.OutcomeFailed)
 	r.reportAll()
 	rows := make(map[string]scheduler.Record)
-	b := r.shard.NextBatch(10, unlimitedBytes)
+	b := r.shard.NextBatch(r.now, 10, unlimitedBytes)
 	for _, rec := range b.Records {
 		rows[rec.Job] = rec
 	}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -27,6 +27,8 @@
 	// writeFault, if not nil, decides the fault of each write that puts rows into faultTable.
 	writeFault func(keys []string) WriteFault
 	faultTable string
+	// refusedKey, if not empty, is the key of a row that can't be written to faultTable.
+	refusedKey string
 	// partCalls counts the reads and writes of each part.
 	partCalls map[string]int
 	// changed is closed and replaced with each change.
--- a/standin/site/storefaults.go
+++ b/standin/site/storefaults.go
@@ -109,6 +109,21 @@
 	return WriteFault{}
 }
 
+// SetRefusedRow has the store refuse, as not valid, all writes that put a row with the key into a table; an
+// empty key ends that. It replaces the table of SetWriteFault.
+func (s *Store) SetRefusedRow(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faultTable, s.refusedKey = table, key
+}
+
+// refuses reports whether the store refuses a write for one of its rows.
+func (s *Store) refuses(txn storeTxn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusedKey != "" && slices.Contains(txn.keysIn(s.faultTable), s.refusedKey)
+}
+
 // keysIn returns the keys of the rows that the write puts into a table.
 func (t storeTxn) keysIn(table string) (keys []string) {
 	for _, r := range t.Put {
--- a/standin/site/storetxn.go
+++ b/standin/site/storetxn.go
@@ -21,7 +21,11 @@
 	if !decodeBody(w, r, &txn) {
 		return
 	}
-	if reason := txn.invalidReason(); reason != "" {
+	reason := txn.invalidReason()
+	if s.refuses(txn) {
+		reason = "a row that is refused"
+	}
+	if reason != "" {
 		writeJSON(w, http.StatusBadRequest, problem{reason})
 		return
 	}
--- a/standin/site/task.go
+++ b/standin/site/task.go
@@ -166,7 +166,7 @@
 	w.lastEnd++
 	checkpoint := ""
 	if outcome == "stopped" {
-		checkpoint = t.task + "@" + strconv.Itoa(w.percent(t))
+		checkpoint = t.task + strings.Repeat("-", w.faults.CheckpointBytes) + "@" + strconv.Itoa(w.percent(t))
 	}
 	w.ended = append(w.ended, runEnd{w.lastEnd, t.task, t.run, outcome, checkpoint, time.Now()})
 	w.finishedRuns[t.task] = max(w.finishedRuns[t.task], t.run)
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -86,6 +86,8 @@
 	// once.
 	Stuck   bool
 	FailAll bool
+	// CheckpointBytes is by how much checkpoints are longer than usual.
+	CheckpointBytes int
 }
 
 // AddWorker adds a worker on a machine of its own.
