owner: nodes that are kept for short calls take long ones that have waited

Cause: a third of the nodes, rounded, take no long calls of the advice service, which is one of two; the other served all of them, one at a time, and was always behind. TestFewNodesServeLongCalls failed before: three nodes took 6 s for 24 calls of 0.5 s, 5 s are allowed.

Now a long call that has waited for 1.5 s goes to any node without a call under way.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -16,8 +16,10 @@
 	// minLongCall is the duration from which a call delays the short calls behind it for longer
 	// than the shortest latency target (250 ms) allows.
 	minLongCall = 120 * time.Millisecond
-	// shortOnlyShare is the share of nodes that take no long calls.
-	shortOnlyShare = 0.34
+	// shortOnlyShare is the share of nodes that take no long calls, and longCallPatience how long one has
+	// waited when they do. Where few nodes are left, those for long calls may be too few for them.
+	shortOnlyShare   = 0.34
+	longCallPatience = 1500 * time.Millisecond
 	// maxShortCalls is how many short calls one node may have in flight. The service handles
 	// the calls of a node one at a time; a second call in flight hides the network latency.
 	maxShortCalls = 2
@@ -35,10 +37,16 @@
 	onAnswer func(scheduler.RequestAdvice, Advice)
 
 	mu      sync.Mutex
-	pending []scheduler.RequestAdvice
+	pending []pendingCall
 	load    map[string]*adviserLoad
 }
 
+// pendingCall is a call that waits for a node.
+type pendingCall struct {
+	scheduler.RequestAdvice
+	queuedAt time.Time
+}
+
 // adviserLoad tracks the calls of one node.
 type adviserLoad struct {
 	// short and long count the calls in flight.
@@ -79,13 +87,14 @@
 // Add queues a call, which is sent as soon as a node can take it.
 func (q *AdviceQueue) Add(a scheduler.RequestAdvice) {
 	q.mu.Lock()
-	i, _ := slices.BinarySearchFunc(q.pending, a, func(x, y scheduler.RequestAdvice) int {
+	call := pendingCall{a, time.Now()}
+	i, _ := slices.BinarySearchFunc(q.pending, call, func(x, y pendingCall) int {
 		if x.Rank.Before(y.Rank) {
 			return -1
 		}
 		return 1
 	})
-	q.pending = slices.Insert(q.pending, i, a)
+	q.pending = slices.Insert(q.pending, i, call)
 	q.mu.Unlock()
 	q.Dispatch()
 }
@@ -98,19 +107,23 @@
 		return
 	}
 	advisers, now := q.advisers(), time.Now()
-	ignoreBackoff, shortOnly := q.allBackingOff(advisers, now), shortOnlyNodes(advisers)
+	ignoreBackoff, reserved := q.allBackingOff(advisers, now), shortOnlyNodes(advisers)
 	unsent := q.pending[:0]
-	for _, a := range q.pending {
-		adviser, load := q.pick(advisers, isLongCall(a), shortOnly, now, ignoreBackoff)
+	for _, p := range q.pending {
+		shortOnly := reserved
+		if now.Sub(p.queuedAt) >= longCallPatience {
+			shortOnly = nil
+		}
+		adviser, load := q.pick(advisers, isLongCall(p.RequestAdvice), shortOnly, now, ignoreBackoff)
 		if adviser == nil {
-			unsent = append(unsent, a)
-			if isLongCall(a) {
+			unsent = append(unsent, p)
+			if isLongCall(p.RequestAdvice) {
 				advisers = q.reserveForLongCall(advisers, shortOnly, now, ignoreBackoff)
 			}
 			continue
 		}
-		load.addInFlight(a, 1)
-		go q.call(q.ctx, adviser, load, a)
+		load.addInFlight(p.RequestAdvice, 1)
+		go q.call(q.ctx, adviser, load, p.RequestAdvice)
 	}
 	q.pending = unsent
 }
--- a/internal/owner/advice_test.go
+++ b/internal/owner/advice_test.go
@@ -166,3 +166,31 @@
 		})
 	}
 }
+
+// TestFewNodesServeLongCalls guards against jobs that wait for advice beside free workers after most
+// nodes have left: the only node that took long calls was always behind, while the one that is kept for
+// short calls had hardly any.
+func TestFewNodesServeLongCalls(t *testing.T) {
+	const calls = 24
+	// The number of nodes, and the time in which they serve all calls.
+	for n, most := range map[int]time.Duration{1: calls * longDuration, 2: (calls/2 + 2) * longDuration, 3: (calls/3 + 2) * longDuration} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var nodes []owner.Adviser
+			for i := range n {
+				nodes = append(nodes, &fakeAdviser{name: fmt.Sprintf("n%d", i), slot: make(chan struct{}, 1), sentAt: new(sync.Map)})
+			}
+			var lastAt atomic.Int64
+			began := time.Now()
+			q := owner.NewAdviceQueue(ctx, func() []owner.Adviser { return nodes }, func(scheduler.RequestAdvice, owner.Advice) { lastAt.Store(int64(time.Since(began))) })
+			for range calls {
+				q.Add(scheduler.RequestAdvice{Step: scheduler.StepID{Job: "lasts"}, ExpectedDuration: longDuration})
+			}
+			time.Sleep(2 * calls * longDuration)
+			if took := time.Duration(lastAt.Load()); took > most {
+				t.Errorf("%d nodes serve %d calls in %v, at most %v are allowed", n, calls, took, most)
+			}
+		})
+	}
+}
