--- a/matrix/site/cancelabsent_test.go
+++ b/matrix/site/cancelabsent_test.go
@@ -46,15 +46,15 @@
 	env.send(r)
 }
 
-// cancelUntilAnswered cancels a job at a node, again until that is acknowledged.
-func (env *testEnv) cancelUntilAnswered(node, id string) {
+// cancelUntilAnswered cancels the absent job at a node, again until that is acknowledged.
+func (env *testEnv) cancelUntilAnswered(node string) {
 	env.t.Helper()
 	for range 10 {
-		if status, _ := env.call(node, http.MethodDelete, "/batch/"+id, ""); status == http.StatusOK || status == http.StatusGone {
+		if status, _ := env.call(node, http.MethodDelete, "/batch/"+absentJob, ""); status == http.StatusOK || status == http.StatusGone {
 			return
 		}
 	}
-	env.t.Errorf("the cancel of job %s is not acknowledged", id)
+	env.t.Errorf("the cancel of job %s is not acknowledged", absentJob)
 }
 
 // startsOf returns how many runs of a job have started.
@@ -101,24 +101,24 @@
 // with 410: its acceptance was under way, and the store did it seconds later.
 func TestJobCancelledBeforeAcceptanceRuns(t *testing.T) {
 	forEachCase(t, map[string]func(env *testEnv){
-		"at the same node": func(env *testEnv) { env.cancelUntilAnswered("n0", absentJob) },
-		"at another node":  func(env *testEnv) { env.cancelUntilAnswered("n1", absentJob) },
+		"at the same node": func(env *testEnv) { env.cancelUntilAnswered("n0") },
+		"at another node":  func(env *testEnv) { env.cancelUntilAnswered("n1") },
 		"at two nodes": func(env *testEnv) {
-			env.cancelUntilAnswered("n1", absentJob)
-			env.cancelUntilAnswered("n2", absentJob)
+			env.cancelUntilAnswered("n1")
+			env.cancelUntilAnswered("n2")
 		},
 		"the submission's node is killed": func(env *testEnv) {
 			env.kill("n0")
-			env.cancelUntilAnswered("n1", absentJob)
+			env.cancelUntilAnswered("n1")
 		},
 		"all nodes are killed then": func(env *testEnv) {
-			env.cancelUntilAnswered("n1", absentJob)
+			env.cancelUntilAnswered("n1")
 			for _, name := range env.killAll() {
 				env.startNode(name + "b")
 			}
 		},
 		"the submission comes again at once": func(env *testEnv) {
-			env.cancelUntilAnswered("n1", absentJob)
+			env.cancelUntilAnswered("n1")
 			env.checkRefusedAsCancelled("n2")
 		},
 	}, func(t *testing.T, build func(*testing.T) *testEnv, meanwhile func(env *testEnv)) {
@@ -158,7 +158,7 @@
 		env := build(t)
 		defer env.close()
 		time.Sleep(4 * time.Second)
-		env.cancelUntilAnswered("n1", absentJob)
+		env.cancelUntilAnswered("n1")
 		env.checkRefusedAsCancelled("n2")
 		time.Sleep(time.Minute)
 		meanwhile(env)
