scheduler: how long a run may show no progress follows the estimate

Callers saw: tasks of more than 130 s never ended. They were stopped as stalled after 1.3 s, while a percent of them takes longer, and started again without end; workers with two such runs were quarantined, so that jobs of others waited beside 48 empty workers.

Now the time is that for 4% of the estimate, 1.3 s at least, and doubles with each restart of a task after the first, since estimates may be far too low.

TestLongTasksEnd failed in all five cases before (up to 52 starts of a task) and passes with one start, or four where the estimate is far too low.

--- a/internal/scheduler/slow.go
+++ b/internal/scheduler/slow.go
@@ -9,9 +9,13 @@
 
 const (
 	// stalledAfter is how long a run may show no progress before it counts as stalled: a
-	// worker reports every half second, restoring a checkpoint takes up to 0.6 s, and a
-	// percent of the longest task 0.25 s.
-	stalledAfter = 1300 * time.Millisecond
+	// worker reports every half second, and restoring a checkpoint takes up to 0.6 s. Where
+	// the estimate is long, it is the time for stalledPercent of it. Estimates may be far too
+	// low, so that it doubles with each restart of the task after the first, up to
+	// maxProgressDoublings times.
+	stalledAfter         = 1300 * time.Millisecond
+	stalledPercent       = 4
+	maxProgressDoublings = 6
 	// bestEffortStalledAfter is the same for a best-effort run, which gets what others
 	// leave and may get little for a while. longRunningStalledAfter is for a long-running
 	// run that is not at 100 percent yet, which takes up to a second on a healthy worker.
@@ -120,10 +124,16 @@
 	return r.state == runRunning && !spec.LongRunning && !spec.BestEffortCPU && r.pace == fullPace && r.percent < 100
 }
 
-// isStalled reports whether a run's percent has not changed for stalledAfter, in which
+// isStalled reports whether a run's percent has not changed for so long that it should have, in which
 // time its worker has reported.
 func (r *run) isStalled(now time.Time) bool {
-	return now.Sub(r.percentChangedAt) > stalledAfter && r.worker.clockAt.After(r.percentChangedAt.Add(stalledAfter/2))
+	patience := r.task.stallPatience()
+	return now.Sub(r.percentChangedAt) > patience && r.worker.clockAt.After(r.percentChangedAt.Add(patience/2))
+}
+
+// stallPatience returns how long a run of the task may show no progress.
+func (t *task) stallPatience() time.Duration {
+	return max(stalledAfter, stalledPercent*t.step.estimate()/100) << min(max(0, t.restarts-1), maxProgressDoublings)
 }
 
 // allStalled reports whether all runs of a task are stalled, and none is being stopped.
--- a/internal/scheduler/slow_test.go
+++ b/internal/scheduler/slow_test.go
@@ -175,3 +175,40 @@
 		}
 	}
 }
+
+// TestLongTasksEnd guards against tasks that are started again without end, since a percent of them takes
+// longer than a run may show no progress: nothing of 96 tasks of 200 s ever ended, and their workers were
+// quarantined meanwhile.
+func TestLongTasksEnd(t *testing.T) {
+	const takes = 200 * time.Second
+	for name, c := range map[string]struct {
+		estimate time.Duration
+		// starts is how often a task starts at most, and within the time in which all have ended.
+		starts int
+		within time.Duration
+	}{
+		"right estimate":    {takes, 1, takes + 5*time.Second},
+		"half the estimate": {takes / 2, 1, takes + 5*time.Second},
+		"far too low":       {time.Second, 4, takes + 30*time.Second},
+		"not given":         {0, 4, takes + 30*time.Second},
+		"far too high":      {10 * takes, 1, takes + 5*time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newSlowRig(t, 6)
+			for _, id := range r.workerIDs() {
+				r.percent[id] = 100 * float64(workTick) / float64(takes)
+			}
+			step := tasks(8, 2000)
+			step.EstimateMS = c.estimate.Milliseconds()
+			r.shard.AddJob(r.now, batch("j", step), nil, false)
+			r.simulate(c.within)
+			r.persist(make(map[string]scheduler.Record))
+			r.wantState(cluster.StateSucceeded)
+			for task, workers := range r.started {
+				if len(workers) > c.starts {
+					t.Errorf("%v has started %d times, at most %d are allowed", task, len(workers), c.starts)
+				}
+			}
+		})
+	}
+}
