scheduler: a job all of whose starts were refused has not begun

Cause: a job counted as begun once a start was ordered, also if the worker refused it, did not get it, or reported later that the run is not there.

Now begun is taken back if no run of the job was ever accepted and none is open.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -29,8 +29,9 @@
 	ended      numberSet
 	nextRepeat int
 	state      cluster.State
-	// begun is set once a run of the job was ordered, or found on a worker.
-	begun bool
+	// begun is set once a run of the job was ordered, or found on a worker, and ran once one may have run
+	// there: no worker has refused it.
+	begun, ran bool
 	// inherited is set for jobs that an earlier owner may have started.
 	inherited bool
 	// uncertain is set from the load of an inherited job until the takeover is complete: tasks without
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -115,6 +115,7 @@
 	// twice.
 	r.knownSinceHold, r.accepted = w.holdsSent, true
 	t := r.task
+	t.step.job.ran = true
 	t.uncertain = false
 	if r.firstAt.IsZero() {
 		r.firstAt, r.firstPercent = now, e.Percent
@@ -178,6 +179,7 @@
 		s.log.Info("run not on its worker", events.RunLost, zap.Stringer("task", r.task.id), zap.Int64("run", r.number),
 			zap.String("worker", w.info.ID), zap.String("cause", "not listed"), zap.Bool("stopped", r.stopped))
 		s.dropRun(r)
+		s.noteNotRun(r)
 		s.stopOtherMembers(now, r, "a member is gone")
 	}
 }
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -145,7 +145,7 @@
 // restore sets a job's progress from what was persisted, ignoring entries that don't
 // match the job's steps.
 func (s *Shard) restore(j *job, p *Progress) {
-	j.version, j.begun, j.moving = p.version, p.Begun, p.Moving
+	j.version, j.begun, j.ran, j.moving = p.version, p.Begun, p.Begun, p.Moving
 	if p.Ended.valid(j.numRepeats() - 1) {
 		j.ended = slices.Clone(p.Ended)
 		j.tasksLeft -= j.ended.size() * j.tasksPerRepeat()
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -182,7 +182,7 @@
 		if r.state == runStarting {
 			r.state, r.startedAt, r.percentChangedAt = runRunning, now, now
 		}
-		r.knownSinceHold, r.accepted = r.worker.holdsSent, true
+		r.knownSinceHold, r.accepted, r.task.step.job.ran = r.worker.holdsSent, true, true
 		return
 	case cluster.ReplyNewIncarnation:
 		// It may run there under an incarnation that is not known yet, whose report will
@@ -216,9 +216,26 @@
 	}
 	r.task.notBefore = now.Add(rejectedStartDelay)
 	s.dropRun(r)
+	s.noteNotRun(r)
 	s.stopOtherMembers(now, r, "start rejected")
 }
 
+// noteNotRun records that a run that was dropped has never run. A job all of whose starts were refused
+// has not begun.
+func (s *Shard) noteNotRun(r *run) {
+	j := r.task.step.job
+	if r.accepted || j.ran || !j.begun || j.state.Finished() {
+		return
+	}
+	for st := range j.steps() {
+		if slices.ContainsFunc(st.tasks, (*task).hasRuns) {
+			return
+		}
+	}
+	j.begun = false
+	s.markChanged(j)
+}
+
 // rejectedStartDelay keeps a task whose start was rejected from being tried again at
 // once.
 const rejectedStartDelay = 50 * time.Millisecond
--- a/internal/scheduler/runend.go
+++ b/internal/scheduler/runend.go
@@ -41,7 +41,7 @@
 		t.checkpoint = e.Checkpoint
 	}
 	// An earlier owner may have started it without persisting that.
-	t.step.job.begun = true
+	t.step.job.begun, t.step.job.ran = true, true
 	s.markChanged(t.step.job)
 	w.unconfirmedEnds = append(w.unconfirmedEnds, unconfirmedEnd{e.N, e.Task.Job})
 	s.logRunEnd(now, w, r, e)
--- a/internal/scheduler/unanswered_test.go
+++ b/internal/scheduler/unanswered_test.go
@@ -67,3 +67,38 @@
 		t.Errorf("%d stops, want 1", len(stops))
 	}
 }
+
+// TestRefusedJobWaits guards against jobs that are left out of the count of those that wait, since they
+// count as begun though each of their starts was refused, or never reached its worker.
+func TestRefusedJobWaits(t *testing.T) {
+	for _, reply := range []cluster.Reply{cluster.ReplyNoRoom, cluster.ReplyBusy, cluster.ReplyNotSent, cluster.ReplyDeadlinePassed, cluster.ReplyUnknown} {
+		t.Run(string(reply), func(t *testing.T) {
+			r := newRig(t, 1)
+			r.upsertWorkers()
+			r.reportAll()
+			r.shard.AddJob(r.now, batch("j", tasks(2, 1000)), nil, false)
+			for range 10 {
+				r.now = r.now.Add(100 * time.Millisecond)
+				r.reportAll()
+				for _, c := range r.shard.Schedule(r.now) {
+					switch c := c.(type) {
+					case scheduler.Start:
+						r.shard.StartReplied(r.now, c.Worker, c.Task, c.Run, reply)
+					case scheduler.Stop:
+						r.shard.StopReplied(r.now, c.Worker, c.Task, c.Run, cluster.ReplyOK)
+					}
+				}
+			}
+			r.reportAll()
+			r.now = r.now.Add(100 * time.Millisecond)
+			r.reportAll()
+			if n := r.shard.WaitingJobs("q"); n != 1 {
+				t.Errorf("%d jobs wait, want the one whose starts are answered with %q", n, reply)
+			}
+			r.runFor(2 * time.Second)
+			if n := r.shard.WaitingJobs("q"); n != 0 {
+				t.Errorf("%d jobs wait after the worker has accepted the starts", n)
+			}
+		})
+	}
+}
