scheduler: the last attempt doesn't wait for another worker if there is none

Now it waits for 1 s, as after any failure, unless another worker has the label and the size. TestLastAttemptOnOnlyWorker failed before (4.1 s, 3 s are allowed) and passes; TestLastAttemptWaitsForAnotherWorker, in which there is one, passes as before.

--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"switchbank.example/switchbank/internal/resource"
@@ -17,7 +18,8 @@
 	// avoidDuration is how long a task that failed or was slow on a worker waits for
 	// another one.
 	avoidDuration = time.Second
-	// avoidBeforeLastAttempt is the same before the task's last attempt. Where the other
+	// avoidBeforeLastAttempt is the same before the task's last attempt, unless no other worker
+	// could ever run it. Where the other
 	// workers accepted nothing for a while, one job in 300 used up all its attempts on a
 	// worker that fails everything.
 	avoidBeforeLastAttempt = 4 * time.Second
@@ -42,7 +44,7 @@
 func (s *Shard) bestHealthyWorkerFor(now time.Time, t *task) *worker {
 	isLast := len(t.failed) > 0 && !t.step.spec.LongRunning && t.attemptsLeft() <= 1
 	avoid := avoidDuration
-	if isLast {
+	if isLast && s.hasAlternative(t) {
 		avoid = avoidBeforeLastAttempt
 	}
 	if t.avoidWorker == "" || now.Sub(t.avoidSince) >= avoid {
@@ -60,6 +62,15 @@
 	})
 }
 
+// hasAlternative reports whether a worker other than the one that the task avoids could run it, whether
+// it is available now or not.
+func (s *Shard) hasAlternative(t *task) bool {
+	spec := t.step.spec
+	return slices.ContainsFunc(s.workerList, func(w *worker) bool {
+		return w.info.ID != t.avoidWorker && (spec.Label == "" || w.info.HasLabel(spec.Label)) && w.info.Capacity.Fits(spec.Allocation())
+	})
+}
+
 // anyWorker accepts all workers.
 func anyWorker(*worker) bool { return true }
 
--- a/internal/scheduler/health_test.go
+++ b/internal/scheduler/health_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"switchbank.example/switchbank/internal/cluster"
+	"switchbank.example/switchbank/internal/resource"
 )
 
 // newRuns is the number of new runs that fail, each followed by the success of an old run.
@@ -94,3 +95,26 @@
 		t.Errorf("%d tasks run on the other worker, want 1", n)
 	}
 }
+
+// TestLastAttemptOnOnlyWorker guards against a task with one attempt left that waits for another worker
+// than the one on which it failed, though no other one has its label.
+func TestLastAttemptOnOnlyWorker(t *testing.T) {
+	const most = 3 * time.Second
+	r := newRig(t, 6)
+	r.upsertWorkers()
+	r.shard.UpsertWorker(r.now, cluster.Worker{
+		ID: "w0", Address: "w0", Service: "svc", Rack: "r1-0", Labels: []string{"b"}, Capacity: resource.Amount{CPUMilli: 4000, MemoryMB: 8000}, ClockMS: r.now.UnixMilli(),
+	})
+	step := tasks(1, 1000)
+	step.Label = "b"
+	r.shard.AddJob(r.now, batch("j", step), nil, false)
+	r.runFor(300 * time.Millisecond)
+	r.endAllRuns(cluster.OutcomeFailed)
+	failedAt := r.now
+	for len(r.running()) == 0 && r.now.Sub(failedAt) < 10*time.Second {
+		r.runFor(100 * time.Millisecond)
+	}
+	if waited := r.now.Sub(failedAt); waited > most {
+		t.Errorf("the task waits for %v, at most %v are allowed", waited, most)
+	}
+}
