--- a/internal/scheduler/repeats_test.go
+++ b/internal/scheduler/repeats_test.go
@@ -180,6 +180,22 @@
 	}
 }
 
+// TestWideGangEndsAsOne guards against a gang of which only some members count as done, since the others
+// had no state yet when a new owner learned of the end of one, which stands for all.
+func TestWideGangEndsAsOne(t *testing.T) {
+	r := newRig(t, 1)
+	r.upsertWorkers()
+	gang := tasks(2000, 1)
+	gang.Gang, gang.Need.MemoryMB = true, 1
+	r.shard.AddJob(r.now, batch("j", gang), nil, true)
+	f := r.workers["w0"]
+	f.lastEnd++
+	f.ended = append(f.ended, cluster.RunEnd{N: f.lastEnd, Task: cluster.TaskID{Job: "j", Index: 3}, Run: 7, Outcome: cluster.OutcomeDone})
+	r.runFor(300 * time.Millisecond)
+	r.persist(make(map[string]scheduler.Record))
+	r.wantState(cluster.StateSucceeded)
+}
+
 // TestLateRunOfEndedRepeatIsStopped guards against a worker that is kept from other work by a run of a
 // repeat whose state was released: the run is stopped and the worker goes on.
 func TestLateRunOfEndedRepeatIsStopped(t *testing.T) {
--- a/internal/scheduler/runend.go
+++ b/internal/scheduler/runend.go
@@ -96,6 +96,7 @@
 		s.markTaskDone(now, t)
 		return
 	}
+	s.createTasks(t.step, t.step.spec.Count)
 	for _, member := range t.step.tasks {
 		s.markTaskDone(now, member)
 	}
