owner: only with two nodes does a node kept for short calls take long ones

Now the nodes that are kept for short calls take long ones only where a single node is left for these, that is with two nodes.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -16,8 +16,8 @@
 	// minLongCall is the duration from which a call delays the short calls behind it for longer
 	// than the shortest latency target (250 ms) allows.
 	minLongCall = 120 * time.Millisecond
-	// shortOnlyShare is the share of nodes that take no long calls, and longCallPatience how long one has
-	// waited when they do. Where few nodes are left, those for long calls may be too few for them.
+	// shortOnlyShare is the share of nodes that take no long calls. Of two nodes one takes none, which is
+	// more than the share: it takes those that have waited for longCallPatience.
 	shortOnlyShare   = 0.34
 	longCallPatience = 1500 * time.Millisecond
 	// maxShortCalls is how many short calls one node may have in flight. The service handles
@@ -108,10 +108,11 @@
 	}
 	advisers, now := q.advisers(), time.Now()
 	ignoreBackoff, reserved := q.allBackingOff(advisers, now), shortOnlyNodes(advisers)
+	oneForLong := len(advisers)-len(reserved) <= 1
 	unsent := q.pending[:0]
 	for _, p := range q.pending {
 		shortOnly := reserved
-		if now.Sub(p.queuedAt) >= longCallPatience {
+		if oneForLong && now.Sub(p.queuedAt) >= longCallPatience {
 			shortOnly = nil
 		}
 		adviser, load := q.pick(advisers, isLongCall(p.RequestAdvice), shortOnly, now, ignoreBackoff)
