--- a/internal/owner/tombstone.go
+++ b/internal/owner/tombstone.go
@@ -23,14 +23,10 @@
 // TombstoneTxn returns the transaction that keeps a job from being accepted. It does not commit if the
 // job was accepted, or has a tombstone. The shard's owner deletes the rows.
 func TombstoneTxn(shard cluster.ShardID, id, team string) tables.Txn {
-	value, err := json.Marshal(jobEnd{Tombstone: shard.Service})
-	if err != nil {
-		panic("owner: a tombstone holds only a text: " + err.Error())
-	}
-	end := cancelRow(shard, id)
-	end.Value = value
-	pin := newPinRow(id, Pin{Shards: []cluster.ShardID{shard}, Team: team, Tombstone: true})
-	return tables.Txn{If: []tables.Row{pinRow(id)}, Put: []tables.Row{pin, end}}
+	shards := []cluster.ShardID{shard}
+	txn := endJobTxn(shards, pinRow(id), jobEnd{Tombstone: shard.Service})
+	txn.Put = append(txn.Put, newPinRow(id, Pin{Shards: shards, Team: team, Tombstone: true}))
+	return txn
 }
 
 // tombstone is a job's tombstone that this owner has to delete.
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -145,7 +145,7 @@
 		return false
 	}
 	for st := range j.steps() {
-		if slices.ContainsFunc(st.tasks, func(t *task) bool { return len(t.runs) > 0 }) {
+		if slices.ContainsFunc(st.tasks, (*task).hasRuns) {
 			return true
 		}
 	}
--- a/internal/scheduler/repeats.go
+++ b/internal/scheduler/repeats.go
@@ -161,12 +161,7 @@
 		}
 		return
 	}
-	waiting := 0
-	for _, t := range st.tasks {
-		if !t.done && len(t.runs) == 0 {
-			waiting++
-		}
-	}
+	waiting := int(st.waitingTasks()) - st.pristine
 	s.createTasks(st, min(st.spec.Count, len(st.tasks)+max(0, maxWaitingTasks-waiting)))
 }
 
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -224,14 +224,9 @@
 // has not begun.
 func (s *Shard) noteNotRun(r *run) {
 	j := r.task.step.job
-	if r.accepted || j.ran || !j.begun || j.state.Finished() {
+	if r.accepted || j.ran || !j.begun || j.state.Finished() || j.mayBeRunning() {
 		return
 	}
-	for st := range j.steps() {
-		if slices.ContainsFunc(st.tasks, (*task).hasRuns) {
-			return
-		}
-	}
 	j.begun = false
 	s.markChanged(j)
 }
