owner: calls for advice tell how long they wait for a node and are open

A job that waited for the advice service looked the same whether its call waited in the owner's queue, was open at a node that had stopped answering, or had been answered with nothing of use: SB1647 had only "asking". SB1648, four metrics, and the node and times in the error of a failed call tell these apart; SB1647 has for how long a call has been requested, and how many there were. No decision is changed.

--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -45,6 +45,16 @@
 	gauge("switchbank_runs_preempted", func(c scheduler.Counts) int64 { return c.Preempted })
 	gauge("switchbank_runs_copied", func(c scheduler.Counts) int64 { return c.Copies })
 	gauge("switchbank_advice_calls", func(c scheduler.Counts) int64 { return c.AdviceCalls })
+	n.metrics.NewGauge("switchbank_advice_failed", func() float64 {
+		return n.sumOverOwned(func(o *owner.Owner) int { return int(o.AdviceStats().Failed) })
+	})
+	n.metrics.NewGauge("switchbank_advice_queued", func() float64 {
+		return n.sumOverOwned(func(o *owner.Owner) int { return o.AdviceStats().Queued })
+	})
+	n.metrics.NewGauge("switchbank_advice_open", func() float64 {
+		return n.sumOverOwned(func(o *owner.Owner) int { return o.AdviceStats().Open })
+	})
+	n.metrics.NewGauge("switchbank_advice_oldest_wait_seconds", n.longestAdviceWait)
 	gauge("switchbank_runs_crashed", func(c scheduler.Counts) int64 { return c.CrashedRuns })
 	gauge("switchbank_runs_above_limit", func(c scheduler.Counts) int64 { return c.AboveLimit })
 	gauge("switchbank_progress_refused", func(c scheduler.Counts) int64 { return c.RefusedProgress })
@@ -64,6 +74,16 @@
 	return longest.Seconds()
 }
 
+// longestAdviceWait returns for how long, in seconds, a call for advice has waited for a node, the
+// longest one of all shards.
+func (n *Node) longestAdviceWait() float64 {
+	var longest time.Duration
+	for _, o := range n.ownedShards() {
+		longest = max(longest, o.AdviceStats().QueuedFor)
+	}
+	return longest.Seconds()
+}
+
 // counts returns the sums of the counters of the shards that run here. They start at 0 with
 // each ownership.
 func (n *Node) counts() scheduler.Counts {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -113,6 +113,7 @@
 	TakeoverWaits         = zap.String(Field, "SB1645")
 	StepAlwaysFails       = zap.String(Field, "SB1646")
 	JobStalls             = zap.String(Field, "SB1647")
+	AdviceLate            = zap.String(Field, "SB1648")
 )
 
 // The events of nodes on a platform.
--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -38,7 +38,9 @@
 
 	mu      sync.Mutex
 	pending []pendingCall
+	open    map[*openCall]bool
 	load    map[string]*adviserLoad
+	totals  adviceTotals
 }
 
 // pendingCall is a call that waits for a node.
@@ -47,6 +49,14 @@
 	queuedAt time.Time
 }
 
+// openCall is a call that was sent to a node and is not answered.
+type openCall struct {
+	pendingCall
+	adviser Adviser
+	load    *adviserLoad
+	sentAt  time.Time
+}
+
 // adviserLoad tracks the calls of one node.
 type adviserLoad struct {
 	// short and long count the calls in flight.
@@ -76,12 +86,16 @@
 	// ValidFor counts, or the time at which the call failed.
 	IssuedAt time.Time
 	Err      error
+	// Node is the node that made the call, Waited how long the call waited for it, and Took how long
+	// it was open there.
+	Node         string
+	Waited, Took time.Duration
 }
 
 // NewAdviceQueue returns an empty queue. Calls go to the nodes that advisers returns, in order
 // of preference, and end with ctx. Answers are passed to onAnswer.
 func NewAdviceQueue(ctx context.Context, advisers func() []Adviser, onAnswer func(scheduler.RequestAdvice, Advice)) *AdviceQueue {
-	return &AdviceQueue{ctx: ctx, advisers: advisers, onAnswer: onAnswer, load: make(map[string]*adviserLoad)}
+	return &AdviceQueue{ctx: ctx, advisers: advisers, onAnswer: onAnswer, open: make(map[*openCall]bool), load: make(map[string]*adviserLoad)}
 }
 
 // Add queues a call, which is sent as soon as a node can take it.
@@ -124,7 +138,9 @@
 			continue
 		}
 		load.addInFlight(p.RequestAdvice, 1)
-		go q.call(q.ctx, adviser, load, p.RequestAdvice)
+		c := &openCall{p, adviser, load, now}
+		q.open[c] = true
+		go q.call(c)
 	}
 	q.pending = unsent
 }
@@ -199,24 +215,26 @@
 	return true
 }
 
-// call makes one call through a node and passes the answer to onAnswer.
-func (q *AdviceQueue) call(ctx context.Context, adviser Adviser, load *adviserLoad, a scheduler.RequestAdvice) {
-	c, cancel := context.WithTimeout(ctx, a.ExpectedDuration*2+adviceTimeoutSlack)
+// call makes a call through its node and passes the answer to onAnswer.
+func (q *AdviceQueue) call(c *openCall) {
+	ctx, cancel := context.WithTimeout(q.ctx, c.ExpectedDuration*2+adviceTimeoutSlack)
 	sent := time.Now()
-	tickets, validFor, err := adviser.Advise(c, a.Step, a.Workers)
+	tickets, validFor, err := c.adviser.Advise(ctx, c.Step, c.Workers)
 	cancel()
-	if ctx.Err() != nil {
+	if q.ctx.Err() != nil {
 		return
 	}
-	issuedAt := estimateIssuedAt(sent, a.ExpectedDuration)
+	answer := Advice{tickets, validFor, estimateIssuedAt(sent, c.ExpectedDuration), err, c.adviser.Name(), sent.Sub(c.queuedAt), time.Since(sent)}
 	q.mu.Lock()
-	load.addInFlight(a, -1)
+	delete(q.open, c)
+	c.load.addInFlight(c.RequestAdvice, -1)
+	q.totals.add(c, answer)
 	if err != nil {
-		issuedAt = time.Now()
-		load.backoffUntil = issuedAt.Add(adviserBackoff)
+		answer.IssuedAt = time.Now()
+		c.load.backoffUntil = answer.IssuedAt.Add(adviserBackoff)
 	}
 	q.mu.Unlock()
-	q.onAnswer(a, Advice{tickets, validFor, issuedAt, err})
+	q.onAnswer(c.RequestAdvice, answer)
 	q.Dispatch()
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -182,12 +182,16 @@
 		return lostErr
 	}
 	o.group, o.ctx = errgroup.WithContext(ctx)
-	o.advice = NewAdviceQueue(o.ctx, func() []Adviser { return o.Advisers.Advisers(o.cfg.Shard) }, o.adviceReceived)
+	advice := NewAdviceQueue(o.ctx, func() []Adviser { return o.Advisers.Advisers(o.cfg.Shard) }, o.adviceReceived)
+	o.mu.Lock()
+	o.advice = advice
+	o.mu.Unlock()
 	if err := o.loadShard(o.ctx); err != nil {
 		return err
 	}
 	o.group.Go(func() error { return o.confirmLoop(o.ctx) })
 	o.group.Go(func() error { return o.scheduleLoop(o.ctx) })
+	o.group.Go(func() error { return o.reportAdviceLoop(o.ctx) })
 	o.group.Go(func() error { return o.persistLoop(o.ctx) })
 	o.group.Go(func() error { return o.followJobs(o.ctx) })
 	o.group.Go(func() error { return o.followWorkers(o.ctx) })
@@ -232,6 +236,9 @@
 
 // adviceReceived passes an answer of the advice service to the scheduler.
 func (o *Owner) adviceReceived(call scheduler.RequestAdvice, a Advice) {
+	if a.Err != nil {
+		a.Err = errors.Wrapf(a.Err, "through %s, after %s in the queue and %s", a.Node, a.Waited, a.Took)
+	}
 	o.updateShard(func(s *scheduler.Shard, _ time.Time) {
 		s.AdviceReplied(a.IssuedAt, call.Step, call.Workers, a.Tickets, a.ValidFor, a.Err)
 	})
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -23,6 +23,9 @@
 	pending   map[string]bool
 	openCalls int
 	retryAt   time.Time
+	// calls is how many calls were requested, and requestedAt when the last one was.
+	calls       int
+	requestedAt time.Time
 }
 
 // answer is what the advice service has said about one worker.
@@ -105,6 +108,8 @@
 		st.advice.pending[id] = true
 	}
 	st.advice.openCalls++
+	st.advice.calls++
+	st.advice.requestedAt = now
 	s.counts.AdviceCalls++
 	s.emit(RequestAdvice{Step: st.id, Workers: names, ExpectedDuration: st.job.spec.Policy.Advice.Duration(len(names)), Rank: st.job.rank})
 	return true
--- a/internal/scheduler/stalls.go
+++ b/internal/scheduler/stalls.go
@@ -129,7 +129,10 @@
 	fields := []zap.Field{
 		events.JobStalls, zap.String("job", st.id.Job), zap.Int("step", st.id.Step), zap.Duration("stalled", stalled), zap.String("cause", string(cause)),
 		zap.Int("tasks", st.spec.Count-st.done), zap.Bool("gang", st.spec.Gang), zap.Bool("begun", st.job.begun), zap.Bool("joint", st.job.isJoint()),
-		zap.Int64("cpu_milli", st.spec.Need.CPUMilli), zap.Int64("memory_mb", st.spec.Need.MemoryMB), zap.Bool("asking", st.advice.openCalls > 0),
+		zap.Int64("cpu_milli", st.spec.Need.CPUMilli), zap.Int64("memory_mb", st.spec.Need.MemoryMB), zap.Int("asked", st.advice.calls),
+	}
+	if st.advice.openCalls > 0 {
+		fields = append(fields, zap.Duration("asking_for", now.Sub(st.advice.requestedAt)))
 	}
 	if t := st.job.team; t != nil {
 		fields = append(fields, zap.String("team", t.name), zap.Any("limit", t.limit), zap.Any("limit_here", s.limitHere(t)), zap.Any("used_here", t.used), zap.Any("unseen_here", t.unseen))
