--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -228,7 +228,7 @@
 	q.mu.Lock()
 	delete(q.open, c)
 	c.load.addInFlight(c.RequestAdvice, -1)
-	q.totals.add(c, answer)
+	q.totals.add(answer)
 	if err != nil {
 		answer.IssuedAt = time.Now()
 		c.load.backoffUntil = answer.IssuedAt.Add(adviserBackoff)
--- a/internal/owner/advicestats.go
+++ b/internal/owner/advicestats.go
@@ -31,7 +31,7 @@
 }
 
 // add counts a call.
-func (t *adviceTotals) add(c *openCall, a Advice) {
+func (t *adviceTotals) add(a Advice) {
 	t.calls++
 	if a.Err != nil {
 		t.failed++
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -100,6 +100,8 @@
 	ExpectedDuration time.Duration
 	// Rank orders waiting calls; the lowest goes first.
 	Rank Rank
+	// JobStands is set if nothing of the job was running when the call was requested.
+	JobStands bool
 }
 
 // FailJob ends a job as failed in all shards that run parts of it; the end comes back to
