owner: calls for advice take turns by age, and late ones use idle nodes

Cause: the queue of calls was served by rank alone, so that a less urgent call waited for as long as more urgent ones came, and a third of the nodes took no long call whether short ones came or not. The class: something is held back until an event that may not come.

Change: a call whose job has been standing for 1 s, or that has itself waited for 1.5 s, is late. Late calls go by age in turn with the others by rank, and may go to an idle node of those for short calls as long as half of these stay idle. While more calls are late than there are nodes, the service bears less than is asked for; only each sixteenth goes by age then, since by age alone all jobs would end late. The nodes' part of advice.go is in advisers.go.

TestLessUrgentCallsAreStarved (32 s before) and TestNodesStandIdleBesideWaitingCalls (3.4 s before) pass.

--- a/internal/owner/advicestats.go
+++ b/internal/owner/advicestats.go
@@ -88,7 +88,7 @@
 		}
 	}
 	advisers := q.advisers()
-	stats.Nodes, stats.ShortOnly = len(advisers), len(shortOnlyNodes(advisers))
+	stats.Nodes, stats.ShortOnly = len(advisers), numShortOnly(len(advisers))
 	for _, a := range advisers {
 		if now.Before(q.loadOf(a).backoffUntil) {
 			stats.BackingOff++
--- a/internal/owner/advicewait_test.go
+++ b/internal/owner/advicewait_test.go
@@ -131,9 +131,10 @@
 	if _, again := s.waits.added[job]; !again {
 		s.waits.added[job] = time.Now()
 	}
+	since := s.waits.added[job]
 	s.waits.mu.Unlock()
 	step := scheduler.StepID{Job: job}
-	s.queue.Add(scheduler.RequestAdvice{Step: step, ExpectedDuration: statedDuration(step), Rank: rank, JobStands: true})
+	s.queue.Add(scheduler.RequestAdvice{Step: step, ExpectedDuration: statedDuration(step), Rank: rank, StandsSince: since})
 }
 
 func (s *adviceSim) answered(a scheduler.RequestAdvice, answer owner.Advice) {
--- /dev/null
+++ b/internal/owner/advisers.go
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package owner
+
+import (
+	"slices"
+	"time"
+)
+
+// This file chooses the node through which a call for advice is made.
+
+const (
+	// shortOnlyShare is the share of nodes that take no long calls.
+	shortOnlyShare = 0.34
+	// maxShortCalls is how many short calls one node may have in flight. The service handles
+	// the calls of a node one at a time; a second call in flight hides the network latency.
+	maxShortCalls = 2
+	// adviserBackoff is how long a node is avoided after its call failed.
+	adviserBackoff = time.Second
+)
+
+// adviserLoad tracks the calls of one node.
+type adviserLoad struct {
+	// short and long count the calls in flight.
+	short, long int
+	// backoffUntil is when the node may be used again after a failed call.
+	backoffUntil time.Time
+}
+
+// addInFlight adds n calls, long or short ones, to those in flight.
+func (l *adviserLoad) addInFlight(long bool, n int) {
+	if long {
+		l.long += n
+	} else {
+		l.short += n
+	}
+}
+
+// loadOf returns the load of a node. The caller holds mu.
+func (q *AdviceQueue) loadOf(a Adviser) *adviserLoad {
+	l := q.load[a.Name()]
+	if l == nil {
+		l = &adviserLoad{}
+		q.load[a.Name()] = l
+	}
+	return l
+}
+
+// adviserSet are the nodes among which the calls of one dispatch are divided.
+type adviserSet struct {
+	q        *AdviceQueue
+	now      time.Time
+	advisers []Adviser
+	// shortOnly are the nodes that take no long calls, and spare how many of them may take late ones now.
+	shortOnly map[string]bool
+	spare     int
+	// ignoreBackoff is set if all nodes back off, which says nothing about a single one.
+	ignoreBackoff bool
+}
+
+// newAdviserSet returns the nodes that may be used now. The caller holds mu.
+func (q *AdviceQueue) newAdviserSet(now time.Time) *adviserSet {
+	advisers := q.advisers()
+	reserved := advisers[:numShortOnly(len(advisers))]
+	s := &adviserSet{
+		q: q, now: now, advisers: advisers, shortOnly: make(map[string]bool), spare: -numKeptIdle(len(advisers)),
+		ignoreBackoff: !slices.ContainsFunc(advisers, func(a Adviser) bool { return !now.Before(q.loadOf(a).backoffUntil) }),
+	}
+	for _, a := range reserved {
+		s.shortOnly[a.Name()] = true
+		if l := q.loadOf(a); l.short == 0 && l.long == 0 && s.usable(l) {
+			s.spare++
+		}
+	}
+	return s
+}
+
+// numShortOnly returns how many of a number of nodes take no long calls: the first ones of the list.
+func numShortOnly(nodes int) int {
+	if nodes <= 1 {
+		return 0
+	}
+	return int(float64(nodes)*shortOnlyShare + 0.5)
+}
+
+// numKeptIdle returns how many of the nodes for short calls are kept idle if others of them take late long
+// calls: half, and none of two nodes, one of which would be more than their share.
+func numKeptIdle(nodes int) int {
+	if nodes <= 2 {
+		return 0
+	}
+	return (numShortOnly(nodes) + 1) / 2
+}
+
+// pick returns the node that can take a call soonest, or nil. Nodes that back off are used only if all do.
+// The caller holds mu.
+func (s *adviserSet) pick(t turn) (best Adviser, bestLoad *adviserLoad) {
+	long := isLongCall(t.call.RequestAdvice)
+	for _, a := range s.advisers {
+		l := s.q.loadOf(a)
+		full := l.long > 0 || l.short >= maxShortCalls || (long && l.short > 0)
+		reserved := long && s.shortOnly[a.Name()] && (!t.late || s.spare <= 0)
+		if full || reserved || !s.usable(l) {
+			continue
+		}
+		if best == nil || l.short < bestLoad.short {
+			best, bestLoad = a, l
+		}
+	}
+	if long && best != nil && s.shortOnly[best.Name()] {
+		s.spare--
+	}
+	return best, bestLoad
+}
+
+// usable reports whether a node doesn't back off.
+func (s *adviserSet) usable(l *adviserLoad) bool {
+	return s.ignoreBackoff || !s.now.Before(l.backoffUntil)
+}
+
+// keepForLongCall leaves out the node that can take a long call next, so that the less
+// urgent short calls behind it in the queue go elsewhere. A long call needs a node without
+// calls in flight, and there is none while short calls keep coming. The caller holds mu.
+func (s *adviserSet) keepForLongCall() {
+	kept, fewestShort := -1, maxShortCalls+1
+	for i, a := range s.advisers {
+		l := s.q.loadOf(a)
+		if s.shortOnly[a.Name()] || l.long > 0 || l.short >= fewestShort || !s.usable(l) {
+			continue
+		}
+		kept, fewestShort = i, l.short
+	}
+	if kept >= 0 {
+		s.advisers = slices.Delete(slices.Clone(s.advisers), kept, kept+1)
+	}
+}
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -111,7 +111,7 @@
 	st.advice.calls++
 	st.advice.requestedAt = now
 	s.counts.AdviceCalls++
-	s.emit(RequestAdvice{Step: st.id, Workers: names, ExpectedDuration: st.job.spec.Policy.Advice.Duration(len(names)), Rank: st.job.rank, JobStands: !st.job.mayBeRunning()})
+	s.emit(RequestAdvice{Step: st.id, Workers: names, ExpectedDuration: st.job.spec.Policy.Advice.Duration(len(names)), Rank: st.job.rank, StandsSince: st.job.standsSince(now)})
 	return true
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -100,8 +100,9 @@
 	ExpectedDuration time.Duration
 	// Rank orders waiting calls; the lowest goes first.
 	Rank Rank
-	// JobStands is set if nothing of the job was running when the call was requested.
-	JobStands bool
+	// StandsSince is since when nothing of the job has been running although the turn of a task has come;
+	// zero: something runs.
+	StandsSince time.Time
 }
 
 // FailJob ends a job as failed in all shards that run parts of it; the end comes back to
--- a/internal/scheduler/stalls.go
+++ b/internal/scheduler/stalls.go
@@ -86,6 +86,17 @@
 	return nil
 }
 
+// standsSince returns since when nothing of a job has been running; zero: something runs.
+func (j *job) standsSince(now time.Time) time.Time {
+	switch {
+	case j.mayBeRunning():
+		return time.Time{}
+	case j.stalledSince.IsZero():
+		return now
+	}
+	return j.stalledSince
+}
+
 // StalledJobs returns how many jobs have had nothing running for firstStallLog although the turn of a
 // task has come, whether there is room for it or not.
 func (s *Shard) StalledJobs() int { return s.stalledJobs }
