owner: a call for advice that is overdue at one node is made through another

Callers of jobs whose call went through a node that stood still, or that could not reach the advice service, waited for twice the call's duration and 0.8 s, 2 to 3.3 s at a site's costs, and then for the next call. A node cut off from the service got the next calls a second later, without end: it is avoided by its last failure only, and answers pings.

Change: a call that should have been answered 0.3 s ago is queued again, in front, for another node, if a call that another node sent later has been answered; the first answer counts. The node is avoided for a time that doubles with each failure up to 16 s, until a call through it is answered. If no other node is answered, the service is at fault and nothing is doubled.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -18,6 +18,9 @@
 	minLongCall = 120 * time.Millisecond
 	// adviceTimeoutSlack is added to twice the expected duration of a call to get its timeout.
 	adviceTimeoutSlack = 800 * time.Millisecond
+	// overdueAfter is how long after the time at which it should have been answered a call is made again
+	// through another node.
+	overdueAfter = 300 * time.Millisecond
 )
 
 // AdviceQueue spreads the calls of the advice service over the nodes, since the service handles
@@ -41,6 +44,9 @@
 type pendingCall struct {
 	scheduler.RequestAdvice
 	queuedAt time.Time
+	// repeats is the first attempt of the call if this one repeats it through another node; nil: it is the
+	// first one.
+	repeats *openCall
 }
 
 // openCall is a call that was sent to a node and is not answered.
@@ -51,6 +57,17 @@
 	sentAt  time.Time
 	// patience is how long the answer is waited for.
 	patience time.Duration
+	// repeated is set once the call is made again through another node, and delivered, of the first attempt,
+	// once the answer of any attempt was passed on.
+	repeated, delivered bool
+}
+
+// first returns the first attempt of the call.
+func (c *openCall) first() *openCall {
+	if c.repeats != nil {
+		return c.repeats
+	}
+	return c
 }
 
 // isLongCall reports whether a call delays short calls for too long.
@@ -96,11 +113,12 @@
 	q.pending = slices.Insert(q.pending, i, call)
 }
 
-// Dispatch sends the queued calls that a node can take now.
+// Dispatch sends the queued calls that a node can take now, and repeats those that are overdue.
 func (q *AdviceQueue) Dispatch() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
+	q.repeatOverdue(now)
 	if len(q.pending) == 0 {
 		return
 	}
@@ -130,6 +148,30 @@
 	go q.call(c)
 }
 
+// repeatOverdue queues the calls again that are overdue at one node while others are answered: the node
+// stands still, or can't reach the service. The caller holds mu.
+func (q *AdviceQueue) repeatOverdue(now time.Time) {
+	for c := range q.open {
+		if c.repeated || c.first().delivered || now.Sub(c.sentAt) < c.ExpectedDuration+overdueAfter || !q.answeredElsewhere(c) {
+			continue
+		}
+		c.repeated = true
+		c.load.fail(now)
+		q.insert(&pendingCall{RequestAdvice: c.RequestAdvice, queuedAt: now, repeats: c.first()})
+	}
+}
+
+// answeredElsewhere reports whether a call of the same class that was sent to another node after c has been
+// answered. The caller holds mu.
+func (q *AdviceQueue) answeredElsewhere(c *openCall) bool {
+	for _, l := range q.load {
+		if l != c.load && l.answeredSentAt(isLongCall(c.RequestAdvice)).After(c.sentAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // call makes a call through its node and passes the answer to onAnswer.
 func (q *AdviceQueue) call(c *openCall) {
 	ctx, cancel := context.WithTimeout(q.ctx, c.patience)
@@ -146,14 +188,53 @@
 	delete(q.open, c)
 	c.load.addInFlight(isLongCall(c.RequestAdvice), -1)
 	q.totals.add(answer)
-	if err != nil {
-		c.load.backoffUntil = answer.IssuedAt.Add(adviserBackoff)
-	}
+	q.observe(c, answer)
+	deliver := q.isFirstAnswer(c, err)
 	q.mu.Unlock()
-	q.onAnswer(c.RequestAdvice, answer)
+	if deliver {
+		q.onAnswer(c.RequestAdvice, answer)
+	}
 	q.Dispatch()
 }
 
+// observe learns from the end of a call. The caller holds mu.
+func (q *AdviceQueue) observe(c *openCall, answer Advice) {
+	switch {
+	case answer.Err == nil:
+		c.load.answered(c)
+	case c.repeated:
+	case q.answeredElsewhere(c):
+		c.load.fail(time.Now())
+	default:
+		c.load.backOff(time.Now(), minAdviserBackoff)
+	}
+}
+
+// isFirstAnswer reports whether the end of a call is to be passed on: of a call that was made several times
+// the first answer, or the failure of the last attempt to end. The caller holds mu.
+func (q *AdviceQueue) isFirstAnswer(c *openCall, err error) bool {
+	first := c.first()
+	if first.delivered || (err != nil && q.hasOtherAttempt(c, first)) {
+		return false
+	}
+	first.delivered = true
+	q.pending = slices.DeleteFunc(q.pending, func(p *pendingCall) bool { return p.repeats == first })
+	return true
+}
+
+// hasOtherAttempt reports whether another attempt of the call waits or is open. The caller holds mu.
+func (q *AdviceQueue) hasOtherAttempt(c, first *openCall) bool {
+	if slices.ContainsFunc(q.pending, func(p *pendingCall) bool { return p.repeats == first }) {
+		return true
+	}
+	for o := range q.open {
+		if o != c && (o == first || o.repeats == first) {
+			return true
+		}
+	}
+	return false
+}
+
 // estimateIssuedAt returns the latest time at which an answer that arrives now can have been
 // issued. What a call takes beyond its expected duration and the wait behind one other call is
 // time in transit, such as on a node that has stalled. Meanwhile the tickets expire, and starts
--- a/internal/owner/adviceorder.go
+++ b/internal/owner/adviceorder.go
@@ -43,11 +43,16 @@
 }
 
 // turns returns the waiting calls in the order in which they are sent: the most urgent ones, and
-// after some of them the one of those that are late that has waited longest. The caller holds mu.
+// after some of them the one of those that are late that has waited longest. Repeated attempts go first. The caller holds mu.
 func (q *AdviceQueue) turns(now time.Time, nodes int) []turn {
-	var order, ranked, late []turn
+	var order []turn
+	var ranked, late []turn
 	for _, p := range q.pending {
 		t := turn{call: p, late: p.isLate(now)}
+		if p.repeats != nil {
+			order = append(order, t)
+			continue
+		}
 		ranked = append(ranked, t)
 		if t.late {
 			late = append(late, t)
--- a/internal/owner/advisers.go
+++ b/internal/owner/advisers.go
@@ -15,16 +15,22 @@
 	// maxShortCalls is how many short calls one node may have in flight. The service handles
 	// the calls of a node one at a time; a second call in flight hides the network latency.
 	maxShortCalls = 2
-	// adviserBackoff is how long a node is avoided after its call failed.
-	adviserBackoff = time.Second
+	// minAdviserBackoff is how long a node is avoided after its call failed. The time doubles up to
+	// maxAdviserBackoff with each further failure while other nodes are answered.
+	minAdviserBackoff = time.Second
+	maxAdviserBackoff = 16 * time.Second
 )
 
 // adviserLoad tracks the calls of one node.
 type adviserLoad struct {
 	// short and long count the calls in flight.
 	short, long int
-	// backoffUntil is when the node may be used again after a failed call.
+	// failures counts the failed calls since the last answer, and backoffUntil is when the node may be used
+	// again after one.
+	failures     int
 	backoffUntil time.Time
+	// shortSentAt and longSentAt are when the last calls of each class were sent that have been answered.
+	shortSentAt, longSentAt time.Time
 }
 
 // addInFlight adds n calls, long or short ones, to those in flight.
@@ -36,6 +42,43 @@
 	}
 }
 
+// fail records that a call has failed, or is overdue, while other nodes were answered.
+func (l *adviserLoad) fail(now time.Time) {
+	l.backOff(now, min(minAdviserBackoff<<min(l.failures, 8), maxAdviserBackoff))
+	l.failures++
+}
+
+// backOff keeps calls from the node for a time.
+func (l *adviserLoad) backOff(now time.Time, d time.Duration) {
+	l.backoffUntil = later(l.backoffUntil, now.Add(d))
+}
+
+// answered records that a call was answered.
+func (l *adviserLoad) answered(c *openCall) {
+	l.failures, l.backoffUntil = 0, time.Time{}
+	if isLongCall(c.RequestAdvice) {
+		l.longSentAt = later(l.longSentAt, c.sentAt)
+	} else {
+		l.shortSentAt = later(l.shortSentAt, c.sentAt)
+	}
+}
+
+// answeredSentAt returns when the last answered call of a class was sent.
+func (l *adviserLoad) answeredSentAt(long bool) time.Time {
+	if long {
+		return l.longSentAt
+	}
+	return l.shortSentAt
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // loadOf returns the load of a node. The caller holds mu.
 func (q *AdviceQueue) loadOf(a Adviser) *adviserLoad {
 	l := q.load[a.Name()]
@@ -93,14 +136,14 @@
 }
 
 // pick returns the node that can take a call soonest, or nil. Nodes that back off are used only if all do.
-// The caller holds mu.
+// A repeated attempt goes to another node than the first. The caller holds mu.
 func (s *adviserSet) pick(t turn) (best Adviser, bestLoad *adviserLoad) {
-	long := isLongCall(t.call.RequestAdvice)
+	long, first := isLongCall(t.call.RequestAdvice), t.call.repeats
 	for _, a := range s.advisers {
 		l := s.q.loadOf(a)
 		full := l.long > 0 || l.short >= maxShortCalls || (long && l.short > 0)
 		reserved := long && s.shortOnly[a.Name()] && (!t.late || s.spare <= 0)
-		if full || reserved || !s.usable(l) {
+		if full || reserved || !s.usable(l) || (first != nil && first.load == l) {
 			continue
 		}
 		if best == nil || l.short < bestLoad.short {
