owner: the time for which advice is waited for follows the service

A service that is slower than its policy states answered nobody: each call was given up after twice its stated duration and 0.8 s, while the service still worked for it, and made again. Of 99 calls that a service five times slower had handled, no answer was used, for as long as that lasted.

Change: the ratio of the time that long calls take to what the policy states is learned from answers, and doubled if calls time out while no node is answered, up to eight. Limits of time and the time from which a call is overdue are multiples of it. When the tickets count as issued is left as it was, since a late answer may also have waited in transit.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -16,8 +16,6 @@
 	// minLongCall is the duration from which a call delays the short calls behind it for longer
 	// than the shortest latency target (250 ms) allows.
 	minLongCall = 120 * time.Millisecond
-	// adviceTimeoutSlack is added to twice the expected duration of a call to get its timeout.
-	adviceTimeoutSlack = 800 * time.Millisecond
 	// overdueAfter is how long after the time at which it should have been answered a call is made again
 	// through another node.
 	overdueAfter = 300 * time.Millisecond
@@ -37,6 +35,7 @@
 	rankTurns int
 	open      map[*openCall]bool
 	load      map[string]*adviserLoad
+	pace      adviceService
 	totals    adviceTotals
 }
 
@@ -142,7 +141,7 @@
 // send makes a call through a node. The caller holds mu.
 func (q *AdviceQueue) send(now time.Time, p *pendingCall, adviser Adviser, load *adviserLoad) {
 	q.pending = slices.DeleteFunc(q.pending, func(o *pendingCall) bool { return o == p })
-	c := &openCall{pendingCall: p, adviser: adviser, load: load, sentAt: now, patience: 2*p.ExpectedDuration + adviceTimeoutSlack}
+	c := &openCall{pendingCall: p, adviser: adviser, load: load, sentAt: now, patience: q.pace.patience(p.RequestAdvice)}
 	load.addInFlight(isLongCall(p.RequestAdvice), 1)
 	q.open[c] = true
 	go q.call(c)
@@ -152,7 +151,7 @@
 // stands still, or can't reach the service. The caller holds mu.
 func (q *AdviceQueue) repeatOverdue(now time.Time) {
 	for c := range q.open {
-		if c.repeated || c.first().delivered || now.Sub(c.sentAt) < c.ExpectedDuration+overdueAfter || !q.answeredElsewhere(c) {
+		if c.repeated || c.first().delivered || now.Sub(c.sentAt) < q.pace.expected(c.RequestAdvice)+overdueAfter || !q.answeredElsewhere(c) {
 			continue
 		}
 		c.repeated = true
@@ -202,11 +201,13 @@
 	switch {
 	case answer.Err == nil:
 		c.load.answered(c)
+		q.pace.answered(c.RequestAdvice, answer.Took)
 	case c.repeated:
 	case q.answeredElsewhere(c):
 		c.load.fail(time.Now())
 	default:
 		c.load.backOff(time.Now(), minAdviserBackoff)
+		q.pace.timedOut(c)
 	}
 }
 
--- a/internal/owner/advicestats.go
+++ b/internal/owner/advicestats.go
@@ -58,6 +58,8 @@
 	MostOverdue scheduler.StepID
 	OverdueBy   time.Duration
 	OverdueNode string
+	// Slowness is how many times longer than its policy states the service takes.
+	Slowness float64
 	// Calls have ended so far, of which Failed without an answer.
 	Calls, Failed int64
 	// Waited and Busy are the sums of the times for which these waited for a node and were open.
@@ -70,7 +72,7 @@
 	defer q.mu.Unlock()
 	now := time.Now()
 	t := q.totals
-	stats := AdviceStats{Queued: len(q.pending), Open: len(q.open), Calls: t.calls, Failed: t.failed, Waited: t.waited, Busy: t.busy}
+	stats := AdviceStats{Queued: len(q.pending), Open: len(q.open), Calls: t.calls, Failed: t.failed, Waited: t.waited, Busy: t.busy, Slowness: q.pace.ratio()}
 	for _, p := range q.pending {
 		if isLongCall(p.RequestAdvice) {
 			stats.QueuedLong++
@@ -83,7 +85,7 @@
 		if isLongCall(c.RequestAdvice) {
 			stats.OpenLong++
 		}
-		if over := now.Sub(c.sentAt) - c.ExpectedDuration; over > stats.OverdueBy {
+		if over := now.Sub(c.sentAt) - q.pace.expected(c.RequestAdvice); over > stats.OverdueBy {
 			stats.MostOverdue, stats.OverdueBy, stats.OverdueNode = c.Step, over, c.adviser.Name()
 		}
 	}
@@ -135,7 +137,7 @@
 	list := []zap.Field{
 		events.AdviceLate, zap.Int("queued", a.Queued), zap.Int("queued_long", a.QueuedLong), zap.Int("open", a.Open), zap.Int("open_long", a.OpenLong),
 		zap.Int("nodes", a.Nodes), zap.Int("short_only", a.ShortOnly), zap.Int("backing_off", a.BackingOff),
-		zap.Int64("calls", a.Calls), zap.Int64("failed", a.Failed), zap.Duration("waited", a.Waited), zap.Duration("busy", a.Busy),
+		zap.Float64("slowness", a.Slowness), zap.Int64("calls", a.Calls), zap.Int64("failed", a.Failed), zap.Duration("waited", a.Waited), zap.Duration("busy", a.Busy),
 	}
 	if a.QueuedFor > 0 {
 		list = append(list, zap.String("job", a.OldestQueued.Job), zap.Int("step", a.OldestQueued.Step), zap.Duration("queued_for", a.QueuedFor), zap.Int("priority", a.OldestRank.Priority))
