e2e, standin: a soak at a site's size whose jobs all wait for slow advice

The stand-in's advice service took 20 ms for any call, whatever the policy states, admitted three workers of four, and took all nodes on the loopback interface for one host. So nothing of ours played slow advice at a site's size. It now takes a model with a cost and an allowed share by job, and one call at a time for each connection where wanted.

TestSiteSoakWaitsForAdvice (by hand: make soak-site) is TestSiteSoak with a site's costs (494 ms and 7.15 ms a worker, 35% of the workers; urgent jobs 40 and 0.57 ms, 70%).

--- a/Makefile
+++ b/Makefile
@@ -60,9 +60,9 @@
 	SWITCHBANK_BIN=$(CURDIR)/$(BIN) SOAK_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m -parallel 4 -tags e2e -run 'TestSoak$$' ./e2e/...
 
 # soak-site runs a cell of 34 nodes, 350 workers and 20 teams at their limits as real processes,
-# in one run after the other: make soak-site SEEDS=1-4.
+# in one run after the other, without and with slow advice: make soak-site SEEDS=1-4.
 soak-site: build
-	SWITCHBANK_BIN=$(CURDIR)/$(BIN) SITE_SOAK_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m -tags e2e -run 'TestSiteSoak$$' ./e2e/...
+	SWITCHBANK_BIN=$(CURDIR)/$(BIN) SITE_SOAK_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m -tags e2e -run 'TestSiteSoak' ./e2e/...
 
 # matrix runs every fault at every step and prints the grid; test runs a sample.
 matrix:
--- a/e2e/sitesoak_test.go
+++ b/e2e/sitesoak_test.go
@@ -52,16 +52,30 @@
 		t.Skip("SITE_SOAK_SEEDS is not set")
 	}
 	for _, seed := range parseSeeds(t, text) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newSiteSoak(t, seed).run() })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newSiteSoak(t, seed, false).run() })
+	}
+}
+
+// TestSiteSoakWaitsForAdvice is TestSiteSoak with an advice service as slow as that of a site, which all
+// jobs need, and guards against jobs whose calls of it wait beside room.
+func TestSiteSoakWaitsForAdvice(t *testing.T) {
+	text := os.Getenv("SITE_SOAK_SEEDS")
+	if text == "" {
+		t.Skip("SITE_SOAK_SEEDS is not set")
+	}
+	for _, seed := range parseSeeds(t, text) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newSiteSoak(t, seed, true).run() })
 	}
 }
 
 // siteSoak is the run of one seed.
 type siteSoak struct {
 	*siteCell
-	seed    uint64
-	rng     *rand.Rand
-	started time.Time
+	seed uint64
+	// slowAdvice is set if all jobs need advice, which is slow.
+	slowAdvice bool
+	rng        *rand.Rand
+	started    time.Time
 	// stop is closed at the end of the load.
 	stop chan struct{}
 
@@ -73,7 +87,7 @@
 	disturbances []faultInterval
 }
 
-func newSiteSoak(t *testing.T, seed uint64) *siteSoak {
+func newSiteSoak(t *testing.T, seed uint64, slowAdvice bool) *siteSoak {
 	ports := freePorts(t, 3+siteSoakWorkers+3*siteSoakNodes)
 	next := func() string {
 		address := ports[0]
@@ -82,7 +96,7 @@
 	}
 	s := &siteSoak{
 		siteCell: &siteCell{t: t, bin: filepath.Join(os.Getenv("SWITCHBANK_BIN"), "switchbank"), dir: t.TempDir(), storeAddress: next(), serviceAddresses: [2]string{next(), next()}, workersPerShard: siteSoakWorkers / 2},
-		seed:     seed, rng: newSeededRand(seed, 0), stop: make(chan struct{}), teams: newSoakTeams(newSeededRand(seed, 1)),
+		seed:     seed, slowAdvice: slowAdvice, rng: newSeededRand(seed, 0), stop: make(chan struct{}), teams: newSoakTeams(newSeededRand(seed, 1)),
 	}
 	var workers []string
 	for range siteSoakWorkers {
@@ -93,6 +107,9 @@
 		WorkerAddress: func(n int) string { return workers[n] }, Serve: s.serve,
 	})
 	t.Cleanup(s.site.Close)
+	if slowAdvice {
+		s.site.SetAdviceModel(siteAdvice())
+	}
 	s.publishLimits()
 	for i := range siteSoakWorkers {
 		s.site.AddWorker(site.WorkerConfig{Rack: fmt.Sprintf("r1-%d", i/10), CPUMilli: siteSoakWorkerCPUMilli, MemoryMB: 32_000})
@@ -235,6 +252,9 @@
 	for _, violation := range s.site.Violations(site.Expectations{Teams: teams}) {
 		s.t.Error(violation)
 	}
+	if len(stalls) > 0 {
+		s.logLateAdvice()
+	}
 	for _, n := range s.nodes {
 		if _, foreign := logLines(s.t, n.log.Name(), "no such line"); len(foreign) > 0 {
 			s.t.Errorf("%s: %s", n.name, strings.Join(foreign, "\n"))
@@ -242,6 +262,16 @@
 	}
 }
 
+// logLateAdvice logs what the owners say of calls for advice that are late.
+func (s *siteSoak) logLateAdvice() {
+	for _, n := range s.nodes {
+		lines, _ := logLines(s.t, n.log.Name(), "SB1648")
+		for _, line := range lines {
+			s.t.Logf("%s: %s", n.name, line)
+		}
+	}
+}
+
 // loggedCauses returns why a job waits according to the nodes, in the order of their logs.
 func (s *siteSoak) loggedCauses(job string) string {
 	var causes []string
--- a/e2e/sitesoakload_test.go
+++ b/e2e/sitesoakload_test.go
@@ -21,9 +21,11 @@
 	largeTeamLimit, smallTeamLimit    = 300_000, 30_000
 	// loweredLimit is the percentage of its limit that a team has while it is lowered.
 	loweredLimit = 60
-	// usualLoad is what a team's batches and gangs take of its limit, and hotLoad how many times that
-	// much it sends while it is hot; hotDuration is for how long.
+	// usualLoad is what a team's batches and gangs take of its limit, adviceLoad the same while they need
+	// slow advice, and hotLoad how many times that much it sends while it is hot; hotDuration is for how
+	// long.
 	usualLoad   = 0.7
+	adviceLoad  = 0.35
 	hotLoad     = 4
 	hotDuration = 7 * time.Second
 	// teamsHotAtOnce is how many teams become hot at the same time.
@@ -32,8 +34,39 @@
 	urgentJobsPerSecond        = 5.0
 	minTaskTime, maxTaskTime   = time.Second, 4 * time.Second
 	minTaskMilli, maxTaskMilli = 1000, 4000
+	// urgentBase is the number of a team's first urgent job.
+	urgentBase = 0x10000
 )
 
+// What a call for advice costs at a site of this size, for urgent jobs and for others, and the share of the
+// workers that it allows.
+var (
+	quickSiteAdvice = site.AdviceCost{DecideMS: 40, EachMS: 0.57, ValidMS: 2500}
+	slowSiteAdvice  = site.AdviceCost{DecideMS: 494, EachMS: 7.15, ValidMS: 2500}
+)
+
+const quickSiteShare, slowSiteShare = 0.7, 0.35
+
+// siteAdvice is the advice service of a site. The numbers of urgent jobs begin at urgentBase.
+func siteAdvice() site.AdviceModel {
+	isUrgent := func(job string) bool { return job[8:] >= fmt.Sprintf("%08x", urgentBase) }
+	return site.AdviceModel{
+		PerConnection: true,
+		Cost: func(job string) site.AdviceCost {
+			if isUrgent(job) {
+				return quickSiteAdvice
+			}
+			return slowSiteAdvice
+		},
+		AllowedShare: func(job string) float64 {
+			if isUrgent(job) {
+				return quickSiteShare
+			}
+			return slowSiteShare
+		},
+	}
+}
+
 // soakTeam is a team with a limit, and the load that it sends.
 type soakTeam struct {
 	// number is the place of the team in the list.
@@ -76,6 +109,9 @@
 	urgent := batch
 	urgent.Name, urgent.PathPrefix, urgent.Priority = "urgent", "/urgent/", 0
 	urgent.Advice = &site.AdviceCost{DecideMS: 20, EachMS: 0.1, ValidMS: 2500}
+	if s.slowAdvice {
+		urgent.Advice, batch.Advice = &quickSiteAdvice, &slowSiteAdvice
+	}
 	var teams []site.Team
 	for _, t := range s.teams {
 		teams = append(teams, site.Team{Name: t.name, Keys: []string{t.name}, Weight: float64(t.limit), Limit: site.TeamLimit{CPUMilli: t.currentLimit()}})
@@ -164,6 +200,9 @@
 		calls.Go(func() { s.submitTeamJob(t, i, j) })
 		s.mu.Lock()
 		rate := usualLoad * float64(t.limit)
+		if s.slowAdvice {
+			rate = adviceLoad * float64(t.limit)
+		}
 		if time.Now().Before(t.hotUntil) {
 			rate *= hotLoad
 		}
@@ -176,7 +215,6 @@
 
 // submitUrgentFor submits the urgent jobs of a team, two steps each that need advice.
 func (s *siteSoak) submitUrgentFor(t *soakTeam, rng *rand.Rand) {
-	const urgentBase = 0x10000
 	body := `{"Spec":"400 cpu=1000","Steps":[{"Count":3,"Cpu":1000,"MemMb":100,"EstimateMs":400},{"Count":3,"Cpu":1000,"MemMb":100,"EstimateMs":400,"DependsOn":[0]}]}`
 	var calls sync.WaitGroup
 	defer calls.Wait()
@@ -211,7 +249,7 @@
 	for k := range 5 {
 		n := s.nodes[(i*7+k*11+t.number)%len(s.nodes)]
 		if caller.status(http.MethodPost, "http://"+n.callers+"/"+j.queue+"/"+id, []byte(j.body)) == http.StatusOK {
-			described, err := site.ParseStallJob(id, j.body, j.queue == "urgent", maxAttempts)
+			described, err := site.ParseStallJob(id, j.body, j.queue == "urgent" || s.slowAdvice, maxAttempts)
 			if err != nil {
 				s.t.Error(err)
 				return
--- a/standin/site/advice.go
+++ b/standin/site/advice.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // adviceService decides which workers may run a step and issues tickets for them. It handles
@@ -19,6 +21,19 @@
 	semaphores map[string]chan struct{}
 	// rejectOneIn means that one in so many workers is rejected for a step.
 	rejectOneIn int
+	model       AdviceModel
+}
+
+// AdviceModel is how the advice service decides, and how long it takes. The zero value takes adviceDuration
+// for each call, and rejects one in so many workers.
+type AdviceModel struct {
+	// Cost returns what a call for a job costs; nil: adviceDuration.
+	Cost func(job string) AdviceCost
+	// AllowedShare returns for which share of the workers a step of a job is allowed; nil: as configured.
+	AllowedShare func(job string) float64
+	// PerConnection lets one call of each connection through at a time, in place of one of each host: on
+	// the loopback interface all nodes have the same address.
+	PerConnection bool
 }
 
 const (
@@ -52,7 +67,11 @@
 	if !decodeBody(w, r, &req) {
 		return
 	}
+	job, _, _ := strings.Cut(req.Step, ".")
 	host := hostOf(r.RemoteAddr)
+	if a.model.PerConnection {
+		host = r.RemoteAddr
+	}
 	a.mu.Lock()
 	semaphore := a.semaphores[host]
 	if semaphore == nil {
@@ -61,7 +80,7 @@
 	}
 	a.mu.Unlock()
 	semaphore <- struct{}{}
-	sleep(r, adviceDuration)
+	sleep(r, a.duration(job, len(req.Workers)))
 	<-semaphore
 	res := adviceResponse{Allowed: [][2]string{}, ValidMS: ticketValidity.Milliseconds()}
 	for _, id := range req.Workers {
@@ -72,9 +91,23 @@
 	writeJSON(w, http.StatusOK, res)
 }
 
+// duration returns how long a call about a step of a job takes.
+func (a *adviceService) duration(job string, workers int) time.Duration {
+	if a.model.Cost == nil {
+		return adviceDuration
+	}
+	c := a.model.Cost(job)
+	return time.Duration((c.DecideMS + c.EachMS*float64(workers)) * float64(time.Millisecond))
+}
+
 // allows reports whether a step may run on a worker. It is a hash of both, so that the
 // decision never changes.
 func (a *adviceService) allows(step, worker string) bool {
+	if a.model.AllowedShare != nil {
+		job, _, _ := strings.Cut(step, ".")
+		const parts = 1000
+		return float64(xxhash.Sum64String(step+"/"+worker)%parts) < a.model.AllowedShare(job)*parts
+	}
 	sum := 0
 	for _, c := range step + worker {
 		sum = sum*31 + int(c)
@@ -102,5 +135,8 @@
 // called before the first call of the service.
 func (s *Site) SetRejectOneIn(n int) { s.adviceService.rejectOneIn = n }
 
+// SetAdviceModel sets how the advice service behaves. It must be called before the first call of the service.
+func (s *Site) SetAdviceModel(m AdviceModel) { s.adviceService.model = m }
+
 // AdviceAllows reports whether the advice service allows a step to run on a worker.
 func (s *Site) AdviceAllows(step, worker string) bool { return s.adviceService.allows(step, worker) }
