owner: a repeated call for advice goes to any node without an attempt of it

It takes time-outs at two nodes without an answer between; failures of a node count against it once another is answered (TestNodeAwaySlowsFewCalls, TestRefusingNodesTakeCalls: 39 calls in 40 s before). - Short calls raised the ratio and never lowered it (TestShortCallsKeepServiceSlow). - A late long call took a node for short ones beside an idle one (TestLateCallTakesNodeForShortOnes: 590 ms). - After an outage calls held the nodes of a small shard (TestAdviceAfterOutage: 5.6 s). A node whose last call failed is now used only if no other is free; without that, repeated calls met the same node again (3.3 s in 8 of 30 plays of TestNodesCutOffFromAdviceServiceTakeCalls). 30 plays of all these pass.

--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -125,7 +125,7 @@
 	for _, t := range q.turns(now, len(nodes.advisers)) {
 		adviser, load := nodes.pick(t)
 		if adviser == nil {
-			if isLongCall(t.call.RequestAdvice) {
+			if isLongCall(t.call.RequestAdvice) && t.call.repeats == nil {
 				nodes.keepForLongCall()
 			}
 			continue
@@ -201,16 +201,38 @@
 	switch {
 	case answer.Err == nil:
 		c.load.answered(c)
+		q.blameSuspects(c)
 		q.pace.answered(c.RequestAdvice, answer.Took)
 	case c.repeated:
 	case q.answeredElsewhere(c):
 		c.load.fail(time.Now())
 	default:
 		c.load.backOff(time.Now(), minAdviserBackoff)
+		c.load.suspectSince = time.Now()
 		q.pace.timedOut(c)
 	}
 }
 
+// blameSuspects counts the failures of nodes since which another node was answered. The caller holds mu.
+func (q *AdviceQueue) blameSuspects(c *openCall) {
+	for _, l := range q.load {
+		if !l.suspectSince.IsZero() && c.sentAt.After(l.suspectSince) {
+			l.fail(l.suspectSince)
+			l.suspectSince = time.Time{}
+		}
+	}
+}
+
+// isOpenAt reports whether an attempt of a call is open at a node. The caller holds mu.
+func (q *AdviceQueue) isOpenAt(first *openCall, l *adviserLoad) bool {
+	for o := range q.open {
+		if o.load == l && o.first() == first {
+			return true
+		}
+	}
+	return false
+}
+
 // isFirstAnswer reports whether the end of a call is to be passed on: of a call that was made several times
 // the first answer, or the failure of the last attempt to end. The caller holds mu.
 func (q *AdviceQueue) isFirstAnswer(c *openCall, err error) bool {
--- a/internal/owner/advicepace.go
+++ b/internal/owner/advicepace.go
@@ -28,6 +28,8 @@
 	slowness float64
 	// raisedAt is when it was last raised since no node got an answer in time.
 	raisedAt time.Time
+	// suspect is the node whose call timed out since the last answer.
+	suspect *adviserLoad
 }
 
 // ratio returns how many times longer than stated calls take.
@@ -46,6 +48,7 @@
 // answered learns from an answer. Short calls take longer for the network and for another one at the same
 // node, which says nothing of the service.
 func (s *adviceService) answered(a scheduler.RequestAdvice, took time.Duration) {
+	s.suspect = nil
 	if !isLongCall(a) {
 		return
 	}
@@ -56,7 +59,12 @@
 // timedOut doubles the ratio if a call got no answer in time, and no other one did meanwhile. Of the calls
 // that were open at the same time only the first counts.
 func (s *adviceService) timedOut(c *openCall) {
-	if c.sentAt.After(s.raisedAt) && time.Since(c.sentAt) >= c.patience {
+	if isLongCall(c.RequestAdvice) && c.sentAt.After(s.raisedAt) && time.Since(c.sentAt) >= c.patience {
+		if s.suspect == nil || s.suspect == c.load {
+			s.suspect = c.load
+			return
+		}
+		s.suspect = nil
 		s.raisedAt = time.Now()
 		s.slowness = min(2*s.ratio(), maxAdviceSlowness)
 	}
--- a/internal/owner/advisers.go
+++ b/internal/owner/advisers.go
@@ -3,6 +3,7 @@
 package owner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -29,6 +30,9 @@
 	// again after one.
 	failures     int
 	backoffUntil time.Time
+	// suspectSince is when a call failed while no other node was answered, so that the node or the service may
+	// be at fault; zero: that is settled.
+	suspectSince time.Time
 	// shortSentAt and longSentAt are when the last calls of each class were sent that have been answered.
 	shortSentAt, longSentAt time.Time
 }
@@ -55,7 +59,7 @@
 
 // answered records that a call was answered.
 func (l *adviserLoad) answered(c *openCall) {
-	l.failures, l.backoffUntil = 0, time.Time{}
+	l.failures, l.backoffUntil, l.suspectSince = 0, time.Time{}, time.Time{}
 	if isLongCall(c.RequestAdvice) {
 		l.longSentAt = later(l.longSentAt, c.sentAt)
 	} else {
@@ -143,10 +147,10 @@
 		l := s.q.loadOf(a)
 		full := l.long > 0 || l.short >= maxShortCalls || (long && l.short > 0)
 		reserved := long && s.shortOnly[a.Name()] && (!t.late || s.spare <= 0)
-		if full || reserved || !s.usable(l) || (first != nil && first.load == l) {
+		if full || reserved || !s.usable(l) || (first != nil && s.q.isOpenAt(first, l)) {
 			continue
 		}
-		if best == nil || l.short < bestLoad.short {
+		if best == nil || s.comparePreference(long, a, best) < 0 {
 			best, bestLoad = a, l
 		}
 	}
@@ -156,6 +160,32 @@
 	return best, bestLoad
 }
 
+// comparePreference compares two nodes that can take a call: one whose last call was answered comes first, then for
+// a long call one that is not kept for short calls, then one with fewer calls in flight. The caller holds mu.
+func (s *adviserSet) comparePreference(long bool, a, b Adviser) int {
+	la, lb := s.q.loadOf(a), s.q.loadOf(b)
+	if c := compareBool(la.failures > 0, lb.failures > 0); c != 0 {
+		return c
+	}
+	if long {
+		if c := compareBool(s.shortOnly[a.Name()], s.shortOnly[b.Name()]); c != 0 {
+			return c
+		}
+	}
+	return cmp.Compare(la.short, lb.short)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // usable reports whether a node doesn't back off.
 func (s *adviserSet) usable(l *adviserLoad) bool {
 	return s.ignoreBackoff || !s.now.Before(l.backoffUntil)
