--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -35,7 +35,7 @@
 	rankTurns int
 	open      map[*openCall]bool
 	load      map[string]*adviserLoad
-	pace      adviceService
+	speed     serviceSpeed
 	totals    adviceTotals
 }
 
@@ -141,7 +141,7 @@
 // send makes a call through a node. The caller holds mu.
 func (q *AdviceQueue) send(now time.Time, p *pendingCall, adviser Adviser, load *adviserLoad) {
 	q.pending = slices.DeleteFunc(q.pending, func(o *pendingCall) bool { return o == p })
-	c := &openCall{pendingCall: p, adviser: adviser, load: load, sentAt: now, patience: q.pace.patience(p.RequestAdvice)}
+	c := &openCall{pendingCall: p, adviser: adviser, load: load, sentAt: now, patience: q.speed.patience(p.RequestAdvice)}
 	load.addInFlight(isLongCall(p.RequestAdvice), 1)
 	q.open[c] = true
 	go q.call(c)
@@ -151,7 +151,7 @@
 // stands still, or can't reach the service. The caller holds mu.
 func (q *AdviceQueue) repeatOverdue(now time.Time) {
 	for c := range q.open {
-		if c.repeated || c.first().delivered || now.Sub(c.sentAt) < q.pace.expected(c.RequestAdvice)+overdueAfter || !q.answeredElsewhere(c) {
+		if c.repeated || c.first().delivered || now.Sub(c.sentAt) < q.speed.expected(c.RequestAdvice)+overdueAfter || !q.answeredElsewhere(c) {
 			continue
 		}
 		c.repeated = true
@@ -202,14 +202,14 @@
 	case answer.Err == nil:
 		c.load.answered(c)
 		q.blameSuspects(c)
-		q.pace.answered(c.RequestAdvice, answer.Took)
+		q.speed.answered(c.RequestAdvice, answer.Took)
 	case c.repeated:
 	case q.answeredElsewhere(c):
 		c.load.fail(time.Now())
 	default:
 		c.load.backOff(time.Now(), minAdviserBackoff)
 		c.load.suspectSince = time.Now()
-		q.pace.timedOut(c)
+		q.speed.timedOut(c)
 	}
 }
 
--- a/internal/owner/advicestats.go
+++ b/internal/owner/advicestats.go
@@ -72,7 +72,7 @@
 	defer q.mu.Unlock()
 	now := time.Now()
 	t := q.totals
-	stats := AdviceStats{Queued: len(q.pending), Open: len(q.open), Calls: t.calls, Failed: t.failed, Waited: t.waited, Busy: t.busy, Slowness: q.pace.ratio()}
+	stats := AdviceStats{Queued: len(q.pending), Open: len(q.open), Calls: t.calls, Failed: t.failed, Waited: t.waited, Busy: t.busy, Slowness: q.speed.ratio()}
 	for _, p := range q.pending {
 		if isLongCall(p.RequestAdvice) {
 			stats.QueuedLong++
@@ -85,7 +85,7 @@
 		if isLongCall(c.RequestAdvice) {
 			stats.OpenLong++
 		}
-		if over := now.Sub(c.sentAt) - q.pace.expected(c.RequestAdvice); over > stats.OverdueBy {
+		if over := now.Sub(c.sentAt) - q.speed.expected(c.RequestAdvice); over > stats.OverdueBy {
 			stats.MostOverdue, stats.OverdueBy, stats.OverdueNode = c.Step, over, c.adviser.Name()
 		}
 	}
--- a/internal/owner/advicepace.go
+++ b/internal/owner/servicespeed.go
@@ -21,8 +21,8 @@
 	adviceSlownessWeight = 0.1
 )
 
-// adviceService is what is known of the speed of the advice service.
-type adviceService struct {
+// serviceSpeed is what is known of the speed of the advice service.
+type serviceSpeed struct {
 	// slowness is the running mean of the ratio of the time that a long call takes to what the policy
 	// states, at least 1; 0: none was made yet.
 	slowness float64
@@ -33,21 +33,21 @@
 }
 
 // ratio returns how many times longer than stated calls take.
-func (s *adviceService) ratio() float64 { return max(1, s.slowness) }
+func (s *serviceSpeed) ratio() float64 { return max(1, s.slowness) }
 
 // expected returns how long a call should take.
-func (s *adviceService) expected(a scheduler.RequestAdvice) time.Duration {
+func (s *serviceSpeed) expected(a scheduler.RequestAdvice) time.Duration {
 	return time.Duration(float64(a.ExpectedDuration) * s.ratio())
 }
 
 // patience returns how long the answer to a call is waited for.
-func (s *adviceService) patience(a scheduler.RequestAdvice) time.Duration {
+func (s *serviceSpeed) patience(a scheduler.RequestAdvice) time.Duration {
 	return 2*s.expected(a) + adviceTimeoutSlack
 }
 
 // answered learns from an answer. Short calls take longer for the network and for another one at the same
 // node, which says nothing of the service.
-func (s *adviceService) answered(a scheduler.RequestAdvice, took time.Duration) {
+func (s *serviceSpeed) answered(a scheduler.RequestAdvice, took time.Duration) {
 	s.suspect = nil
 	if !isLongCall(a) {
 		return
@@ -56,9 +56,9 @@
 	s.slowness = min(max(1, s.ratio()+adviceSlownessWeight*(ratio-s.ratio())), maxAdviceSlowness)
 }
 
-// timedOut doubles the ratio if a call got no answer in time, and no other one did meanwhile. Of the calls
-// that were open at the same time only the first counts.
-func (s *adviceService) timedOut(c *openCall) {
+// timedOut doubles the ratio if calls through two nodes got no answer in time and none was answered in
+// between: one node alone may be at fault. Calls that were sent before the last time don't count again.
+func (s *serviceSpeed) timedOut(c *openCall) {
 	if isLongCall(c.RequestAdvice) && c.sentAt.After(s.raisedAt) && time.Since(c.sentAt) >= c.patience {
 		if s.suspect == nil || s.suspect == c.load {
 			s.suspect = c.load
