--- a/internal/owner/advicefaults_test.go
+++ b/internal/owner/advicefaults_test.go
@@ -147,6 +147,44 @@
 	s.addSince(job, priority, since)
 }
 
+// repliesTo returns how many answers a job's call got, and how long the last one took; ok is false if none
+// was answered.
+func (s *faultSim) repliesTo(job string) (n int, took time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	took, ok = s.took[job]
+	return s.replies[job], took, ok
+}
+
+// miscounted returns how many calls were added, and how many of them had no answer and several.
+func (s *faultSim) miscounted() (calls, none, several int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for job := range s.added {
+		switch n := s.replies[job]; {
+		case n == 0:
+			none++
+		case n > 1:
+			several++
+		}
+	}
+	return len(s.added), none, several
+}
+
+// expiredAnswers returns how many calls were answered, and how many of the answers had expired.
+func (s *faultSim) expiredAnswers() (answered, expired int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.took), s.expired
+}
+
+// sentThrough returns how many calls went through a node.
+func (n *faultyNode) sentThrough() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent
+}
+
 func (s *faultSim) answered(a scheduler.RequestAdvice, answer owner.Advice) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -216,8 +254,8 @@
 		s.nodes[1].set(nodeWorks)
 		time.Sleep(5 * time.Minute)
 		st := s.queue.Stats()
-		if s.replies["long-a"] != 1 {
-			t.Errorf("long-a has %d replies after 5 min; queued %d for %s, open %d", s.replies["long-a"], st.Queued, st.QueuedFor, st.Open)
+		if n, _, _ := s.repliesTo("long-a"); n != 1 {
+			t.Errorf("long-a has %d replies after 5 min; queued %d for %s, open %d", n, st.Queued, st.QueuedFor, st.Open)
 		}
 	})
 }
@@ -239,7 +277,7 @@
 			s.add(fmt.Sprintf("long-x%d", i), 2)
 			time.Sleep(time.Second)
 		}
-		if took, ok := s.took["long-a"]; !ok || took > 5*time.Second {
+		if _, took, ok := s.repliesTo("long-a"); !ok || took > 5*time.Second {
 			t.Errorf("long-a took %s, answered %v", took, ok)
 		}
 	})
@@ -252,8 +290,8 @@
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			runFaultSim(t, n, func(t *testing.T, s *faultSim) {
 				rate := 560 * time.Millisecond / time.Duration(n) * 3
-				for range 20 {
-					s.add(fmt.Sprintf("before-%d", len(s.added)), 2)
+				for i := range 20 {
+					s.add(fmt.Sprintf("before-%d", i), 2)
 					time.Sleep(rate)
 				}
 				for _, x := range s.nodes {
@@ -312,7 +350,7 @@
 			time.Sleep(80 * time.Millisecond)
 		}
 		for i := range 5 {
-			if n := s.nodes[6+i].sent; n > 6 {
+			if n := s.nodes[6+i].sentThrough(); n > 6 {
 				t.Errorf("%d calls in 40 s through n%02d, which refuses all", n, 6+i)
 			}
 		}
@@ -348,8 +386,8 @@
 					time.Sleep(500 * time.Millisecond)
 				}
 				time.Sleep(20 * time.Second)
-				if s.expired > 0 {
-					t.Errorf("of %d answers, %d have tickets that have run out", len(s.took), s.expired)
+				if answered, expired := s.expiredAnswers(); expired > 0 {
+					t.Errorf("of %d answers, %d have tickets that have run out", answered, expired)
 				}
 			})
 		})
@@ -402,17 +440,8 @@
 					n.set(nodeWorks)
 				}
 				time.Sleep(5 * time.Minute)
-				none, twice := 0, 0
-				for j := range s.added {
-					switch n := s.replies[j]; {
-					case n == 0:
-						none++
-					case n > 1:
-						twice++
-					}
-				}
-				if none+twice > 0 {
-					t.Errorf("of %d calls %d have no answer 5 min after the last fault, %d several; nodes %d of %d", len(s.added), none, twice, len(s.advisers()), len(all))
+				if calls, none, several := s.miscounted(); none+several > 0 {
+					t.Errorf("of %d calls %d have no answer 5 min after the last fault, %d several; nodes %d of %d", calls, none, several, len(s.advisers()), len(all))
 				}
 			})
 		})
--- a/internal/owner/advicewait_test.go
+++ b/internal/owner/advicewait_test.go
@@ -22,19 +22,26 @@
 
 // simulatedService is an advice service that handles the calls of each node one after the other.
 type simulatedService struct {
-	// slowness is how many times longer than stated a call takes.
-	slowness float64
-	// away are the nodes that get no answer, and frozen those that also take none up.
-	away   map[string]bool
-	frozen map[string]bool
-
 	mu sync.Mutex
+	// slowness is how many times longer than stated a call takes, and silent are the nodes that give no
+	// answer.
+	slowness float64
+	silent   map[string]bool
 	// sentThrough is how many calls were sent through each node, and handled how many the service has
 	// worked for.
 	sentThrough map[string]int
 	handled     int
 }
 
+// silence keeps nodes from answering.
+func (s *simulatedService) silence(names ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		s.silent[name] = true
+	}
+}
+
 // simulatedAdviser is a node through which the service is called.
 type simulatedAdviser struct {
 	name    string
@@ -48,15 +55,16 @@
 	s := a.service
 	s.mu.Lock()
 	s.sentThrough[a.name]++
+	silent, slowness := s.silent[a.name], s.slowness
 	s.mu.Unlock()
-	if s.frozen[a.name] || s.away[a.name] {
+	if silent {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
 	answered := make(chan struct{})
 	go func() {
 		a.slot <- struct{}{}
-		time.Sleep(time.Duration(float64(statedDuration(step)) * s.slowness))
+		time.Sleep(time.Duration(float64(statedDuration(step)) * slowness))
 		s.mu.Lock()
 		s.handled++
 		s.mu.Unlock()
@@ -103,7 +111,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		service := &simulatedService{slowness: 1, away: make(map[string]bool), frozen: make(map[string]bool), sentThrough: make(map[string]int)}
+		service := &simulatedService{slowness: 1, silent: make(map[string]bool), sentThrough: make(map[string]int)}
 		var advisers []owner.Adviser
 		for i := range adviceNodes {
 			advisers = append(advisers, &simulatedAdviser{name: fmt.Sprintf("n%02d", i), service: service, slot: make(chan struct{}, 1)})
@@ -218,7 +226,7 @@
 	runAdviceSim(t, func(t *testing.T, s *adviceSim) {
 		for i := range 300 {
 			if i == 100 {
-				s.service.frozen["n00"], s.service.frozen["n06"] = true, true
+				s.service.silence("n00", "n06")
 			}
 			s.add(fmt.Sprintf("long-%d", i), scheduler.Rank{Priority: 2})
 			s.add(fmt.Sprintf("short-%d", i), scheduler.Rank{})
@@ -236,7 +244,7 @@
 	const cutOff, most = 5, 6
 	runAdviceSim(t, func(t *testing.T, s *adviceSim) {
 		for i := range cutOff {
-			s.service.away[fmt.Sprintf("n%02d", 16-i)] = true
+			s.service.silence(fmt.Sprintf("n%02d", 16-i))
 		}
 		for i := range 500 {
 			s.add(fmt.Sprintf("long-%d", i), scheduler.Rank{Priority: 2})
@@ -244,7 +252,9 @@
 		}
 		time.Sleep(maxStand)
 		s.checkAnswered(t, "long", maxStand)
-		for name := range s.service.away {
+		s.service.mu.Lock()
+		defer s.service.mu.Unlock()
+		for name := range s.service.silent {
 			if n := s.service.sentThrough[name]; n > most {
 				t.Errorf("%d calls went through %s in 40 s, which can't reach the service; %d are allowed", n, name, most)
 			}
@@ -256,7 +266,9 @@
 // slower than its policy states, works for them: next to none of its work was used.
 func TestSlowServiceWorksInVain(t *testing.T) {
 	runAdviceSim(t, func(t *testing.T, s *adviceSim) {
+		s.service.mu.Lock()
 		s.service.slowness = 5
+		s.service.mu.Unlock()
 		for i := range 40 {
 			s.add(fmt.Sprintf("long-%d", i), scheduler.Rank{Priority: 2})
 			time.Sleep(500 * time.Millisecond)
@@ -264,6 +276,8 @@
 		time.Sleep(10 * time.Second)
 		s.waits.mu.Lock()
 		defer s.waits.mu.Unlock()
+		s.service.mu.Lock()
+		defer s.service.mu.Unlock()
 		if answers := s.waits.answers; answers*4 < s.service.handled*3 {
 			t.Errorf("of %d calls that the service has handled, the answers of %d were used", s.service.handled, answers)
 		}
