owner, e2e: what the change wrote twice is written once

The preference among nodes is a class and a number, in place of a second compareBool beside the scheduler's; the search for other attempts of a call uses first; the two simulations of the queue share their dispatch loop, and the two soaks of a site's size their runs. Behaviour, checks and bounds are as before.

--- a/e2e/sitesoak_test.go
+++ b/e2e/sitesoak_test.go
@@ -47,24 +47,24 @@
 // within its team's limit once the cell has been undisturbed for 4 s. It is run by hand, for the seeds
 // in SITE_SOAK_SEEDS.
 func TestSiteSoak(t *testing.T) {
-	text := os.Getenv("SITE_SOAK_SEEDS")
-	if text == "" {
-		t.Skip("SITE_SOAK_SEEDS is not set")
-	}
-	for _, seed := range parseSeeds(t, text) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newSiteSoak(t, seed, false).run() })
-	}
+	runSiteSoak(t, false)
 }
 
 // TestSiteSoakWaitsForAdvice is TestSiteSoak with an advice service as slow as that of a site, which all
 // jobs need, and guards against jobs whose calls of it wait beside room.
 func TestSiteSoakWaitsForAdvice(t *testing.T) {
+	runSiteSoak(t, true)
+}
+
+// runSiteSoak runs the soak for the seeds in SITE_SOAK_SEEDS.
+func runSiteSoak(t *testing.T, slowAdvice bool) {
+	t.Helper()
 	text := os.Getenv("SITE_SOAK_SEEDS")
 	if text == "" {
 		t.Skip("SITE_SOAK_SEEDS is not set")
 	}
 	for _, seed := range parseSeeds(t, text) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newSiteSoak(t, seed, true).run() })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newSiteSoak(t, seed, slowAdvice).run() })
 	}
 }
 
--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -251,7 +251,7 @@
 		return true
 	}
 	for o := range q.open {
-		if o != c && (o == first || o.repeats == first) {
+		if o != c && o.first() == first {
 			return true
 		}
 	}
--- a/internal/owner/advicefaults_test.go
+++ b/internal/owner/advicefaults_test.go
@@ -98,14 +98,7 @@
 			s.nodes, s.list = append(s.nodes, n), append(s.list, n)
 		}
 		s.queue = owner.NewAdviceQueue(ctx, s.advisers, s.answered)
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			for ctx.Err() == nil {
-				s.queue.Dispatch()
-				time.Sleep(100 * time.Millisecond)
-			}
-		}()
+		ended := dispatchUntil(ctx, s.queue)
 		test(t, s)
 		cancel()
 		<-ended
--- a/internal/owner/advicewait_test.go
+++ b/internal/owner/advicewait_test.go
@@ -118,14 +118,7 @@
 		}
 		s := &adviceSim{service: service, waits: &adviceWaits{added: make(map[string]time.Time), took: make(map[string]time.Duration)}}
 		s.queue = owner.NewAdviceQueue(ctx, func() []owner.Adviser { return advisers }, s.answered)
-		dispatched := make(chan struct{})
-		go func() {
-			defer close(dispatched)
-			for ctx.Err() == nil {
-				s.queue.Dispatch()
-				time.Sleep(100 * time.Millisecond)
-			}
-		}()
+		dispatched := dispatchUntil(ctx, s.queue)
 		test(t, s)
 		cancel()
 		<-dispatched
@@ -133,6 +126,20 @@
 	})
 }
 
+// dispatchUntil dispatches the calls of a queue as often as an owner does at least, until ctx ends. The channel is
+// closed then.
+func dispatchUntil(ctx context.Context, q *owner.AdviceQueue) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for ctx.Err() == nil {
+			q.Dispatch()
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	return ended
+}
+
 // add requests a call for a job of which nothing runs. A failed call is made again, as the scheduler does.
 func (s *adviceSim) add(job string, rank scheduler.Rank) {
 	s.waits.mu.Lock()
--- a/internal/owner/advisers.go
+++ b/internal/owner/advisers.go
@@ -160,30 +160,22 @@
 	return best, bestLoad
 }
 
-// comparePreference compares two nodes that can take a call: one whose last call was answered comes first, then for
-// a long call one that is not kept for short calls, then one with fewer calls in flight. The caller holds mu.
+// comparePreference compares two nodes that can take a call, by their class and then by how many short calls they
+// have in flight. The caller holds mu.
 func (s *adviserSet) comparePreference(long bool, a, b Adviser) int {
-	la, lb := s.q.loadOf(a), s.q.loadOf(b)
-	if c := compareBool(la.failures > 0, lb.failures > 0); c != 0 {
-		return c
-	}
-	if long {
-		if c := compareBool(s.shortOnly[a.Name()], s.shortOnly[b.Name()]); c != 0 {
-			return c
-		}
-	}
-	return cmp.Compare(la.short, lb.short)
+	return cmp.Or(cmp.Compare(s.preferenceClass(long, a), s.preferenceClass(long, b)), cmp.Compare(s.q.loadOf(a).short, s.q.loadOf(b).short))
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
+// preferenceClass returns the class of a node, the lowest one to be used first: a node whose last call failed comes
+// after all others, and one that is kept for short calls after the others for a long call. The caller holds mu.
+func (s *adviserSet) preferenceClass(long bool, a Adviser) (class int) {
+	if s.q.loadOf(a).failures > 0 {
+		class += 2
+	}
+	if long && s.shortOnly[a.Name()] {
+		class++
 	}
-	return 1
+	return class
 }
 
 // usable reports whether a node doesn't back off.
